--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+SEED ?= 1
+ROUNDS ?= 200
+KEEP ?= 0
+
+.PHONY: run test build fuzz bench capacity lint format
+
+build:
+	bash scripts/packages
+	bash scripts/build
+
+run: build
+	KEEP=$(KEEP) bash scripts/run
+
+test: build
+	bash scripts/test
+
+fuzz: build
+	SEED=$(SEED) ROUNDS=$(ROUNDS) bash scripts/fuzz
+
+bench: build
+	bash scripts/bench
+
+capacity: build
+	bash scripts/capacity
+
+lint: build
+	bash scripts/lint
+
+format:
+	find include src apps tests bench -name '*.h' -o -name '*.cc' | xargs clang-format -i
--- /dev/null
+++ b/include/rattanward/protocol/control_messages.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "rattanward/domain/ids.h"
+
+namespace rattanward::protocol {
+
+/// @brief Kind of a message between the system's own processes.
+enum class MessageKind : std::uint16_t {
+  kEntryStatus = 1,
+  kControlStatus = 2,
+  kConfigFetch = 3,
+  kConfigPush = 4,
+  kPropose = 10,
+  kProposeAnswer = 11,
+  kConsensus = 20,
+  kGossip = 30,
+};
+
+/// @brief Entry to every control VM, once a heartbeat.
+struct EntryStatus {
+  ProcessId process;
+  VmName vm;
+  FailureDomain failure_domain;
+  /// Version that this entry runs; 0 until it has one.
+  ConfigVersion in_force;
+  /// Sequence of the heartbeat, echoed by ControlStatus.
+  std::uint64_t heartbeat = 0;
+
+  friend bool operator==(const EntryStatus&, const EntryStatus&) = default;
+};
+
+/// @brief Control VM to entry, in answer to each EntryStatus.
+struct ControlStatus {
+  /// Set only by a leader that a quorum has confirmed within its lease.
+  bool leader = false;
+  std::uint64_t term = 0;
+  /// Where the leader was last seen; empty if unknown.
+  std::string leader_endpoint;
+  /// Newest committed version known here.
+  ConfigVersion committed;
+  std::uint64_t heartbeat = 0;
+
+  friend bool operator==(const ControlStatus&, const ControlStatus&) = default;
+};
+
+/// @brief Entry to control (or to a peer entry): send what is newer than this.
+struct ConfigFetch {
+  ConfigVersion known;
+
+  friend bool operator==(const ConfigFetch&, const ConfigFetch&) = default;
+};
+
+/// @brief A committed configuration, as its declared TOML text.
+struct ConfigPush {
+  ConfigVersion version;
+  std::string text;
+
+  friend bool operator==(const ConfigPush&, const ConfigPush&) = default;
+};
+
+/// @brief Entry to control: commit this ledger command (its encoded bytes).
+struct Propose {
+  std::string command;
+
+  friend bool operator==(const Propose&, const Propose&) = default;
+};
+
+/// @brief Control to entry: outcome of a Propose.
+struct ProposeAnswer {
+  /// 0 is success; else the ErrorCode.
+  int error = 0;
+  std::string message;
+  /// Encoded ledger outcome; empty on error.
+  std::string outcome;
+  /// On kNotLeader: where to go instead; may be empty.
+  std::string leader_endpoint;
+
+  friend bool operator==(const ProposeAnswer&, const ProposeAnswer&) = default;
+};
+
+}  // namespace rattanward::protocol
--- /dev/null
+++ b/src/domain/event.cc
@@ -0,0 +1,62 @@
+#include "rattanward/domain/event.h"
+
+namespace rattanward {
+
+std::string_view EventName(EventId id) {
+  for (const EventInfo& info : EventTable()) {
+    if (info.id == id) {
+      return info.name;
+    }
+  }
+  return "unknown";
+}
+
+const std::vector<EventInfo>& EventTable() {
+  static const std::vector<EventInfo> kTable = {
+      {EventId::kProcessStarted, "process-started"},
+      {EventId::kProcessReady, "process-ready"},
+      {EventId::kShutdownStarted, "shutdown-started"},
+      {EventId::kProcessStopped, "process-stopped"},
+      {EventId::kSettingsRejected, "settings-rejected"},
+      {EventId::kRequestArrived, "request-arrived"},
+      {EventId::kRequestDispatched, "request-dispatched"},
+      {EventId::kRequestRetried, "request-retried"},
+      {EventId::kRequestFinished, "request-finished"},
+      {EventId::kRequestFailed, "request-failed"},
+      {EventId::kRequestShed, "request-shed"},
+      {EventId::kCallerLeft, "caller-left"},
+      {EventId::kStreamResumed, "stream-resumed"},
+      {EventId::kRequestQuarantined, "request-quarantined"},
+      {EventId::kClaimTaken, "claim-taken"},
+      {EventId::kClaimReleased, "claim-released"},
+      {EventId::kClaimFinished, "claim-finished"},
+      {EventId::kUpstreamAnnounced, "upstream-announced"},
+      {EventId::kUpstreamDraining, "upstream-draining"},
+      {EventId::kUpstreamExpired, "upstream-expired"},
+      {EventId::kUpstreamProbation, "upstream-probation"},
+      {EventId::kUpstreamRestored, "upstream-restored"},
+      {EventId::kEntryPeerLost, "entry-peer-lost"},
+      {EventId::kEntryPeerFound, "entry-peer-found"},
+      {EventId::kLeaderElected, "leader-elected"},
+      {EventId::kLeaderStepped, "leader-stepped"},
+      {EventId::kConfigCommitted, "config-committed"},
+      {EventId::kConfigInForce, "config-in-force"},
+      {EventId::kConfigAccepted, "config-accepted"},
+      {EventId::kVoterAdded, "voter-added"},
+      {EventId::kVoterRemoved, "voter-removed"},
+      {EventId::kVoterCaughtUp, "voter-caught-up"},
+      {EventId::kOrderSent, "order-sent"},
+      {EventId::kOrderDone, "order-done"},
+      {EventId::kEntryIsolated, "entry-isolated"},
+      {EventId::kEntryRejoined, "entry-rejoined"},
+      {EventId::kSnapshotWritten, "snapshot-written"},
+      {EventId::kTornTailCut, "torn-tail-cut"},
+      {EventId::kDamagedRecordFound, "damaged-record-found"},
+      {EventId::kPeerConnected, "peer-connected"},
+      {EventId::kPeerSilent, "peer-silent"},
+      {EventId::kPeerRefused, "peer-refused"},
+  };
+  return kTable;
+}
+
+}  // namespace rattanward
