--- /dev/null
+++ b/apps/rattanward-fake-engine/main.cc
@@ -0,0 +1,343 @@
+#include <gflags/gflags.h>
+#include <httplib.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <deque>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "batch.h"
+#include "rattanward/adapter/announce_client.h"
+#include "rattanward/adapter/elastic_task_queue.h"
+
+DEFINE_int32(port, 0, "Port to listen on; 0 lets the system choose");
+DEFINE_string(instance, "", "Instance id; made from the process id if empty");
+DEFINE_string(failure_domain, "a", "Failure domain of this engine");
+DEFINE_string(models, "small", "Models served, separated by commas");
+DEFINE_uint32(capacity, 8, "Requests that run at once");
+DEFINE_uint32(first_token_ms, 20, "Time to the first token");
+DEFINE_uint32(token_ms, 5, "Time between two tokens");
+DEFINE_string(entries, "", "Entries to announce to, ADDRESS:PORT,...");
+DEFINE_string(announce_token, "", "Token that the entries expect");
+DEFINE_uint32(announce_period_ms, 300, "Time between two announcements");
+DEFINE_uint32(report_lag_ms, 0, "Age of the load reports");
+DEFINE_string(poison, "", "A prompt with this text kills the engine");
+
+namespace rattanward::fake {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kThreads = 1024;
+constexpr std::uint32_t kDefaultTokens = 16;
+constexpr auto kReadWait = std::chrono::milliseconds(50);
+volatile std::sig_atomic_t g_drain = 0;
+volatile std::sig_atomic_t g_terminate = 0;
+
+class Engine {
+ public:
+  Engine() : batch_(behaviour_) {
+    behaviour_.capacity = FLAGS_capacity;
+    behaviour_.first_token_ms = FLAGS_first_token_ms;
+    behaviour_.token_ms = FLAGS_token_ms;
+    behaviour_.poison = FLAGS_poison;
+  }
+
+  void Routes(httplib::Server& server);
+  Announcement Describe(int port);
+  bool Idle() {
+    const EngineCounts counts = batch_.Counts();
+    return counts.running == 0 && counts.waiting == 0;
+  }
+
+ private:
+  void Complete(const httplib::Request& request, httplib::Response& response);
+  void Fault(const Json& fault);
+  void SendStream(const std::shared_ptr<Stream>& stream, std::uint32_t from,
+                  httplib::Response& response);
+  bool SendEvents(const std::shared_ptr<Stream>& stream, std::uint32_t& next,
+                  httplib::DataSink& sink);
+  std::string EventText(const Stream& stream, std::uint32_t number) const;
+
+  EngineBehaviour behaviour_;
+  Batch batch_;
+  std::deque<std::pair<std::chrono::steady_clock::time_point, LoadReport>>
+      reports_;
+  std::atomic<std::uint64_t> connections_{0};
+};
+
+std::string PromptText(const Json& body) {
+  std::string text;
+  for (const Json& message : body.value("messages", Json::array())) {
+    text += message.value("content", std::string());
+  }
+  return text;
+}
+
+void Engine::Complete(const httplib::Request& request,
+                      httplib::Response& response) {
+  if (const int status = behaviour_.refuse_status; status != 0) {
+    response.status = status;
+    return;
+  }
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (body.is_discarded()) {
+    response.status = 400;
+    return;
+  }
+  const std::string prompt = PromptText(body);
+  if (!behaviour_.poison.empty() &&
+      prompt.find(behaviour_.poison) != std::string::npos) {
+    _exit(1);
+  }
+  const int priority =
+      std::atoi(request.get_header_value("X-Rattanward-Priority").c_str());
+  const auto stream =
+      batch_.Begin(request.get_header_value("X-Request-Id"), prompt,
+                   body.value("max_tokens", kDefaultTokens), priority);
+  SendStream(stream, 1, response);
+}
+
+void Engine::SendStream(const std::shared_ptr<Stream>& stream,
+                        std::uint32_t from, httplib::Response& response) {
+  response.set_header("X-Request-Id", behaviour_.wrong_id ? "another-request"
+                                                          : stream->request_id);
+  response.set_header("X-Stream-Id", stream->id);
+  {
+    const std::lock_guard<std::mutex> lock(stream->mutex);
+    ++stream->readers;
+  }
+  const auto next = std::make_shared<std::uint32_t>(from);
+  const std::uint64_t connection = ++connections_;
+  response.set_chunked_content_provider(
+      "text/event-stream",
+      [this, stream, next, connection](std::size_t, httplib::DataSink& sink) {
+        if (connection <= behaviour_.muted_before) {
+          std::this_thread::sleep_for(kReadWait);
+          return true;
+        }
+        return SendEvents(stream, *next, sink);
+      },
+      [this, stream](bool) {
+        bool orphan = false;
+        {
+          const std::lock_guard<std::mutex> lock(stream->mutex);
+          orphan = --stream->readers == 0 && !stream->done;
+        }
+        if (orphan) {
+          std::thread([this, stream] {
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(behaviour_.orphan_ms));
+            bool cancel = false;
+            {
+              const std::lock_guard<std::mutex> lock(stream->mutex);
+              cancel = stream->readers == 0;
+            }
+            if (cancel) {
+              batch_.Cancel(stream);
+            }
+          }).detach();
+        }
+      });
+}
+
+bool Engine::SendEvents(const std::shared_ptr<Stream>& stream,
+                        std::uint32_t& next, httplib::DataSink& sink) {
+  std::uint32_t produced = 0;
+  bool done = false;
+  {
+    std::unique_lock<std::mutex> lock(stream->mutex);
+    stream->changed.wait_for(lock, kReadWait, [&] {
+      return stream->produced >= next || stream->done || stream->cancelled;
+    });
+    if (stream->cancelled) {
+      return false;
+    }
+    produced = stream->produced;
+    done = stream->done;
+  }
+  std::string text;
+  const std::uint32_t break_after = behaviour_.break_after;
+  while (next <= produced && (break_after == 0 || next <= break_after)) {
+    text += EventText(*stream, next++);
+  }
+  if (!text.empty() && !sink.write(text.data(), text.size())) {
+    return false;
+  }
+  if (break_after != 0 && next > break_after) {
+    return false;
+  }
+  if (done && next > stream->tokens) {
+    const std::string end = EventText(*stream, stream->tokens + 1) +
+                            "id: " + std::to_string(stream->tokens + 2) +
+                            "\ndata: [DONE]\n\n";
+    sink.write(end.data(), end.size());
+    sink.done();
+  }
+  return true;
+}
+
+std::string Engine::EventText(const Stream& stream,
+                              std::uint32_t number) const {
+  const bool last = number > stream.tokens;
+  Json choice = {{"index", 0}, {"finish_reason", nullptr}};
+  choice["delta"] = Json::object();
+  if (last) {
+    choice["finish_reason"] = "stop";
+  } else {
+    choice["delta"]["content"] =
+        stream.request_id + ":" + std::to_string(number) + " ";
+  }
+  const Json chunk = {{"id", stream.request_id},
+                      {"object", "chat.completion.chunk"},
+                      {"model", FLAGS_models},
+                      {"choices", Json::array({choice})}};
+  return "id: " + std::to_string(number) + "\ndata: " + chunk.dump() + "\n\n";
+}
+
+void Engine::Fault(const Json& fault) {
+  if (fault.contains("slow_percent")) {
+    behaviour_.slow_percent = fault["slow_percent"].get<std::uint32_t>();
+  }
+  if (fault.contains("stalled")) {
+    behaviour_.stalled = fault["stalled"].get<bool>();
+  }
+  if (fault.contains("mute")) {
+    behaviour_.muted_before = connections_.load();
+  }
+  if (fault.contains("break_after")) {
+    behaviour_.break_after = fault["break_after"].get<std::uint32_t>();
+  }
+  if (fault.contains("refuse_status")) {
+    behaviour_.refuse_status = fault["refuse_status"].get<int>();
+  }
+  if (fault.contains("wrong_id")) {
+    behaviour_.wrong_id = fault["wrong_id"].get<bool>();
+  }
+  if (fault.contains("drain")) {
+    g_drain = 1;
+  }
+}
+
+void Engine::Routes(httplib::Server& server) {
+  server.Post("/v1/chat/completions",
+              [this](const auto& request, auto& response) {
+                Complete(request, response);
+              });
+  server.Get(R"(/v1/streams/(\w+)/status)",
+             [this](const auto& request, auto& response) {
+               const auto stream = batch_.Find(request.matches[1]);
+               Json status = {{"state", "unknown"}, {"produced", 0}};
+               if (stream) {
+                 const std::lock_guard<std::mutex> lock(stream->mutex);
+                 status["state"] = stream->cancelled ? "cancelled"
+                                   : stream->done    ? "done"
+                                                     : "running";
+                 status["produced"] = stream->produced;
+               }
+               response.set_content(status.dump(), "application/json");
+             });
+  server.Get(R"(/v1/streams/(\w+))", [this](const auto& request,
+                                            auto& response) {
+    const auto stream = batch_.Find(request.matches[1]);
+    if (!stream || stream->cancelled) {
+      response.status = 404;
+      return;
+    }
+    const int from = std::atoi(request.get_param_value("from").c_str());
+    SendStream(stream, static_cast<std::uint32_t>(std::max(from, 1)), response);
+  });
+  server.Delete(R"(/v1/streams/(\w+))",
+                [this](const auto& request, auto& response) {
+                  if (const auto stream = batch_.Find(request.matches[1])) {
+                    batch_.Cancel(stream);
+                  }
+                  response.status = 200;
+                });
+  server.Post("/fault", [this](const auto& request, auto& response) {
+    Fault(Json::parse(request.body));
+    response.status = 200;
+  });
+  server.Get("/stats", [this](const auto&, auto& response) {
+    const EngineCounts counts = batch_.Counts();
+    const Json json = {
+        {"accepted", counts.accepted},   {"completed", counts.completed},
+        {"cancelled", counts.cancelled}, {"tokens", counts.tokens},
+        {"running", counts.running},     {"waiting", counts.waiting}};
+    response.set_content(json.dump(), "application/json");
+  });
+}
+
+Announcement Engine::Describe(int port) {
+  const EngineCounts counts = batch_.Counts();
+  const auto now = std::chrono::steady_clock::now();
+  reports_.emplace_back(
+      now, LoadReport{counts.running, counts.waiting, 0, counts.accepted});
+  const auto oldest = now - std::chrono::milliseconds(FLAGS_report_lag_ms);
+  while (reports_.size() > 1 && reports_[1].first <= oldest) {
+    reports_.pop_front();
+  }
+  Announcement announcement;
+  announcement.instance = UpstreamId(FLAGS_instance);
+  announcement.endpoint = {"127.0.0.1", static_cast<std::uint16_t>(port)};
+  announcement.failure_domain = FailureDomain(FLAGS_failure_domain);
+  std::istringstream models(FLAGS_models);
+  for (std::string model; std::getline(models, model, ',');) {
+    announcement.models.emplace_back(model);
+  }
+  announcement.capacity = FLAGS_capacity;
+  announcement.load = reports_.front().second;
+  announcement.draining = g_drain != 0;
+  announcement.not_run_statuses = {429, 503};
+  return announcement;
+}
+
+int Run() {
+  Engine engine;
+  httplib::Server server;
+  server.new_task_queue = [] {
+    return new adapter::ElasticTaskQueue(kThreads);
+  };
+  server.set_tcp_nodelay(true);
+  engine.Routes(server);
+  int port = FLAGS_port;
+  if (port == 0) {
+    port = server.bind_to_any_port("127.0.0.1");
+  } else if (!server.bind_to_port("127.0.0.1", port)) {
+    std::cerr << "cannot listen on port " << port << "\n";
+    return 1;
+  }
+  std::thread serving([&server] { server.listen_after_bind(); });
+  std::cout << "listening on 127.0.0.1:" << port << std::endl;
+  adapter::AnnounceClient announcer(
+      adapter::ParseEndpoints(FLAGS_entries), FLAGS_announce_token,
+      std::chrono::milliseconds(FLAGS_announce_period_ms),
+      [&engine, port] { return engine.Describe(port); });
+  while (g_terminate == 0 || !engine.Idle()) {
+    std::this_thread::sleep_for(kReadWait);
+  }
+  server.stop();
+  serving.join();
+  return 0;
+}
+
+void OnTerminate(int) {
+  g_drain = 1;
+  g_terminate = 1;
+}
+
+}  // namespace
+}  // namespace rattanward::fake
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("Stand-in for a model engine; tests and bench only.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_instance.empty()) {
+    FLAGS_instance = "engine-" + std::to_string(getpid());
+  }
+  std::signal(SIGTERM, rattanward::fake::OnTerminate);
+  std::signal(SIGPIPE, SIG_IGN);
+  return rattanward::fake::Run();
+}
