--- a/apps/rattanward-fake-engine/batch.cc
+++ b/apps/rattanward-fake-engine/batch.cc
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-std::shared_ptr<Stream> Batch::Begin(const std::string& request_id,
+std::shared_ptr<Stream> Batch::Begin(const std::string& stream_id,
+                                     const std::string& request_id,
                                      const std::string& prompt,
                                      std::uint32_t tokens, int priority) {
   auto stream = std::make_shared<Stream>();
@@ -28,7 +29,8 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stream->number = next_number_++;
-    stream->id = "s" + std::to_string(stream->number);
+    stream->id =
+        stream_id.empty() ? "s" + std::to_string(stream->number) : stream_id;
     if (streams_.size() >= kStreamsKept) {
       streams_.clear();
     }
--- a/apps/rattanward-fake-engine/batch.h
+++ b/apps/rattanward-fake-engine/batch.h
@@ -68,7 +68,9 @@
   explicit Batch(EngineBehaviour& behaviour) : behaviour_(behaviour) {}
 
   /// @brief Starts an answer on a thread of its own.
-  std::shared_ptr<Stream> Begin(const std::string& request_id,
+  /// @param stream_id The sender's name for the stream; one is made if empty.
+  std::shared_ptr<Stream> Begin(const std::string& stream_id,
+                                const std::string& request_id,
                                 const std::string& prompt, std::uint32_t tokens,
                                 int priority);
   /// @brief Finds an answer that is being generated or was; null if unknown.
--- a/apps/rattanward-fake-engine/main.cc
+++ b/apps/rattanward-fake-engine/main.cc
@@ -95,7 +95,8 @@
   const int priority =
       std::atoi(request.get_header_value("X-Rattanward-Priority").c_str());
   const auto stream =
-      batch_.Begin(request.get_header_value("X-Request-Id"), prompt,
+      batch_.Begin(request.get_header_value("X-Stream-Id"),
+                   request.get_header_value("X-Request-Id"), prompt,
                    body.value("max_tokens", kDefaultTokens), priority);
   SendStream(stream, 1, response);
 }
@@ -226,7 +227,7 @@
               [this](const auto& request, auto& response) {
                 Complete(request, response);
               });
-  server.Get(R"(/v1/streams/(\w+)/status)",
+  server.Get(R"(/v1/streams/([^/]+)/status)",
              [this](const auto& request, auto& response) {
                const auto stream = batch_.Find(request.matches[1]);
                Json status = {{"state", "unknown"}, {"produced", 0}};
@@ -239,8 +240,8 @@
                }
                response.set_content(status.dump(), "application/json");
              });
-  server.Get(R"(/v1/streams/(\w+))", [this](const auto& request,
-                                            auto& response) {
+  server.Get(R"(/v1/streams/([^/]+))", [this](const auto& request,
+                                              auto& response) {
     const auto stream = batch_.Find(request.matches[1]);
     if (!stream || stream->cancelled) {
       response.status = 404;
@@ -249,7 +250,7 @@
     const int from = std::atoi(request.get_param_value("from").c_str());
     SendStream(stream, static_cast<std::uint32_t>(std::max(from, 1)), response);
   });
-  server.Delete(R"(/v1/streams/(\w+))",
+  server.Delete(R"(/v1/streams/([^/]+))",
                 [this](const auto& request, auto& response) {
                   if (const auto stream = batch_.Find(request.matches[1])) {
                     batch_.Cancel(stream);
--- /dev/null
+++ b/include/rattanward/entry/stream_assembler.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rattanward/domain/result.h"
+
+namespace rattanward::entry {
+
+/// @brief Events of an upstream's stream that are new and in order.
+struct StreamPieces {
+  /// Data of each event, without framing and without the end marker.
+  std::vector<std::string> events;
+  /// The end marker arrived; nothing may follow.
+  bool done = false;
+
+  friend bool operator==(const StreamPieces&, const StreamPieces&) = default;
+};
+
+/// @brief Puts one numbered event stream together over several connections.
+/// @note Events are numbered from 1 by their "id:" line. What was taken before
+/// is dropped, a gap is an error, and so is an unnumbered event.
+class StreamAssembler {
+ public:
+  /// @brief Takes bytes as they arrive on the current connection.
+  /// @param bytes Part of the event stream; may end anywhere.
+  /// @return The events that are new.
+  /// Errors: kStreamGap if an event is missing, kUpstreamMalformed for an
+  /// event without number or longer than 1 MiB, or bytes after the end marker.
+  Result<StreamPieces> Feed(std::string_view bytes);
+
+  /// @brief Forgets an unfinished event, as a new connection begins.
+  void BeginConnection();
+
+  /// @brief Number of the next event that is wanted.
+  std::uint64_t next() const { return next_; }
+  /// @brief Whether the end marker has been taken.
+  bool done() const { return done_; }
+
+ private:
+  Status TakeLine(std::string_view line, StreamPieces& pieces);
+  Status TakeEvent(StreamPieces& pieces);
+
+  std::string buffer_;
+  std::uint64_t number_ = 0;
+  std::string data_;
+  std::uint64_t next_ = 1;
+  bool done_ = false;
+};
+
+}  // namespace rattanward::entry
--- /dev/null
+++ b/src/entry/caller_request.cc
@@ -0,0 +1,223 @@
+#include "rattanward/entry/caller_request.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace rattanward::entry {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxHeaderValueBytes = 256;
+constexpr std::size_t kPrefixBytes = 512;
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kServicesPath = "/services/";
+
+std::uint64_t Hash(std::string_view text, std::uint64_t seed = 0) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+Result<std::string> Header(const httplib::Request& request, const char* name) {
+  std::string value = request.get_header_value(name);
+  if (value.size() > kMaxHeaderValueBytes) {
+    return MakeError(ErrorCode::kMalformedHeader,
+                     std::string(name) + " is longer than 256 bytes");
+  }
+  return value;
+}
+
+Result<const RequestClass*> ChooseClass(const ConfigSnapshot& config,
+                                        const ClientAccount& account,
+                                        const httplib::Request& request,
+                                        const RequestClassName& preferred) {
+  const Result<std::string> named = Header(request, "X-Request-Class");
+  if (!named) {
+    return named.error();
+  }
+  RequestClassName name(named.value());
+  if (name.empty()) {
+    name = preferred.empty() && !account.classes.empty()
+               ? account.classes.front()
+               : preferred;
+  }
+  const RequestClass* request_class = FindClass(config.config(), name);
+  if (request_class == nullptr) {
+    return MakeError(ErrorCode::kUnknownClass,
+                     "no request class is named \"" + name.str() + "\"");
+  }
+  const auto& allowed = account.classes;
+  if (std::find(allowed.begin(), allowed.end(), name) == allowed.end()) {
+    return MakeError(
+        ErrorCode::kClassNotAllowed,
+        "the client account may not use the class \"" + name.str() + "\"");
+  }
+  return request_class;
+}
+
+Result<IdempotencyKey> KeyFor(const httplib::Request& request,
+                              bool idempotent) {
+  const Result<std::string> key = Header(request, "Idempotency-Key");
+  if (!key) {
+    return key.error();
+  }
+  if (!idempotent && key.value().empty()) {
+    return MakeError(ErrorCode::kIdempotencyKeyRequired,
+                     "this request may run at most once, so it needs an "
+                     "Idempotency-Key header");
+  }
+  return IdempotencyKey(idempotent ? std::string() : key.value());
+}
+
+void FillCommon(const ConfigSnapshot& config, const ClientAccount& account,
+                const httplib::Request& request, const RequestId& id,
+                ExchangePlan& plan) {
+  plan.info.id = id;
+  plan.info.account = account.id;
+  plan.info.fingerprint = Hash(request.body, Hash(account.id.str()));
+  plan.request.id = id;
+  plan.request.method = request.method;
+  plan.silence = config.config().limits.silence;
+}
+
+std::string PromptStart(const Json& body) {
+  std::string start;
+  for (const Json& message : body["messages"]) {
+    if (message.is_object() && message.contains("content") &&
+        message["content"].is_string()) {
+      start += message["content"].get_ref<const std::string&>();
+    }
+    if (start.size() >= kPrefixBytes) {
+      break;
+    }
+  }
+  return start.substr(0, kPrefixBytes);
+}
+
+Status CheckCompletionBody(const ConfigSnapshot& config, const Json& body) {
+  if (!body.is_object()) {
+    return MakeError(ErrorCode::kMalformedBody, "the body is no JSON object");
+  }
+  if (!body.contains("model") || !body["model"].is_string()) {
+    return MakeError(ErrorCode::kMalformedBody, "\"model\" must be a string");
+  }
+  if (!body.contains("messages") || !body["messages"].is_array() ||
+      body["messages"].empty()) {
+    return MakeError(ErrorCode::kMalformedBody,
+                     "\"messages\" must be an array that is not empty");
+  }
+  if (body.contains("stream") && !body["stream"].is_boolean()) {
+    return MakeError(ErrorCode::kMalformedBody, "\"stream\" must be a boolean");
+  }
+  if (body.contains("max_tokens") && !body["max_tokens"].is_number_unsigned()) {
+    return MakeError(ErrorCode::kMalformedBody,
+                     "\"max_tokens\" must be a whole number");
+  }
+  if (!config.HasModel(ModelName(body["model"].get<std::string>()))) {
+    return MakeError(
+        ErrorCode::kUnknownModel,
+        "no model is named \"" + body["model"].get<std::string>() + "\"");
+  }
+  return outcome::success();
+}
+
+}  // namespace
+
+Result<const ClientAccount*> Authenticate(const ConfigSnapshot& config,
+                                          const httplib::Request& request) {
+  const std::string header = request.get_header_value("Authorization");
+  if (header.rfind(kBearer, 0) != 0) {
+    return MakeError(ErrorCode::kUnknownKey,
+                     "an Authorization header with a bearer key is required");
+  }
+  const ClientAccount* account =
+      config.AccountOfKey(std::string_view(header).substr(kBearer.size()));
+  if (account == nullptr) {
+    return MakeError(ErrorCode::kUnknownKey, "no client account has this key");
+  }
+  return account;
+}
+
+Result<CheckedRequest> CheckCompletion(const ConfigSnapshot& config,
+                                       const ClientAccount& account,
+                                       const httplib::Request& request,
+                                       const RequestId& id) {
+  Json body = Json::parse(request.body, nullptr, false);
+  if (const Status status = CheckCompletionBody(config, body); !status) {
+    return status.error();
+  }
+  const auto request_class = ChooseClass(config, account, request, {});
+  if (!request_class) {
+    return request_class.error();
+  }
+  const bool idempotent = request_class.value()->idempotent;
+  const auto key = KeyFor(request, idempotent);
+  if (!key) {
+    return key.error();
+  }
+  CheckedRequest checked;
+  checked.idempotency_key = key.value();
+  ExchangePlan& plan = checked.plan;
+  FillCommon(config, account, request, id, plan);
+  plan.info.request_class = request_class.value()->name;
+  plan.info.model = ModelName(body["model"].get<std::string>());
+  plan.info.idempotent = idempotent;
+  plan.info.prefix = Hash(PromptStart(body), Hash(plan.info.model.str()));
+  plan.shape = body.value("stream", false) ? AnswerShape::kEventStream
+                                           : AnswerShape::kWholeCompletion;
+  body["stream"] = true;
+  plan.request.path = "/v1/chat/completions";
+  plan.request.content_type = "application/json";
+  constexpr int kNoIndent = -1;
+  plan.request.body =
+      body.dump(kNoIndent, ' ', false, Json::error_handler_t::replace);
+  return checked;
+}
+
+Result<CheckedRequest> CheckServiceCall(const ConfigSnapshot& config,
+                                        const ClientAccount& account,
+                                        const httplib::Request& request,
+                                        const RequestId& id) {
+  const std::string rest = request.path.substr(kServicesPath.size());
+  const std::size_t slash = std::min(rest.find('/'), rest.size());
+  const ServiceName name(rest.substr(0, slash));
+  const ServiceDeclaration* service = FindService(config.config(), name);
+  if (service == nullptr) {
+    return MakeError(ErrorCode::kUnknownService,
+                     "no service is named \"" + name.str() + "\"");
+  }
+  const auto request_class =
+      ChooseClass(config, account, request, service->request_class);
+  if (!request_class) {
+    return request_class.error();
+  }
+  const bool idempotent =
+      service->idempotent && request_class.value()->idempotent;
+  const auto key = KeyFor(request, idempotent);
+  if (!key) {
+    return key.error();
+  }
+  CheckedRequest checked;
+  checked.idempotency_key = key.value();
+  ExchangePlan& plan = checked.plan;
+  FillCommon(config, account, request, id, plan);
+  plan.info.kind = UpstreamKind::kService;
+  plan.info.service = name;
+  plan.info.request_class = request_class.value()->name;
+  plan.info.idempotent = idempotent;
+  plan.shape = AnswerShape::kService;
+  const std::string path = rest.substr(slash);
+  plan.request.path = path.empty() ? "/" : path;
+  if (const auto query = request.target.find('?'); query != std::string::npos) {
+    plan.request.path += request.target.substr(query);
+  }
+  plan.request.content_type = request.get_header_value("Content-Type");
+  plan.request.body = request.body;
+  if (!key.value().empty()) {
+    plan.request.headers.push_back({"Idempotency-Key", key.value().str()});
+  }
+  return checked;
+}
+
+}  // namespace rattanward::entry
--- /dev/null
+++ b/src/entry/stream_assembler.cc
@@ -0,0 +1,104 @@
+#include "rattanward/entry/stream_assembler.h"
+
+#include <charconv>
+
+namespace rattanward::entry {
+namespace {
+
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
+constexpr std::string_view kEndMarker = "[DONE]";
+constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
+
+std::string_view FieldValue(std::string_view line, std::string_view field) {
+  line.remove_prefix(field.size());
+  if (!line.empty() && line.front() == ' ') {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+Error Malformed(std::string message) {
+  return MakeError(ErrorCode::kUpstreamMalformed, std::move(message),
+                   Verdict::kMayHaveRun);
+}
+
+}  // namespace
+
+Result<StreamPieces> StreamAssembler::Feed(std::string_view bytes) {
+  StreamPieces pieces;
+  buffer_.append(bytes);
+  std::size_t begin = 0;
+  for (std::size_t end = buffer_.find('\n', begin); end != std::string::npos;
+       end = buffer_.find('\n', begin)) {
+    std::string_view line(buffer_.data() + begin, end - begin);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    if (Status status = TakeLine(line, pieces); !status) {
+      return status.error();
+    }
+    begin = end + 1;
+  }
+  buffer_.erase(0, begin);
+  if (buffer_.size() + data_.size() > kMaxEventBytes) {
+    return Malformed("an event is longer than 1 MiB");
+  }
+  return pieces;
+}
+
+void StreamAssembler::BeginConnection() {
+  buffer_.clear();
+  data_.clear();
+  number_ = 0;
+}
+
+Status StreamAssembler::TakeLine(std::string_view line, StreamPieces& pieces) {
+  if (line.empty()) {
+    return TakeEvent(pieces);
+  }
+  if (line.substr(0, kIdField.size()) == kIdField) {
+    const std::string_view text = FieldValue(line, kIdField);
+    const auto [end, problem] =
+        std::from_chars(text.data(), text.data() + text.size(), number_);
+    if (problem != std::errc() || end != text.data() + text.size()) {
+      return Malformed("an event's number is unreadable");
+    }
+  } else if (line.substr(0, kDataField.size()) == kDataField) {
+    data_.append(FieldValue(line, kDataField));
+  }
+  return outcome::success();
+}
+
+Status StreamAssembler::TakeEvent(StreamPieces& pieces) {
+  if (data_.empty()) {
+    return outcome::success();
+  }
+  const std::string data = std::exchange(data_, {});
+  const std::uint64_t number = std::exchange(number_, 0);
+  if (number == 0) {
+    return Malformed("an event has no number");
+  }
+  if (number < next_) {
+    return outcome::success();
+  }
+  if (done_) {
+    return Malformed("an event follows the end marker");
+  }
+  if (number > next_) {
+    return MakeError(ErrorCode::kStreamGap,
+                     "event " + std::to_string(next_) + " is missing before " +
+                         std::to_string(number),
+                     Verdict::kRan);
+  }
+  ++next_;
+  if (data == kEndMarker) {
+    done_ = true;
+    pieces.done = true;
+  } else {
+    pieces.events.push_back(data);
+  }
+  return outcome::success();
+}
+
+}  // namespace rattanward::entry
