--- a/include/rattanward/domain/error.h
+++ b/include/rattanward/domain/error.h
@@ -66,6 +66,8 @@
   kUnknownUpstream = 4010,
   kCommandIdReused = 4011,
   kOrderRefused = 4012,
+  kLearnerBehind = 4013,
+  kLastVoter = 4014,
 
   kDamagedRecord = 5001,
   kStorageFailed = 5002,
--- a/src/domain/error.cc
+++ b/src/domain/error.cc
@@ -56,6 +56,8 @@
     {ErrorCode::kUnknownUpstream, "unknown-upstream", 404},
     {ErrorCode::kCommandIdReused, "command-id-reused", 422},
     {ErrorCode::kOrderRefused, "order-refused", 502},
+    {ErrorCode::kLearnerBehind, "learner-behind", 409},
+    {ErrorCode::kLastVoter, "last-voter", 409},
     {ErrorCode::kDamagedRecord, "damaged-record", 500},
     {ErrorCode::kStorageFailed, "storage-failed", 500},
     {ErrorCode::kWrongDataFolder, "wrong-data-folder", 500},
