--- /dev/null
+++ b/src/ledger/claim_table.cc
@@ -0,0 +1,166 @@
+#include "rattanward/ledger/claim_table.h"
+
+#include <algorithm>
+
+namespace rattanward::ledger {
+namespace {
+
+bool IsReleased(const Claim& claim, const AttemptId& attempt) {
+  return std::find(claim.released.begin(), claim.released.end(), attempt) !=
+         claim.released.end();
+}
+
+void AddReleased(Claim& claim, const AttemptId& attempt) {
+  if (IsReleased(claim, attempt)) {
+    return;
+  }
+  if (claim.released.size() == kMaxReleasedAttempts) {
+    claim.released.erase(claim.released.begin());
+  }
+  claim.released.push_back(attempt);
+}
+
+Outcome TakenAlready(const Claim& claim, const ClaimBegin& command) {
+  if (claim.body_hash != command.body_hash) {
+    return Refused{ErrorCode::kIdempotencyKeyReused,
+                   "the idempotency key was used with another body"};
+  }
+  if (claim.phase != ClaimPhase::kRunning) {
+    return ClaimStored{claim.outcome};
+  }
+  if (claim.attempt == command.attempt) {
+    return ClaimTaken{claim.attempt};
+  }
+  return ClaimRunning{claim.owner};
+}
+
+}  // namespace
+
+Outcome ClaimTable::Begin(const ClaimBegin& command, LogTime now) {
+  Claim* claim = FindMutable(command.claim);
+  if (claim == nullptr && claims_.size() >= kMaxClaims) {
+    return Refused{ErrorCode::kTooManyOpenRequests,
+                   "too many idempotency keys are remembered"};
+  }
+  if (claim != nullptr && IsReleased(*claim, command.attempt)) {
+    return Refused{ErrorCode::kCommandIdReused, "the attempt was released"};
+  }
+  if (claim != nullptr && claim->phase != ClaimPhase::kReleased) {
+    return TakenAlready(*claim, command);
+  }
+  if (claim == nullptr) {
+    claim = &claims_[command.claim];
+  }
+  claim->body_hash = command.body_hash;
+  claim->owner = command.owner;
+  claim->attempt = command.attempt;
+  claim->phase = ClaimPhase::kRunning;
+  claim->window = command.window;
+  Keep(command.claim, *claim, now);
+  return ClaimTaken{command.attempt};
+}
+
+Outcome ClaimTable::Release(const ClaimRelease& command, LogTime now) {
+  Claim* claim = FindMutable(command.claim);
+  if (claim == nullptr) {
+    // The claim may still be on its way here, so the attempt is barred.
+    if (claims_.size() >= kMaxClaims) {
+      return Refused{ErrorCode::kTooManyOpenRequests,
+                     "too many idempotency keys are remembered"};
+    }
+    claim = &claims_[command.claim];
+    claim->phase = ClaimPhase::kReleased;
+    claim->window = command.window;
+  }
+  const bool holds = claim->attempt == command.attempt;
+  if (holds && claim->phase == ClaimPhase::kFinished) {
+    return Refused{ErrorCode::kOutcomeUnknown,
+                   "the attempt has finished its claim"};
+  }
+  if (holds) {
+    claim->phase = ClaimPhase::kReleased;
+    claim->outcome = StoredOutcome();
+  }
+  AddReleased(*claim, command.attempt);
+  if (claim->phase == ClaimPhase::kReleased) {
+    Keep(command.claim, *claim, now);
+  }
+  return Done{};
+}
+
+Outcome ClaimTable::Finish(const ClaimFinish& command, LogTime now) {
+  Claim* claim = FindMutable(command.claim);
+  if (claim == nullptr || claim->phase == ClaimPhase::kReleased ||
+      claim->attempt != command.attempt) {
+    return Refused{ErrorCode::kOutcomeUnknown,
+                   "the attempt does not hold the claim"};
+  }
+  if (claim->phase == ClaimPhase::kFinished) {
+    return Done{};
+  }
+  claim->phase = ClaimPhase::kFinished;
+  StoreOutcome(*claim, command.outcome);
+  Keep(command.claim, *claim, now);
+  return Done{};
+}
+
+Outcome ClaimTable::Abandon(const ClaimsAbandon& command, LogTime now) {
+  for (auto& [key, claim] : claims_) {
+    if (claim.phase == ClaimPhase::kRunning && claim.owner == command.owner) {
+      claim.phase = ClaimPhase::kAbandoned;
+      claim.outcome = StoredOutcome();
+      claim.outcome.verdict = Verdict::kMayHaveRun;
+      Keep(key, claim, now);
+    }
+  }
+  return Done{};
+}
+
+void ClaimTable::Expire(LogTime now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
+    const ClaimKey key = by_expiry_.begin()->second;
+    by_expiry_.erase(by_expiry_.begin());
+    const auto it = claims_.find(key);
+    stored_bytes_ -= it->second.outcome.body.size();
+    claims_.erase(it);
+  }
+}
+
+const Claim* ClaimTable::Find(const ClaimKey& key) const {
+  const auto it = claims_.find(key);
+  return it == claims_.end() ? nullptr : &it->second;
+}
+
+void ClaimTable::Restore(std::map<ClaimKey, Claim> claims) {
+  claims_ = std::move(claims);
+  by_expiry_.clear();
+  stored_bytes_ = 0;
+  for (const auto& [key, claim] : claims_) {
+    by_expiry_.insert({claim.expires, key});
+    stored_bytes_ += claim.outcome.body.size();
+  }
+}
+
+Claim* ClaimTable::FindMutable(const ClaimKey& key) {
+  const auto it = claims_.find(key);
+  return it == claims_.end() ? nullptr : &it->second;
+}
+
+void ClaimTable::Keep(const ClaimKey& key, Claim& claim, LogTime now) {
+  by_expiry_.erase({claim.expires, key});
+  const auto window = static_cast<std::uint64_t>(claim.window.count());
+  claim.expires = LogTime{now.value + window};
+  by_expiry_.insert({claim.expires, key});
+}
+
+void ClaimTable::StoreOutcome(Claim& claim, StoredOutcome outcome) {
+  if (!outcome.has_body ||
+      stored_bytes_ + outcome.body.size() > kMaxStoredBytes) {
+    outcome.has_body = false;
+    outcome.body.clear();
+  }
+  stored_bytes_ += outcome.body.size();
+  claim.outcome = std::move(outcome);
+}
+
+}  // namespace rattanward::ledger
