--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -29,6 +29,9 @@
   ConfigVersion in_force;
   /// Sequence of the heartbeat, echoed by ControlStatus.
   std::uint64_t heartbeat = 0;
+  /// Grows with each start of the process. Control ignores a status whose
+  /// (incarnation, heartbeat) is not above the last one of the process.
+  std::uint64_t incarnation = 0;
 
   friend bool operator==(const EntryStatus&, const EntryStatus&) = default;
 };
@@ -43,6 +46,9 @@
   /// Newest committed version known here.
   ConfigVersion committed;
   std::uint64_t heartbeat = 0;
+  /// Newest version that was said to be accepted; an entry below it takes no
+  /// new work.
+  ConfigVersion accepted;
 
   friend bool operator==(const ControlStatus&, const ControlStatus&) = default;
 };
--- /dev/null
+++ b/include/rattanward/protocol/message_fields.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <tuple>
+
+#include "rattanward/domain/upstream.h"
+#include "rattanward/protocol/codec.h"
+#include "rattanward/protocol/control_messages.h"
+#include "rattanward/protocol/envelope.h"
+
+namespace rattanward::protocol {
+
+template <>
+struct FieldsOf<Endpoint> {
+  static auto Tie(auto& m) { return std::tie(m.address, m.port); }
+};
+
+template <>
+struct FieldsOf<LoadReport> {
+  static auto Tie(auto& m) {
+    return std::tie(m.running, m.waiting, m.cache_used_permille,
+                    m.accepted_total);
+  }
+};
+
+template <>
+struct FieldsOf<Announcement> {
+  static auto Tie(auto& m) {
+    return std::tie(m.instance, m.sequence, m.kind, m.endpoint,
+                    m.failure_domain, m.models, m.service, m.adapters,
+                    m.version, m.role, m.capacity, m.load, m.draining,
+                    m.not_run_statuses);
+  }
+};
+
+template <>
+struct FieldsOf<Envelope> {
+  static auto Tie(auto& m) {
+    return std::tie(m.version, m.kind, m.request, m.body);
+  }
+};
+
+template <>
+struct FieldsOf<Hello> {
+  static auto Tie(auto& m) { return std::tie(m.version, m.process, m.nonce); }
+};
+
+template <>
+struct FieldsOf<Challenge> {
+  static auto Tie(auto& m) {
+    return std::tie(m.version, m.process, m.nonce, m.proof);
+  }
+};
+
+template <>
+struct FieldsOf<ChallengeAnswer> {
+  static auto Tie(auto& m) { return std::tie(m.proof); }
+};
+
+template <>
+struct FieldsOf<EntryStatus> {
+  static auto Tie(auto& m) {
+    return std::tie(m.process, m.vm, m.failure_domain, m.in_force, m.heartbeat,
+                    m.incarnation);
+  }
+};
+
+template <>
+struct FieldsOf<ControlStatus> {
+  static auto Tie(auto& m) {
+    return std::tie(m.leader, m.term, m.leader_endpoint, m.committed,
+                    m.heartbeat, m.accepted);
+  }
+};
+
+template <>
+struct FieldsOf<ConfigFetch> {
+  static auto Tie(auto& m) { return std::tie(m.known); }
+};
+
+template <>
+struct FieldsOf<ConfigPush> {
+  static auto Tie(auto& m) { return std::tie(m.version, m.text); }
+};
+
+template <>
+struct FieldsOf<Propose> {
+  static auto Tie(auto& m) { return std::tie(m.command); }
+};
+
+template <>
+struct FieldsOf<ProposeAnswer> {
+  static auto Tie(auto& m) {
+    return std::tie(m.error, m.message, m.outcome, m.leader_endpoint);
+  }
+};
+
+}  // namespace rattanward::protocol
