--- a/src/adapter/settings.cc
+++ b/src/adapter/settings.cc
@@ -25,6 +25,8 @@
 constexpr TextRule kPathRule{1, 1024, nullptr, "a path", false};
 constexpr TextRule kSecretRule{kMinSecretCharacters, 256, nullptr,
                                "a text of 16 to 256 characters", true};
+constexpr TextRule kLogFileRule{0, 1024, nullptr,
+                                "a path, or \"\" for standard error", false};
 constexpr TextRule kProfileRule{1, 64, nullptr, "\"standard\" or \"baseline\"",
                                 false};
 constexpr IntegerRange kOpenRequestsRange{1, 4'096};
@@ -67,9 +69,8 @@
     return Resolve(root_.Text(key, kPathRule));
   }
 
-  std::string PathOr(std::string_view key, std::string fallback) {
-    return root_.Has(key) ? Path(key)
-                          : root_.TextOr(key, kPathRule, std::move(fallback));
+  std::string LogFile() {
+    return Resolve(root_.TextOr("log_file", kLogFileRule, ""));
   }
 
   /// Reads KEY_file or KEY; just one of them must be there.
@@ -81,7 +82,7 @@
     }
     SecretSource source;
     source.text = root_.TextOr(key, kSecretRule, "");
-    source.file = PathOr(file_key, "");
+    source.file = Resolve(root_.TextOr(file_key, kPathRule, ""));
     if (!root_.Has(key) && !root_.Has(file_key)) {
       root_.Fail(ErrorCode::kSettingMissing, file_key, "no such key",
                  "one of " + key + " and " + file_key);
@@ -92,7 +93,8 @@
  private:
   std::string Resolve(const std::string& path) const {
     const std::filesystem::path given(path);
-    return given.is_absolute() ? path : (folder_ / given).string();
+    return path.empty() || given.is_absolute() ? path
+                                               : (folder_ / given).string();
   }
 
   Endpoint Check(std::string_view key, const std::string& text, bool any_port) {
@@ -139,7 +141,7 @@
   out.peer_endpoints = reader.Remotes("peer_endpoints");
   out.shared_secret = reader.Secret("shared_secret");
   out.announce_token = reader.Secret("announce_token");
-  out.log_file = reader.PathOr("log_file", "");
+  out.log_file = reader.LogFile();
   out.max_open_requests = static_cast<std::uint32_t>(root.IntegerOr(
       "max_open_requests", kOpenRequestsRange, kDefaultOpenRequests));
   out.shutdown_grace = std::chrono::milliseconds(
@@ -163,7 +165,7 @@
   }
   out.shared_secret = reader.Secret("shared_secret");
   out.operator_token = reader.Secret("operator_token");
-  out.log_file = reader.PathOr("log_file", "");
+  out.log_file = reader.LogFile();
   return out;
 }
 
