Keep the events that arrive before a gap in a stream

Cause: an event that stood before a gap in the same read was counted as taken but not handed on, so the answer lacked it after the resume. Ruled out: the upstream attempt, which had asked for the right event. Change: the assembler returns what stood before the fault and keeps the fault for the next call. A status question that is cut at once now ends the attempt as broken, not as silent.

--- a/include/rattanward/entry/stream_assembler.h
+++ b/include/rattanward/entry/stream_assembler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,12 +27,16 @@
  public:
   /// @brief Takes bytes as they arrive on the current connection.
   /// @param bytes Part of the event stream; may end anywhere.
-  /// @return The events that are new.
+  /// @return The events that are new; those before a fault are returned, and
+  /// the fault then stands in failure() and is what the next call returns.
   /// Errors: kStreamGap if an event is missing, kUpstreamMalformed for an
   /// event without number or longer than 1 MiB, or bytes after the end marker.
   Result<StreamPieces> Feed(std::string_view bytes);
 
-  /// @brief Forgets an unfinished event, as a new connection begins.
+  /// @brief The fault of the current connection, if there is one.
+  const std::optional<Error>& failure() const { return failure_; }
+
+  /// @brief Forgets an unfinished event and the fault of the last connection.
   void BeginConnection();
 
   /// @brief Number of the next event that is wanted.
@@ -40,6 +45,7 @@
   bool done() const { return done_; }
 
  private:
+  Result<StreamPieces> Fail(StreamPieces pieces, Error error);
   Status TakeLine(std::string_view line, StreamPieces& pieces);
   Status TakeEvent(StreamPieces& pieces);
 
@@ -48,6 +54,7 @@
   std::string data_;
   std::uint64_t next_ = 1;
   bool done_ = false;
+  std::optional<Error> failure_;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -64,6 +64,7 @@
   ConnectionEnd SendStream(const StreamSink& sink);
   ConnectionEnd ResumeStream(const StreamSink& sink);
   bool AskIfAlive();
+  bool TakeStatus(const std::string& body);
   bool TakeBytes(std::string_view bytes, const StreamSink& sink);
   void CancelUpstream() const;
   void End(policy::AttemptEnd end, ErrorCode code, Verdict verdict,
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -1,5 +1,6 @@
 #include "rattanward/entry/exchange.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -53,6 +54,11 @@
   std::string model_;
 };
 
+/// Whether an event carries a piece of the answer, not only its end.
+bool HasContent(const std::string& event) {
+  return event.find("\"content\":\"") != std::string::npos;
+}
+
 class ExchangeRun {
  public:
   ExchangeRun(EntryCore& core, const ExchangePlan& plan,
@@ -109,7 +115,8 @@
       if (tokens_ == 0) {
         core_.FirstToken(plan_.info.id);
       }
-      tokens_ += static_cast<std::uint32_t>(pieces.events.size());
+      tokens_ += static_cast<std::uint32_t>(std::count_if(
+          pieces.events.begin(), pieces.events.end(), HasContent));
       if (plan_.shape == AnswerShape::kEventStream) {
         return Relay(pieces);
       }
--- a/src/entry/stream_assembler.cc
+++ b/src/entry/stream_assembler.cc
@@ -1,6 +1,7 @@
 #include "rattanward/entry/stream_assembler.h"
 
 #include <charconv>
+#include <utility>
 
 namespace rattanward::entry {
 namespace {
@@ -26,6 +27,9 @@
 }  // namespace
 
 Result<StreamPieces> StreamAssembler::Feed(std::string_view bytes) {
+  if (failure_) {
+    return *failure_;
+  }
   StreamPieces pieces;
   buffer_.append(bytes);
   std::size_t begin = 0;
@@ -36,13 +40,21 @@
       line.remove_suffix(1);
     }
     if (Status status = TakeLine(line, pieces); !status) {
-      return status.error();
+      return Fail(std::move(pieces), status.error());
     }
     begin = end + 1;
   }
   buffer_.erase(0, begin);
   if (buffer_.size() + data_.size() > kMaxEventBytes) {
-    return Malformed("an event is longer than 1 MiB");
+    return Fail(std::move(pieces), Malformed("an event is longer than 1 MiB"));
+  }
+  return pieces;
+}
+
+Result<StreamPieces> StreamAssembler::Fail(StreamPieces pieces, Error error) {
+  failure_ = std::move(error);
+  if (pieces.events.empty() && !pieces.done) {
+    return *failure_;
   }
   return pieces;
 }
@@ -51,6 +63,7 @@
   buffer_.clear();
   data_.clear();
   number_ = 0;
+  failure_.reset();
 }
 
 Status StreamAssembler::TakeLine(std::string_view line, StreamPieces& pieces) {
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -181,41 +181,46 @@
   for (int check = 0; check < kMaxQuietChecks && !channel_->left(); ++check) {
     httplib::Client client(start_.endpoint.address, start_.endpoint.port);
     Prepare(client, kStatusTimeout);
+    const auto asked = std::chrono::steady_clock::now();
     const auto answer = client.Get((StreamPath() + "/status").c_str());
-    if (!answer) {
-      if (NeverConnected(answer.error())) {
-        return false;
-      }
-      continue;
+    if (answer) {
+      return TakeStatus(answer->body);
     }
-    const auto json = nlohmann::json::parse(answer->body, nullptr, false);
-    if (!json.is_object()) {
+    const bool closed =
+        std::chrono::steady_clock::now() - asked < kStatusTimeout;
+    if (closed) {
       return false;
     }
-    const std::string state = json.value("state", std::string());
-    produced_ = std::max(produced_, json.value("produced", std::uint64_t{0}));
-    return state == "running" || state == "done";
   }
   End(AttemptEnd::kSilent, ErrorCode::kUpstreamSilent, Verdict::kMayHaveRun,
       "the upstream is silent on new connections too");
   return false;
 }
 
+bool UpstreamAttempt::TakeStatus(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return false;
+  }
+  const std::string state = json.value("state", std::string());
+  produced_ = std::max(produced_, json.value("produced", std::uint64_t{0}));
+  return state == "running" || state == "done";
+}
+
 bool UpstreamAttempt::TakeBytes(std::string_view bytes,
                                 const StreamSink& sink) {
-  Result<StreamPieces> pieces = assembler_.Feed(bytes);
-  if (!pieces) {
-    // A gap is mended by asking again from the event that is missing.
-    if (pieces.error().code != ErrorCode::kStreamGap) {
-      End(AttemptEnd::kBroken, pieces.error().code, Verdict::kMayHaveRun,
-          pieces.error().message);
-    }
+  const Result<StreamPieces> pieces = assembler_.Feed(bytes);
+  if (pieces && (!pieces.value().events.empty() || pieces.value().done) &&
+      !sink(pieces.value())) {
     return false;
   }
-  if (!pieces.value().events.empty() || pieces.value().done) {
-    return sink(pieces.value());
+  const std::optional<Error>& failure = assembler_.failure();
+  // A gap is mended by asking again from the event that is missing.
+  if (failure && failure->code != ErrorCode::kStreamGap) {
+    End(AttemptEnd::kBroken, failure->code, Verdict::kMayHaveRun,
+        failure->message);
   }
-  return true;
+  return !failure;
 }
 
 policy::AttemptResult UpstreamAttempt::RunWhole(WholeAnswer& answer) {
--- /dev/null
+++ b/tests/fakes/scripted_upstream.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "rattanward/domain/ids.h"
+
+namespace rattanward::fakes {
+
+/// @brief What a scripted upstream does with one connection.
+struct ConnectionScript {
+  /// Read the request before anything else.
+  bool read_request = true;
+  /// Bytes to answer with; may be empty.
+  std::string answer;
+  /// Keep the connection open and silent instead of closing it.
+  bool hang = false;
+};
+
+/// @brief An upstream that plays one script for each connection, in order.
+/// @note Connections beyond the last script are closed at once.
+class ScriptedUpstream {
+ public:
+  explicit ScriptedUpstream(std::vector<ConnectionScript> scripts)
+      : scripts_(std::move(scripts)),
+        acceptor_(io_, {asio::ip::make_address_v4("127.0.0.1"), 0}),
+        thread_([this] { Serve(); }) {}
+
+  ~ScriptedUpstream() {
+    stopping_ = true;
+    std::error_code ignored;
+    asio::ip::tcp::socket knock(io_);
+    knock.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+  ScriptedUpstream(const ScriptedUpstream&) = delete;
+  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  /// @brief Whole requests read so far.
+  int requests() const { return requests_; }
+  int connections() const { return connections_; }
+
+ private:
+  void Serve() {
+    std::vector<asio::ip::tcp::socket> hanging;
+    while (true) {
+      asio::ip::tcp::socket socket(io_);
+      std::error_code error;
+      acceptor_.accept(socket, error);
+      if (stopping_ || error) {
+        return;
+      }
+      const auto index = static_cast<std::size_t>(connections_++);
+      if (index < scripts_.size()) {
+        Play(scripts_[index], socket);
+        if (scripts_[index].hang) {
+          hanging.push_back(std::move(socket));
+        }
+      }
+    }
+  }
+
+  void Play(const ConnectionScript& script, asio::ip::tcp::socket& socket) {
+    std::error_code error;
+    if (script.read_request) {
+      asio::streambuf request;
+      asio::read_until(socket, request, "\r\n\r\n", error);
+      requests_ += error ? 0 : 1;
+    }
+    asio::write(socket, asio::buffer(script.answer), error);
+    if (!script.hang) {
+      socket.shutdown(asio::ip::tcp::socket::shutdown_both, error);
+    }
+  }
+
+  std::vector<ConnectionScript> scripts_;
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> requests_{0};
+  std::atomic<int> connections_{0};
+  std::thread thread_;
+};
+
+/// @brief Head of an event stream that belongs to a request.
+inline std::string StreamHead(const std::string& request_id) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "Connection: close\r\nX-Request-Id: " +
+         request_id + "\r\n\r\n";
+}
+
+/// @brief One numbered event.
+inline std::string StreamEvent(std::uint64_t number, const std::string& data) {
+  return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+}
+
+/// @brief A whole answer with a body.
+inline std::string PlainAnswer(int status, const std::string& body,
+                               const std::string& request_id) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Type: application/json\r\nConnection: close\r\n"
+         "X-Request-Id: " +
+         request_id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace rattanward::fakes
--- /dev/null
+++ b/tests/src/fuzz-stream.cc
@@ -0,0 +1,91 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "rattanward/entry/stream_assembler.h"
+
+namespace rattanward::entry {
+namespace {
+
+std::string EventText(std::size_t number, std::size_t last) {
+  const std::string data =
+      number == last ? "[DONE]" : "event " + std::to_string(number);
+  return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+}
+
+/// Feeds a text in pieces whose sizes are drawn; stops at the first error.
+bool FeedInPieces(StreamAssembler& assembler, const std::string& text,
+                  std::vector<std::string>& taken) {
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const auto size = *rc::gen::inRange<std::size_t>(1, 120);
+    const auto pieces = assembler.Feed(std::string_view(text).substr(at, size));
+    if (!pieces) {
+      return false;
+    }
+    taken.insert(taken.end(), pieces.value().events.begin(),
+                 pieces.value().events.end());
+    at += size;
+  }
+  return true;
+}
+
+/// The oracle: whatever arrived, only a gapless start of the stream is taken.
+void RequireGaplessStart(const std::vector<std::string>& taken) {
+  for (std::size_t i = 0; i < taken.size(); ++i) {
+    RC_ASSERT(taken[i] == "event " + std::to_string(i + 1));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("late, repeated, reordered and missing events never reach a caller") {
+  CHECK(rc::check("a gapless start is taken, whatever arrives", [] {
+    const auto last = *rc::gen::inRange<std::size_t>(1, 12);
+    const auto connections = *rc::gen::inRange<std::size_t>(1, 6);
+    StreamAssembler assembler;
+    std::vector<std::string> taken;
+    for (std::size_t i = 0; i < connections; ++i) {
+      const auto numbers = *rc::gen::container<std::vector<std::size_t>>(
+          rc::gen::inRange<std::size_t>(1, last + 1));
+      std::string text;
+      for (const std::size_t number : numbers) {
+        text += EventText(number, last);
+      }
+      const auto cut = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+      assembler.BeginConnection();
+      FeedInPieces(assembler, text.substr(0, cut), taken);
+      RequireGaplessStart(taken);
+      RC_ASSERT(!assembler.done() || taken.size() == last - 1);
+    }
+  }));
+}
+
+TEST_CASE("a stream resumed from the wanted event arrives whole") {
+  CHECK(rc::check("resuming over cut connections loses nothing", [] {
+    const auto last = *rc::gen::inRange<std::size_t>(1, 12);
+    StreamAssembler assembler;
+    std::vector<std::string> taken;
+    for (int round = 0; round < 100 && !assembler.done(); ++round) {
+      // The upstream may start earlier than asked; it must never start later.
+      const auto from = *rc::gen::inRange<std::size_t>(1, assembler.next() + 1);
+      std::string text;
+      for (std::size_t number = from; number <= last; ++number) {
+        text += EventText(number, last);
+      }
+      const bool final_round = round == 99;
+      const auto cut = final_round
+                           ? text.size()
+                           : *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+      assembler.BeginConnection();
+      RC_ASSERT(FeedInPieces(assembler, text.substr(0, cut), taken));
+      RequireGaplessStart(taken);
+    }
+    RC_ASSERT(assembler.done());
+    RC_ASSERT(taken.size() == last - 1);
+  }));
+}
+
+}  // namespace rattanward::entry
