--- a/src/ledger/claim_table.cc
+++ b/src/ledger/claim_table.cc
@@ -82,9 +82,7 @@
     claim->outcome = StoredOutcome();
   }
   AddReleased(*claim, command.attempt);
-  if (claim->phase == ClaimPhase::kReleased) {
-    Keep(command.claim, *claim, now);
-  }
+  Keep(command.claim, *claim, now);
   return Done{};
 }
 
