--- /dev/null
+++ b/include/rattanward/policy/admission.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "rattanward/domain/error.h"
+#include "rattanward/domain/time.h"
+
+namespace rattanward::policy {
+
+/// @brief Requests ahead that take equally long.
+struct WorkAhead {
+  std::size_t requests = 0;
+  Duration service_time{0};
+
+  friend bool operator==(const WorkAhead&, const WorkAhead&) = default;
+};
+
+/// @brief Expected wait until a new request gets a place.
+/// @param ahead Requests that go first, the new one included.
+/// @param places Requests that this entry can have running at once.
+/// @return The work ahead divided by the places.
+Duration ExpectedWait(const std::vector<WorkAhead>& ahead,
+                      std::uint32_t places);
+
+/// @brief When to try again after a refusal for lack of room.
+/// @param backlog Time in which the work that waits drains.
+/// @return The backlog, between one second and one minute.
+Duration RetryAfterBacklog(Duration backlog);
+
+/// @brief What is known of a request's chance to begin in time.
+struct DeadlineView {
+  TimePoint now;
+  /// Moment after which an answer that has not begun is useless.
+  TimePoint deadline;
+  /// Expected wait for a place.
+  Duration place_wait{0};
+  /// Expected wait for the first token, once it has a place.
+  Duration first_token_wait{0};
+};
+
+/// @brief Checks whether a request can still begin in time.
+/// @return Nothing if it can; else the final answer, with Retry-After.
+/// Errors: kDeadlinePassed, kDeadlineUnattainable.
+std::optional<Error> CheckDeadline(const DeadlineView& view);
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/include/rattanward/policy/class_queue.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "rattanward/domain/ids.h"
+#include "rattanward/domain/request_class.h"
+#include "rattanward/domain/time.h"
+#include "rattanward/policy/target.h"
+
+namespace rattanward::policy {
+
+/// @brief A request that waits for a place on an upstream.
+struct QueuedRequest {
+  RequestId id;
+  ClientAccountId account;
+  RequestClassName request_class;
+  Target target;
+  TimePoint arrived;
+
+  friend bool operator==(const QueuedRequest&, const QueuedRequest&) = default;
+};
+
+/// @brief Whether a waiting request can run now.
+enum class Fit : std::uint8_t {
+  kRuns,
+  /// This one can't, for a reason of its own; the next of its class may.
+  kSkipRequest,
+  /// No request of its class and target can.
+  kSkipClass,
+};
+
+/// @brief Requests of one class that wait for one target.
+struct ClassBacklog {
+  RequestClassName request_class;
+  std::size_t waiting = 0;
+
+  friend bool operator==(const ClassBacklog&, const ClassBacklog&) = default;
+};
+
+/// @brief Waiting requests by target and class: strict tiers with floors.
+/// @note docs/design/class-queue.md states the rule of order and of shedding.
+class ClassQueue {
+ public:
+  /// @brief Asks whether a request can run; the flag says that its class's
+  /// floor is due.
+  using FitCheck = std::function<Fit(const QueuedRequest&, bool floor_due)>;
+
+  /// @brief Takes the declared classes; waiting requests stay.
+  void SetClasses(const std::vector<RequestClass>& classes);
+
+  /// @brief Adds a request in order of arrival; Shed() says what must go.
+  /// @note The class must have been declared.
+  void Push(const QueuedRequest& request);
+
+  /// @brief Names the request that is shed for the room a new one needs.
+  /// @param id A request that was just pushed and still waits.
+  /// @return Nothing if there is room; the lower-tier request displaced by
+  /// this one; or this request itself. The request named is removed.
+  /// Complexity: linear in targets times classes.
+  std::optional<QueuedRequest> Shed(const RequestId& id);
+
+  /// @brief Removes the newest request of the account's lowest tier below one.
+  /// @param account The account at its limit.
+  /// @param tier Tier of the request that needs the place.
+  /// @return The request removed, if there was any.
+  /// Complexity: linear in the number of waiting requests.
+  std::optional<QueuedRequest> DisplaceOfAccount(const ClientAccountId& account,
+                                                 Tier tier);
+
+  /// @brief Removes and returns the request to dispatch next for a target.
+  /// @param target The model or service whose upstreams have a place.
+  /// @param fits Asked for one request after another until one runs.
+  /// @return Nothing if no waiting request can run.
+  std::optional<QueuedRequest> PopNext(const Target& target,
+                                       const FitCheck& fits);
+
+  /// @brief Removes a waiting request.
+  /// @return Whether it was waiting.
+  bool Remove(const RequestId& id);
+
+  /// @brief Classes whose requests go before a new one of this class.
+  std::vector<ClassBacklog> Ahead(const Target& target, Tier tier) const;
+
+  /// @brief Targets with a waiting request.
+  std::vector<Target> Targets() const;
+
+  /// @brief Every waiting request.
+  std::vector<QueuedRequest> Waiting() const;
+
+  bool Contains(const RequestId& id) const { return places_.contains(id); }
+  std::size_t size() const { return places_.size(); }
+
+ private:
+  struct Declared {
+    Tier tier;
+    Duration first_token_target{0};
+    std::uint32_t floor_permille = 0;
+    std::size_t queue_limit = 0;
+  };
+  struct Line {
+    std::deque<QueuedRequest> requests;
+    /// Floor earned by dispatches that passed this class over, in permille.
+    std::uint32_t credit_permille = 0;
+    /// Order in which floors became due; 0 means not due.
+    std::uint64_t due_since = 0;
+  };
+  using Lane = std::map<RequestClassName, Line>;
+  struct Room {
+    std::map<RequestClassName, std::size_t> by_class;
+    std::size_t total = 0;
+  };
+  struct Candidate {
+    const RequestClassName* request_class;
+    bool floor_due;
+  };
+
+  std::vector<Candidate> DispatchOrder(const Lane& lane) const;
+  std::optional<QueuedRequest> TakeFitting(Line* line, bool floor_due,
+                                           const FitCheck& fits);
+  void CountDispatch(Lane* lane, const RequestClassName& served);
+  Room UsedRoom() const;
+  std::optional<RequestId> Victim(const RequestClassName& incoming,
+                                  const Room& room) const;
+  std::size_t TotalLimit() const;
+  QueuedRequest Take(const RequestId& id);
+
+  std::map<RequestClassName, Declared> classes_;
+  std::map<Target, Lane> lanes_;
+  std::unordered_map<RequestId, std::pair<Target, RequestClassName>> places_;
+  std::uint64_t due_count_ = 0;
+};
+
+}  // namespace rattanward::policy
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/domain/upstream.h"
 #include "rattanward/domain/verdict.h"
+#include "rattanward/policy/account_portions.h"
 
 namespace rattanward::policy {
 
@@ -163,6 +165,29 @@
   /// @brief Merges a suspicion that another entry told.
   void MergeSuspicion(const Suspicion& suspicion, TimePoint now);
 
+  /// @brief Every suspicion known here, for operators.
+  std::vector<Suspicion> Suspicions() const;
+
+  /// @brief Forgets a suspicion or quarantine on an operator's order.
+  /// @return Whether it was known here.
+  bool ReleaseSuspicion(std::uint64_t fingerprint);
+
+  /// @brief Names the entries that share the account limits.
+  /// @note Until it is called, DispatcherOptions::entries shares them evenly.
+  void SetEntryGroup(const EntryGroup& group, TimePoint now);
+
+  /// @brief Portion requests that are due, to be sent to their homes.
+  std::vector<AddressedRequest> TakePortionRequests(TimePoint now);
+
+  /// @brief Answers another entry's portion request.
+  /// @return The grant to send back; nothing if the request is stale or this
+  /// entry is not the account's home.
+  std::optional<PortionGrant> AnswerPortion(const PortionRequest& request,
+                                            TimePoint now);
+
+  /// @brief Takes the answer of an account's home.
+  void TakePortionGrant(const PortionGrant& grant);
+
   /// @brief Requests that wait or run here.
   std::size_t OpenRequests() const;
 
--- /dev/null
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "rattanward/policy/account_limits.h"
+#include "rattanward/policy/chooser.h"
+#include "rattanward/policy/class_queue.h"
+#include "rattanward/policy/dispatcher.h"
+#include "rattanward/policy/latency_estimator.h"
+#include "rattanward/policy/quarantine.h"
+#include "rattanward/policy/retry_budget.h"
+#include "rattanward/policy/target.h"
+#include "rattanward/policy/upstream_table.h"
+
+namespace rattanward::policy {
+
+/// @brief The dispatcher with service levels: tiers, floors, deadlines,
+/// account limits, probation, retry budgets and quarantine.
+class StandardDispatcher {
+ public:
+  explicit StandardDispatcher(const DispatcherOptions& options);
+
+  std::vector<Decision> SetConfig(const Config& config, TimePoint now);
+  std::vector<Decision> UpstreamChanged(const Announcement& announcement,
+                                        TimePoint now);
+  std::vector<Decision> UpstreamGone(const UpstreamId& upstream, TimePoint now);
+  std::vector<Decision> Submit(const RequestInfo& request, TimePoint now);
+  void FirstToken(const RequestId& request, TimePoint now);
+  std::vector<Decision> Finish(const AttemptResult& result, TimePoint now);
+  std::vector<Decision> Cancel(const RequestId& request, TimePoint now);
+  std::vector<Decision> Tick(TimePoint now);
+  std::size_t OpenRequests() const { return open_.size(); }
+
+  Quarantine& quarantine() { return quarantine_; }
+  AccountLimits& accounts() { return accounts_; }
+
+ private:
+  /// A request that waits or runs.
+  struct Open {
+    RequestInfo info;
+    RequestClass declared;
+    Target target;
+    std::uint32_t attempt = 0;
+    /// Where it runs; empty while it waits.
+    UpstreamId upstream;
+    /// Strongest verdict of its ended attempts.
+    Verdict verdict = Verdict::kNotRun;
+    std::vector<UpstreamId> tried;
+    std::optional<TimePoint> first_token;
+    /// Whether the account's limits count it.
+    bool counted = true;
+  };
+  using Decisions = std::vector<Decision>;
+
+  std::optional<Error> CheckRequest(const RequestInfo& request) const;
+  std::optional<QueuedRequest> MakeAccountRoom(const RequestInfo& request,
+                                               Tier tier, bool* admitted,
+                                               TimePoint now);
+  void Enqueue(const Open& open);
+  bool AdmitWaiting(const RequestId& id, Decisions* out, TimePoint now);
+  void SettleDisplaced(const QueuedRequest& displaced, const RequestId& by,
+                       Decisions* out, TimePoint now);
+
+  void Pump(const Target& target, Decisions* out, TimePoint now);
+  Fit FitOf(const QueuedRequest& queued, bool floor_due, TimePoint now,
+            UpstreamState** chosen, std::vector<RequestId>* doomed);
+  std::optional<Error> Doom(const Open& open, TimePoint now) const;
+  void Start(Open* open, UpstreamState* upstream, Decisions* out,
+             TimePoint now);
+  bool AllTried(const Open& open) const;
+  void ShedDoomed(Decisions* out, TimePoint now);
+  void RefuseUnserved(const Target& target, Decisions* out);
+
+  void NoteEnd(const Open& open, const AttemptResult& result, TimePoint now);
+  void NoteDeath(const UpstreamId& upstream, TimePoint now);
+  std::optional<Error> RetryBar(const Open& open, const AttemptResult& result,
+                                TimePoint now);
+  void FinishFailed(Open* open, const AttemptResult& result, Decisions* out,
+                    TimePoint now);
+  void RefuseOpen(const RequestId& id, Error error, Decisions* out);
+  void Close(const RequestId& id);
+
+  Duration PlaceWait(const Target& target, Tier tier, TimePoint now) const;
+  TimePoint DeadlineOf(const Open& open) const;
+  bool IsSuspect(std::uint64_t fingerprint) const;
+
+  Config config_;
+  ClassQueue queue_;
+  UpstreamTable upstreams_;
+  Chooser chooser_;
+  LatencyEstimator latency_;
+  AccountLimits accounts_;
+  RetryBudget retries_;
+  Quarantine quarantine_;
+  std::unordered_map<RequestId, Open> open_;
+  /// Attempts that run, by fingerprint.
+  std::unordered_map<std::uint64_t, std::uint32_t> running_;
+  std::optional<TimePoint> next_review_;
+};
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/chooser.cc
@@ -0,0 +1,154 @@
+#include "rattanward/policy/chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rattanward/policy/rendezvous.h"
+#include "rattanward/policy/trunk_reservation.h"
+
+namespace rattanward::policy {
+namespace {
+
+constexpr std::uint64_t kWholePermille = 1000;
+/// Load of the own domain's choice from which other domains are looked at.
+constexpr std::uint64_t kSpillPermille = 800;
+/// How much less loaded another domain's upstream must be.
+constexpr std::uint64_t kSpillMarginPermille = 200;
+/// How far above the average load the upstream of a prefix may be.
+constexpr std::uint64_t kAffinityPermille = 1250;
+
+std::uint64_t LoadPermille(const UpstreamState& upstream) {
+  return kWholePermille * upstream.Load() /
+         std::max(1U, upstream.announcement.capacity);
+}
+
+bool Trusted(const UpstreamState& upstream) {
+  switch (upstream.probation.phase) {
+    case ProbationState::Phase::kHealthy:
+      return true;
+    case ProbationState::Phase::kBanned:
+      return false;
+    case ProbationState::Phase::kProbing:
+      return upstream.running.empty();
+  }
+  return false;
+}
+
+bool Usable(const UpstreamState& upstream, const ChoiceQuery& query) {
+  return upstream.InService() && query.now >= upstream.avoid_until &&
+         std::find(query.tried.begin(), query.tried.end(),
+                   upstream.announcement.instance) == query.tried.end();
+}
+
+bool AnyTrusted(const UpstreamTable::List& list, const ChoiceQuery& query) {
+  return std::any_of(list.begin(), list.end(), [&](const UpstreamState* u) {
+    return Usable(*u, query) &&
+           u->probation.phase != ProbationState::Phase::kBanned;
+  });
+}
+
+UpstreamState* OfPrefix(const UpstreamTable::List& list, std::uint64_t prefix) {
+  std::uint64_t total = 0;
+  for (const UpstreamState* upstream : list) {
+    total += LoadPermille(*upstream);
+  }
+  const std::uint64_t bound =
+      kAffinityPermille * total / (kWholePermille * list.size());
+  UpstreamState* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (UpstreamState* upstream : list) {
+    const std::uint64_t weight = RendezvousWeight(prefix, upstream->id_hash);
+    if (LoadPermille(*upstream) <= bound &&
+        (best == nullptr || weight > best_weight)) {
+      best = upstream;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+bool HasPlace(const UpstreamState& upstream, const ChoiceQuery& query) {
+  const std::uint32_t capacity = upstream.announcement.capacity;
+  if (!upstream.InService() || query.now < upstream.avoid_until ||
+      upstream.running.size() >= capacity || !Trusted(upstream)) {
+    return false;
+  }
+  const bool tried =
+      std::find(query.tried.begin(), query.tried.end(),
+                upstream.announcement.instance) != query.tried.end();
+  if (tried || (query.allowed && !query.allowed(upstream))) {
+    return false;
+  }
+  const std::uint32_t limit =
+      query.floor_due ? capacity : TrunkLimit(capacity, query.tier);
+  const bool may_exceed =
+      upstream.running.empty() && (query.floor_due || query.tier.value == 0);
+  return upstream.Load() < limit || may_exceed;
+}
+
+std::uint32_t PlacesFor(const UpstreamState& upstream, Tier tier) {
+  if (!upstream.InService()) {
+    return 0;
+  }
+  const std::uint32_t limit = TrunkLimit(upstream.announcement.capacity, tier);
+  return std::max(static_cast<std::uint32_t>(upstream.running.size()),
+                  limit - std::min(limit, upstream.others));
+}
+
+Chooser::Chooser(FailureDomain local, std::uint64_t seed)
+    : local_(std::move(local)), random_(seed) {}
+
+UpstreamState* Chooser::Choose(const UpstreamTable::List& list,
+                               const ChoiceQuery& query) {
+  Collect(list, query);
+  if (near_.empty() && far_.empty() && !AnyTrusted(list, query)) {
+    ChoiceQuery any = query;
+    any.ignore_probation = true;
+    Collect(list, any);
+  }
+  if (near_.empty()) {
+    return PickOfTwo(far_);
+  }
+  UpstreamState* choice =
+      query.prefix == 0 ? nullptr : OfPrefix(near_, query.prefix);
+  if (choice == nullptr) {
+    choice = PickOfTwo(near_);
+  }
+  if (far_.empty() || LoadPermille(*choice) < kSpillPermille) {
+    return choice;
+  }
+  UpstreamState* spill = PickOfTwo(far_);
+  const bool lighter =
+      LoadPermille(*spill) + kSpillMarginPermille <= LoadPermille(*choice);
+  return lighter ? spill : choice;
+}
+
+void Chooser::Collect(const UpstreamTable::List& list,
+                      const ChoiceQuery& query) {
+  near_.clear();
+  far_.clear();
+  for (UpstreamState* upstream : list) {
+    if (HasPlace(*upstream, query)) {
+      const bool is_near = upstream->announcement.failure_domain == local_;
+      (is_near ? near_ : far_).push_back(upstream);
+    }
+  }
+}
+
+UpstreamState* Chooser::PickOfTwo(const UpstreamTable::List& list) {
+  if (list.empty()) {
+    return nullptr;
+  }
+  const std::size_t index = random_() % list.size();
+  UpstreamState* first = list[index];
+  if (list.size() == 1) {
+    return first;
+  }
+  const std::size_t step = 1 + random_() % (list.size() - 1);
+  UpstreamState* second = list[(index + step) % list.size()];
+  return LoadPermille(*second) < LoadPermille(*first) ? second : first;
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/class_queue.cc
@@ -0,0 +1,264 @@
+#include "rattanward/policy/class_queue.h"
+
+#include <algorithm>
+
+namespace rattanward::policy {
+namespace {
+
+constexpr std::uint32_t kWholePermille = 1000;
+
+}  // namespace
+
+void ClassQueue::SetClasses(const std::vector<RequestClass>& classes) {
+  for (auto& [name, declared] : classes_) {
+    declared.queue_limit = 0;
+    declared.floor_permille = 0;
+  }
+  for (const RequestClass& c : classes) {
+    classes_[c.name] =
+        Declared{c.tier, c.first_token_target, c.floor_permille, c.queue_limit};
+  }
+}
+
+void ClassQueue::Push(const QueuedRequest& request) {
+  std::deque<QueuedRequest>& line =
+      lanes_[request.target][request.request_class].requests;
+  const auto place =
+      std::upper_bound(line.begin(), line.end(), request,
+                       [](const QueuedRequest& a, const QueuedRequest& b) {
+                         return a.arrived < b.arrived;
+                       });
+  line.insert(place, request);
+  places_[request.id] = {request.target, request.request_class};
+}
+
+std::optional<QueuedRequest> ClassQueue::Shed(const RequestId& id) {
+  const auto& [target, name] = places_.at(id);
+  const Declared& declared = classes_.at(name);
+  const Line& line = lanes_.at(target).at(name);
+  if (declared.floor_permille > 0 && line.requests.front().id == id) {
+    return std::nullopt;
+  }
+  const Room room = UsedRoom();
+  if (room.by_class.at(name) <= declared.queue_limit &&
+      room.total <= TotalLimit()) {
+    return std::nullopt;
+  }
+  return Take(Victim(name, room).value_or(id));
+}
+
+std::optional<QueuedRequest> ClassQueue::DisplaceOfAccount(
+    const ClientAccountId& account, Tier tier) {
+  const QueuedRequest* victim = nullptr;
+  Tier victim_tier = tier;
+  for (const auto& [target, lane] : lanes_) {
+    for (const auto& [name, line] : lane) {
+      const Tier line_tier = classes_.at(name).tier;
+      for (const QueuedRequest& request : line.requests) {
+        const bool lower = line_tier > victim_tier;
+        const bool newer = victim != nullptr && line_tier == victim_tier &&
+                           request.arrived >= victim->arrived;
+        if (request.account == account && (lower || newer)) {
+          victim = &request;
+          victim_tier = line_tier;
+        }
+      }
+    }
+  }
+  if (victim == nullptr) {
+    return std::nullopt;
+  }
+  return Take(RequestId(victim->id));
+}
+
+std::optional<QueuedRequest> ClassQueue::PopNext(const Target& target,
+                                                 const FitCheck& fits) {
+  const auto it = lanes_.find(target);
+  if (it == lanes_.end()) {
+    return std::nullopt;
+  }
+  Lane& lane = it->second;
+  for (const Candidate& candidate : DispatchOrder(lane)) {
+    Line& line = lane.at(*candidate.request_class);
+    auto taken = TakeFitting(&line, candidate.floor_due, fits);
+    if (taken) {
+      places_.erase(taken->id);
+      CountDispatch(&lane, taken->request_class);
+      return taken;
+    }
+  }
+  return std::nullopt;
+}
+
+bool ClassQueue::Remove(const RequestId& id) {
+  if (!places_.contains(id)) {
+    return false;
+  }
+  Take(id);
+  return true;
+}
+
+std::vector<ClassBacklog> ClassQueue::Ahead(const Target& target,
+                                            Tier tier) const {
+  std::vector<ClassBacklog> ahead;
+  const auto lane = lanes_.find(target);
+  if (lane == lanes_.end()) {
+    return ahead;
+  }
+  for (const auto& [name, line] : lane->second) {
+    if (classes_.at(name).tier <= tier && !line.requests.empty()) {
+      ahead.push_back({name, line.requests.size()});
+    }
+  }
+  return ahead;
+}
+
+std::vector<Target> ClassQueue::Targets() const {
+  std::vector<Target> targets;
+  for (const auto& [target, lane] : lanes_) {
+    const bool waiting = std::any_of(
+        lane.begin(), lane.end(),
+        [](const auto& item) { return !item.second.requests.empty(); });
+    if (waiting) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
+std::vector<QueuedRequest> ClassQueue::Waiting() const {
+  std::vector<QueuedRequest> waiting;
+  for (const auto& [target, lane] : lanes_) {
+    for (const auto& [name, line] : lane) {
+      waiting.insert(waiting.end(), line.requests.begin(), line.requests.end());
+    }
+  }
+  return waiting;
+}
+
+std::vector<ClassQueue::Candidate> ClassQueue::DispatchOrder(
+    const Lane& lane) const {
+  std::vector<Candidate> due;
+  std::vector<Candidate> strict;
+  for (const auto& [name, line] : lane) {
+    if (line.requests.empty()) {
+      continue;
+    }
+    strict.push_back({&name, false});
+    if (line.due_since != 0) {
+      due.push_back({&name, true});
+    }
+  }
+  std::sort(due.begin(), due.end(),
+            [&](const Candidate& a, const Candidate& b) {
+              return lane.at(*a.request_class).due_since <
+                     lane.at(*b.request_class).due_since;
+            });
+  const auto rank = [&](const Candidate& candidate) {
+    const Declared& declared = classes_.at(*candidate.request_class);
+    const TimePoint head =
+        lane.at(*candidate.request_class).requests.front().arrived;
+    return std::pair(declared.tier, head + declared.first_token_target);
+  };
+  std::sort(strict.begin(), strict.end(),
+            [&](const Candidate& a, const Candidate& b) {
+              return rank(a) < rank(b);
+            });
+  due.insert(due.end(), strict.begin(), strict.end());
+  return due;
+}
+
+std::optional<QueuedRequest> ClassQueue::TakeFitting(Line* line, bool floor_due,
+                                                     const FitCheck& fits) {
+  for (auto it = line->requests.begin(); it != line->requests.end(); ++it) {
+    const Fit fit = fits(*it, floor_due);
+    if (fit == Fit::kRuns) {
+      QueuedRequest taken = std::move(*it);
+      line->requests.erase(it);
+      return taken;
+    }
+    if (fit == Fit::kSkipClass) {
+      break;
+    }
+  }
+  return std::nullopt;
+}
+
+void ClassQueue::CountDispatch(Lane* lane, const RequestClassName& served) {
+  for (auto& [name, line] : *lane) {
+    if (name == served || line.requests.empty()) {
+      line.credit_permille = 0;
+      line.due_since = 0;
+      continue;
+    }
+    if (line.due_since != 0) {
+      continue;
+    }
+    line.credit_permille += classes_.at(name).floor_permille;
+    if (line.credit_permille >= kWholePermille) {
+      line.due_since = ++due_count_;
+    }
+  }
+}
+
+ClassQueue::Room ClassQueue::UsedRoom() const {
+  Room room;
+  for (const auto& [target, lane] : lanes_) {
+    for (const auto& [name, line] : lane) {
+      const bool holds_floor =
+          classes_.at(name).floor_permille > 0 && !line.requests.empty();
+      const std::size_t used = line.requests.size() - (holds_floor ? 1 : 0);
+      room.by_class[name] += used;
+      room.total += used;
+    }
+  }
+  return room;
+}
+
+std::optional<RequestId> ClassQueue::Victim(const RequestClassName& incoming,
+                                            const Room& room) const {
+  const Declared& own = classes_.at(incoming);
+  const bool within_limit = room.by_class.at(incoming) <= own.queue_limit;
+  const QueuedRequest* victim = nullptr;
+  Tier victim_tier;
+  for (const auto& [target, lane] : lanes_) {
+    for (const auto& [name, line] : lane) {
+      const Declared& other = classes_.at(name);
+      const std::size_t kept = other.floor_permille > 0 ? 1 : 0;
+      const bool borrows = within_limit && other.tier == own.tier &&
+                           room.by_class.at(name) > other.queue_limit;
+      if (line.requests.size() <= kept || !(other.tier > own.tier || borrows)) {
+        continue;
+      }
+      const QueuedRequest& newest = line.requests.back();
+      if (victim == nullptr || other.tier > victim_tier ||
+          (other.tier == victim_tier && newest.arrived > victim->arrived)) {
+        victim = &newest;
+        victim_tier = other.tier;
+      }
+    }
+  }
+  return victim == nullptr ? std::nullopt : std::optional(victim->id);
+}
+
+std::size_t ClassQueue::TotalLimit() const {
+  std::size_t limit = 0;
+  for (const auto& [name, declared] : classes_) {
+    limit += declared.queue_limit;
+  }
+  return limit;
+}
+
+QueuedRequest ClassQueue::Take(const RequestId& id) {
+  const auto place = places_.find(id);
+  Line& line = lanes_.at(place->second.first).at(place->second.second);
+  const auto it = std::find_if(
+      line.requests.begin(), line.requests.end(),
+      [&](const QueuedRequest& request) { return request.id == id; });
+  QueuedRequest taken = std::move(*it);
+  line.requests.erase(it);
+  places_.erase(place);
+  return taken;
+}
+
+}  // namespace rattanward::policy
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -1,68 +1,140 @@
 #include "rattanward/policy/dispatcher.h"
 
 #include <utility>
+#include <variant>
 
 #include "rattanward/policy/baseline_dispatcher.h"
+#include "rattanward/policy/standard_dispatcher.h"
 
 namespace rattanward::policy {
+namespace {
+
+using Profiles = std::variant<BaselineDispatcher, StandardDispatcher>;
+
+Profiles MakeProfile(const DispatcherOptions& options) {
+  if (options.profile == Profile::kBaseline) {
+    return BaselineDispatcher(options);
+  }
+  return StandardDispatcher(options);
+}
+
+}  // namespace
 
 class Dispatcher::Impl {
  public:
-  explicit Impl(const DispatcherOptions& options) : baseline(options) {}
-  BaselineDispatcher baseline;
+  explicit Impl(const DispatcherOptions& options)
+      : profile_(MakeProfile(options)) {}
+
+  /// Calls a function with the dispatcher of the chosen profile.
+  template <class Function>
+  auto Call(Function function) {
+    return std::visit(function, profile_);
+  }
+
+  /// The standard dispatcher; null in the baseline profile.
+  StandardDispatcher* Standard() {
+    return std::get_if<StandardDispatcher>(&profile_);
+  }
+
+ private:
+  Profiles profile_;
 };
 
 Dispatcher::Dispatcher(DispatcherOptions options)
-    : impl_(std::make_unique<Impl>(options)) {}
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
 Dispatcher::~Dispatcher() = default;
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
 std::vector<Decision> Dispatcher::SetConfig(const Config& config,
                                             TimePoint now) {
-  return impl_->baseline.SetConfig(config, now);
+  return impl_->Call([&](auto& d) { return d.SetConfig(config, now); });
 }
 
 std::vector<Decision> Dispatcher::UpstreamChanged(
     const Announcement& announcement, TimePoint now) {
-  return impl_->baseline.UpstreamChanged(announcement, now);
+  return impl_->Call(
+      [&](auto& d) { return d.UpstreamChanged(announcement, now); });
 }
 
 std::vector<Decision> Dispatcher::UpstreamGone(const UpstreamId& upstream,
                                                TimePoint now) {
-  return impl_->baseline.UpstreamGone(upstream, now);
+  return impl_->Call([&](auto& d) { return d.UpstreamGone(upstream, now); });
 }
 
 std::vector<Decision> Dispatcher::Submit(const RequestInfo& request,
                                          TimePoint now) {
-  return impl_->baseline.Submit(request, now);
+  return impl_->Call([&](auto& d) { return d.Submit(request, now); });
 }
 
 void Dispatcher::FirstToken(const RequestId& request, TimePoint now) {
-  impl_->baseline.FirstToken(request, now);
+  impl_->Call([&](auto& d) { d.FirstToken(request, now); });
 }
 
 std::vector<Decision> Dispatcher::Finish(const AttemptResult& result,
                                          TimePoint now) {
-  return impl_->baseline.Finish(result, now);
+  return impl_->Call([&](auto& d) { return d.Finish(result, now); });
 }
 
 std::vector<Decision> Dispatcher::Cancel(const RequestId& request,
                                          TimePoint now) {
-  return impl_->baseline.Cancel(request, now);
+  return impl_->Call([&](auto& d) { return d.Cancel(request, now); });
 }
 
 std::vector<Decision> Dispatcher::Tick(TimePoint now) {
-  return impl_->baseline.Tick(now);
+  return impl_->Call([&](auto& d) { return d.Tick(now); });
+}
+
+std::size_t Dispatcher::OpenRequests() const {
+  return impl_->Call([](const auto& d) { return d.OpenRequests(); });
 }
 
-std::vector<Suspicion> Dispatcher::TakeSuspicions() { return {}; }
+std::vector<Suspicion> Dispatcher::TakeSuspicions() {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<Suspicion>()
+                             : standard->quarantine().TakeNew();
+}
 
-void Dispatcher::MergeSuspicion(const Suspicion& /*suspicion*/,
-                                TimePoint /*now*/) {}
+void Dispatcher::MergeSuspicion(const Suspicion& suspicion, TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->quarantine().Merge(suspicion, now);
+  }
+}
 
-std::size_t Dispatcher::OpenRequests() const {
-  return impl_->baseline.OpenRequests();
+std::vector<Suspicion> Dispatcher::Suspicions() const {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<Suspicion>()
+                             : standard->quarantine().All();
+}
+
+bool Dispatcher::ReleaseSuspicion(std::uint64_t fingerprint) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard != nullptr && standard->quarantine().Release(fingerprint);
+}
+
+void Dispatcher::SetEntryGroup(const EntryGroup& group, TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->accounts().SetGroup(group, now);
+  }
+}
+
+std::vector<AddressedRequest> Dispatcher::TakePortionRequests(TimePoint now) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<AddressedRequest>()
+                             : standard->accounts().TakeRequests(now);
+}
+
+std::optional<PortionGrant> Dispatcher::AnswerPortion(
+    const PortionRequest& request, TimePoint now) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::nullopt
+                             : standard->accounts().Answer(request, now);
+}
+
+void Dispatcher::TakePortionGrant(const PortionGrant& grant) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->accounts().Granted(grant);
+  }
 }
 
 }  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/probation.cc
@@ -0,0 +1,120 @@
+#include "rattanward/policy/probation.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace rattanward::policy {
+namespace {
+
+using Phase = ProbationState::Phase;
+
+/// First tokens that must have been seen before an upstream is judged.
+constexpr std::size_t kMinSamples = 5;
+/// Upstreams of a domain that must have been seen before one is judged.
+constexpr std::size_t kMinPeers = 2;
+/// How many times slower than the domain's median is an outlier.
+constexpr std::int64_t kOutlierFactor = 3;
+/// Differences below this are never an outlier.
+constexpr Duration kOutlierSlack = std::chrono::milliseconds(200);
+constexpr Duration kFirstBan = std::chrono::seconds(5);
+constexpr Duration kLongestBan = std::chrono::minutes(1);
+constexpr std::uint32_t kMedianPermille = 500;
+
+void Ban(ProbationState* state, TimePoint now) {
+  state->length = state->length == Duration(0)
+                      ? kFirstBan
+                      : std::min(kLongestBan, state->length * 2);
+  state->phase = Phase::kBanned;
+  state->until = now + state->length;
+}
+
+Duration OldestUnanswered(const UpstreamState& state, TimePoint now) {
+  Duration oldest{0};
+  for (const RunningAttempt& attempt : state.running) {
+    if (!attempt.first_token_seen) {
+      oldest = std::max(oldest, now - attempt.started);
+    }
+  }
+  return oldest;
+}
+
+std::optional<Duration> MedianWait(const UpstreamState& state, TimePoint now) {
+  if (state.first_token_us.Count(now) < kMinSamples) {
+    return std::nullopt;
+  }
+  const auto median = state.first_token_us.Quantile(kMedianPermille, now);
+  return median ? std::optional(Duration(*median)) : std::nullopt;
+}
+
+struct DomainView {
+  std::vector<Duration> medians;
+  std::size_t upstreams = 0;
+  std::size_t on_probation = 0;
+};
+
+/// Lower median, so that of two upstreams the faster one is the measure.
+Duration LowerMedian(std::vector<Duration>* values) {
+  const auto middle = values->begin() + (values->size() - 1) / 2;
+  std::nth_element(values->begin(), middle, values->end());
+  return *middle;
+}
+
+}  // namespace
+
+void NoteFirstToken(UpstreamState* upstream, Duration wait, TimePoint now) {
+  ProbationState& state = upstream->probation;
+  upstream->first_token_us.Add(wait.count(), now);
+  if (state.phase != Phase::kProbing) {
+    return;
+  }
+  if (wait > state.limit) {
+    Ban(&state, now);
+    return;
+  }
+  state = {};
+  upstream->first_token_us.Clear();
+}
+
+void ReviewProbation(const UpstreamTable::List& list, TimePoint now) {
+  std::map<FailureDomain, DomainView> domains;
+  for (UpstreamState* upstream : list) {
+    ProbationState& state = upstream->probation;
+    if (state.phase == Phase::kBanned && now >= state.until) {
+      state.phase = Phase::kProbing;
+    }
+    DomainView& view = domains[upstream->announcement.failure_domain];
+    ++view.upstreams;
+    view.on_probation += state.phase == Phase::kHealthy ? 0 : 1;
+    const auto median = MedianWait(*upstream, now);
+    if (median && state.phase == Phase::kHealthy) {
+      view.medians.push_back(*median);
+    }
+  }
+  for (UpstreamState* upstream : list) {
+    DomainView& view = domains[upstream->announcement.failure_domain];
+    if (upstream->probation.phase == Phase::kBanned || view.medians.empty() ||
+        view.upstreams < kMinPeers) {
+      continue;
+    }
+    const Duration limit =
+        kOutlierFactor * LowerMedian(&view.medians) + kOutlierSlack;
+    const Duration wait =
+        std::max(MedianWait(*upstream, now).value_or(Duration(0)),
+                 OldestUnanswered(*upstream, now));
+    const bool healthy = upstream->probation.phase == Phase::kHealthy;
+    const bool room = 2 * (view.on_probation + 1) <= view.upstreams;
+    if (wait <= limit || (healthy && !room)) {
+      continue;
+    }
+    const bool probe_late = OldestUnanswered(*upstream, now) > limit;
+    if (healthy || probe_late) {
+      view.on_probation += healthy ? 1 : 0;
+      upstream->probation.limit = limit;
+      Ban(&upstream->probation, now);
+    }
+  }
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/standard_dispatcher.cc
@@ -0,0 +1,395 @@
+#include "rattanward/policy/standard_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rattanward/domain/result.h"
+#include "rattanward/policy/admission.h"
+#include "rattanward/policy/probation.h"
+
+namespace rattanward::policy {
+namespace {
+
+/// Share of first tokens that admission expects to come within its estimate.
+constexpr std::uint32_t kAdmissionPermille = 750;
+constexpr std::uint32_t kMedianPermille = 500;
+/// Time between two reviews of probations and expiries.
+constexpr Duration kReviewPeriod = std::chrono::milliseconds(250);
+
+Error QuarantinedError() {
+  return MakeError(ErrorCode::kQuarantined,
+                   "upstreams died while they ran this request", Verdict::kRan);
+}
+
+}  // namespace
+
+StandardDispatcher::StandardDispatcher(const DispatcherOptions& options)
+    : chooser_(options.failure_domain, options.seed),
+      accounts_(options.entries) {}
+
+std::vector<Decision> StandardDispatcher::SetConfig(const Config& config,
+                                                    TimePoint now) {
+  config_ = config;
+  queue_.SetClasses(config.classes);
+  accounts_.SetAccounts(config.accounts);
+  retries_.SetShare(config.limits.retry_permille);
+  Decisions out;
+  for (const Target& target : queue_.Targets()) {
+    Pump(target, &out, now);
+  }
+  return out;
+}
+
+std::vector<Decision> StandardDispatcher::UpstreamChanged(
+    const Announcement& announcement, TimePoint now) {
+  const UpstreamState* before = upstreams_.Find(announcement.instance);
+  std::vector<Target> targets = TargetsOf(announcement);
+  if (before != nullptr) {
+    const std::vector<Target> old = TargetsOf(before->announcement);
+    targets.insert(targets.end(), old.begin(), old.end());
+  }
+  if (!upstreams_.Announce(announcement, now)) {
+    return {};
+  }
+  quarantine_.Heard(announcement.instance, announcement.sequence, now);
+  Decisions out;
+  for (const Target& target : targets) {
+    Pump(target, &out, now);
+    RefuseUnserved(target, &out);
+  }
+  return out;
+}
+
+std::vector<Decision> StandardDispatcher::UpstreamGone(
+    const UpstreamId& upstream, TimePoint now) {
+  const UpstreamState* state = upstreams_.Find(upstream);
+  if (state == nullptr) {
+    return {};
+  }
+  if (!state->announcement.draining) {
+    NoteDeath(upstream, now);
+  }
+  const std::vector<Target> targets = TargetsOf(state->announcement);
+  upstreams_.Remove(upstream);
+  Decisions out;
+  for (const Target& target : targets) {
+    RefuseUnserved(target, &out);
+  }
+  return out;
+}
+
+std::vector<Decision> StandardDispatcher::Submit(const RequestInfo& request,
+                                                 TimePoint now) {
+  if (const auto error = CheckRequest(request)) {
+    return {Refuse{request.id, *error}};
+  }
+  const RequestClass& declared = *FindClass(config_, request.request_class);
+  bool admitted = false;
+  const auto displaced =
+      MakeAccountRoom(request, declared.tier, &admitted, now);
+  if (!admitted) {
+    Error error = MakeError(
+        ErrorCode::kAccountLimit,
+        "client account '" + request.account.str() + "' is at its limit");
+    error.retry_after = accounts_.RetryAfter(request.account, now);
+    return {Refuse{request.id, error}};
+  }
+  const Open& open = open_
+                         .emplace(request.id, Open{request,
+                                                   declared,
+                                                   TargetOf(request),
+                                                   0,
+                                                   {},
+                                                   Verdict::kNotRun,
+                                                   {},
+                                                   {},
+                                                   !displaced})
+                         .first->second;
+  Decisions out;
+  Enqueue(open);
+  Pump(TargetOf(request), &out, now);
+  const bool kept = AdmitWaiting(request.id, &out, now);
+  if (displaced && kept) {
+    SettleDisplaced(*displaced, request.id, &out, now);
+  } else if (displaced) {
+    queue_.Push(*displaced);
+  }
+  return out;
+}
+
+std::vector<Decision> StandardDispatcher::Cancel(const RequestId& request,
+                                                 TimePoint /*now*/) {
+  if (queue_.Remove(request)) {
+    Close(request);
+  }
+  return {};
+}
+
+std::vector<Decision> StandardDispatcher::Tick(TimePoint now) {
+  if (!next_review_ || now >= *next_review_) {
+    next_review_ = now + kReviewPeriod;
+    quarantine_.Expire(now);
+    for (const auto& [target, list] : upstreams_.ByTarget()) {
+      ReviewProbation(list, now);
+    }
+  }
+  Decisions out;
+  ShedDoomed(&out, now);
+  for (const Target& target : queue_.Targets()) {
+    Pump(target, &out, now);
+    RefuseUnserved(target, &out);
+  }
+  return out;
+}
+
+std::optional<Error> StandardDispatcher::CheckRequest(
+    const RequestInfo& request) const {
+  if (config_.classes.empty()) {
+    return MakeError(ErrorCode::kNoConfiguration,
+                     "this entry has no configuration yet");
+  }
+  if (FindClass(config_, request.request_class) == nullptr) {
+    return MakeError(
+        ErrorCode::kUnknownClass,
+        "request class '" + request.request_class.str() + "' is not declared");
+  }
+  if (open_.contains(request.id)) {
+    return MakeError(ErrorCode::kAlreadyRunning,
+                     "request id '" + request.id.str() + "' is open here");
+  }
+  if (quarantine_.StandingOf(request.fingerprint) == Standing::kQuarantined) {
+    return QuarantinedError();
+  }
+  const Target target = TargetOf(request);
+  if (!upstreams_.HasService(target)) {
+    return NoUpstreamError(target);
+  }
+  return std::nullopt;
+}
+
+std::optional<QueuedRequest> StandardDispatcher::MakeAccountRoom(
+    const RequestInfo& request, Tier tier, bool* admitted, TimePoint now) {
+  *admitted = accounts_.TryStart(request.account, now) == AccountRefusal::kNone;
+  if (*admitted) {
+    return std::nullopt;
+  }
+  const auto displaced = queue_.DisplaceOfAccount(request.account, tier);
+  *admitted = displaced.has_value();
+  return displaced;
+}
+
+void StandardDispatcher::Enqueue(const Open& open) {
+  queue_.Push({open.info.id, open.info.account, open.declared.name, open.target,
+               open.info.arrived});
+}
+
+void StandardDispatcher::SettleDisplaced(const QueuedRequest& displaced,
+                                         const RequestId& by, Decisions* out,
+                                         TimePoint now) {
+  Error error = MakeError(ErrorCode::kDisplaced,
+                          "a higher tier of the account needed the place");
+  error.retry_after = accounts_.RetryAfter(displaced.account, now);
+  open_.at(displaced.id).counted = false;
+  open_.at(by).counted = true;
+  RefuseOpen(displaced.id, error, out);
+}
+
+bool StandardDispatcher::AdmitWaiting(const RequestId& id, Decisions* out,
+                                      TimePoint now) {
+  if (!queue_.Contains(id)) {
+    return open_.contains(id);
+  }
+  const Open& open = open_.at(id);
+  const Duration wait = PlaceWait(open.target, open.declared.tier, now);
+  const Duration first_token = latency_.FirstTokenWait(
+      open.declared.name, open.target, kAdmissionPermille, now);
+  if (const auto error =
+          CheckDeadline({now, DeadlineOf(open), wait, first_token})) {
+    queue_.Remove(id);
+    RefuseOpen(id, *error, out);
+    return false;
+  }
+  const auto shed = queue_.Shed(id);
+  if (!shed) {
+    return true;
+  }
+  const bool refused = shed->id == id;
+  Error error =
+      MakeError(refused ? ErrorCode::kQueueFull : ErrorCode::kDisplaced,
+                refused ? "the queue of the request class is full"
+                        : "a higher tier needed the room");
+  error.retry_after = RetryAfterBacklog(wait);
+  RefuseOpen(shed->id, error, out);
+  return !refused;
+}
+
+void StandardDispatcher::Pump(const Target& target, Decisions* out,
+                              TimePoint now) {
+  const UpstreamTable::List& list = upstreams_.Serving(target);
+  if (list.empty()) {
+    return;
+  }
+  std::vector<RequestId> doomed;
+  while (true) {
+    UpstreamState* chosen = nullptr;
+    const auto next = queue_.PopNext(
+        target, [&](const QueuedRequest& queued, bool floor_due) {
+          return FitOf(queued, floor_due, now, &chosen, &doomed);
+        });
+    if (!next) {
+      break;
+    }
+    Start(&open_.at(next->id), chosen, out, now);
+  }
+  for (const RequestId& id : doomed) {
+    if (queue_.Remove(id)) {
+      RefuseOpen(id, *Doom(open_.at(id), now), out);
+    }
+  }
+}
+
+Fit StandardDispatcher::FitOf(const QueuedRequest& queued, bool floor_due,
+                              TimePoint now, UpstreamState** chosen,
+                              std::vector<RequestId>* doomed) {
+  Open& open = open_.at(queued.id);
+  if (Doom(open, now)) {
+    doomed->push_back(queued.id);
+    return Fit::kSkipRequest;
+  }
+  const std::uint64_t fingerprint = open.info.fingerprint;
+  const bool suspect = IsSuspect(fingerprint);
+  if (!suspect && !open.tried.empty() && AllTried(open)) {
+    open.tried.clear();
+  }
+  if (suspect && running_.contains(fingerprint)) {
+    return Fit::kSkipRequest;
+  }
+  const bool overdue = open.declared.floor_permille > 0 &&
+                       open.declared.deadline > Duration(0) &&
+                       now - open.info.arrived > open.declared.deadline / 2;
+  ChoiceQuery query{open.declared.tier,
+                    floor_due || overdue,
+                    open.info.prefix,
+                    open.tried,
+                    false,
+                    nullptr,
+                    now};
+  if (suspect) {
+    query.allowed = [this](const UpstreamState& upstream) {
+      return std::none_of(upstream.running.begin(), upstream.running.end(),
+                          [this](const RunningAttempt& attempt) {
+                            return IsSuspect(attempt.fingerprint);
+                          });
+    };
+  }
+  *chosen = chooser_.Choose(upstreams_.Serving(queued.target), query);
+  if (*chosen != nullptr) {
+    return Fit::kRuns;
+  }
+  return suspect || !open.tried.empty() ? Fit::kSkipRequest : Fit::kSkipClass;
+}
+
+std::optional<Error> StandardDispatcher::Doom(const Open& open,
+                                              TimePoint now) const {
+  if (quarantine_.StandingOf(open.info.fingerprint) == Standing::kQuarantined) {
+    return QuarantinedError();
+  }
+  const Duration first_token = latency_.FirstTokenWait(
+      open.declared.name, open.target, kMedianPermille, now);
+  return CheckDeadline({now, DeadlineOf(open), Duration(0), first_token});
+}
+
+void StandardDispatcher::Start(Open* open, UpstreamState* upstream,
+                               Decisions* out, TimePoint now) {
+  const Announcement& a = upstream->announcement;
+  ++open->attempt;
+  open->upstream = a.instance;
+  open->tried.push_back(a.instance);
+  open->first_token.reset();
+  ++running_[open->info.fingerprint];
+  upstreams_.Started(upstream,
+                     {open->info.id, open->info.fingerprint, now, false});
+  out->push_back(StartAttempt{open->info.id, open->attempt, a.instance,
+                              a.endpoint, open->declared.tier,
+                              a.not_run_statuses});
+}
+
+bool StandardDispatcher::AllTried(const Open& open) const {
+  const UpstreamTable::List& list = upstreams_.Serving(open.target);
+  return std::none_of(list.begin(), list.end(), [&](const UpstreamState* u) {
+    return u->InService() &&
+           std::find(open.tried.begin(), open.tried.end(),
+                     u->announcement.instance) == open.tried.end();
+  });
+}
+
+void StandardDispatcher::ShedDoomed(Decisions* out, TimePoint now) {
+  for (const QueuedRequest& queued : queue_.Waiting()) {
+    if (auto error = Doom(open_.at(queued.id), now)) {
+      queue_.Remove(queued.id);
+      error->retry_after =
+          error->code == ErrorCode::kQuarantined
+              ? std::nullopt
+              : std::optional(RetryAfterBacklog(PlaceWait(
+                    queued.target, open_.at(queued.id).declared.tier, now)));
+      RefuseOpen(queued.id, *error, out);
+    }
+  }
+}
+
+void StandardDispatcher::RefuseUnserved(const Target& target, Decisions* out) {
+  if (upstreams_.HasService(target)) {
+    return;
+  }
+  for (const QueuedRequest& queued : queue_.Waiting()) {
+    if (queued.target == target) {
+      queue_.Remove(queued.id);
+      RefuseOpen(queued.id, NoUpstreamError(target), out);
+    }
+  }
+}
+
+void StandardDispatcher::RefuseOpen(const RequestId& id, Error error,
+                                    Decisions* out) {
+  error.verdict = Strongest(error.verdict, open_.at(id).verdict);
+  Close(id);
+  out->push_back(Refuse{id, std::move(error)});
+}
+
+void StandardDispatcher::Close(const RequestId& id) {
+  const auto it = open_.find(id);
+  if (it->second.counted) {
+    accounts_.End(it->second.info.account);
+  }
+  open_.erase(it);
+}
+
+Duration StandardDispatcher::PlaceWait(const Target& target, Tier tier,
+                                       TimePoint now) const {
+  std::vector<WorkAhead> ahead;
+  for (const ClassBacklog& backlog : queue_.Ahead(target, tier)) {
+    const RequestClass* declared = FindClass(config_, backlog.request_class);
+    if (declared != nullptr) {
+      ahead.push_back(
+          {backlog.waiting,
+           latency_.ServiceTime(*declared, target, kMedianPermille, now)});
+    }
+  }
+  std::uint32_t places = 0;
+  for (const UpstreamState* upstream : upstreams_.Serving(target)) {
+    places += PlacesFor(*upstream, tier);
+  }
+  return ExpectedWait(ahead, places);
+}
+
+TimePoint StandardDispatcher::DeadlineOf(const Open& open) const {
+  return open.declared.deadline == Duration(0)
+             ? TimePoint::max()
+             : open.info.arrived + open.declared.deadline;
+}
+
+bool StandardDispatcher::IsSuspect(std::uint64_t fingerprint) const {
+  return quarantine_.StandingOf(fingerprint) != Standing::kClear;
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -0,0 +1,177 @@
+#include <algorithm>
+
+#include "rattanward/policy/probation.h"
+#include "rattanward/policy/standard_dispatcher.h"
+
+namespace rattanward::policy {
+namespace {
+
+/// Pause before an upstream that failed is tried again.
+constexpr Duration kAvoidAfterFailure = std::chrono::seconds(1);
+/// Pause before an upstream that refused for load is tried again.
+constexpr Duration kAvoidAfterRefusal = std::chrono::milliseconds(100);
+constexpr Duration kRetryAfterFailure = std::chrono::seconds(1);
+
+/// Whether an attempt's end is a sign that the upstream died.
+bool SignOfDeath(const AttemptResult& result) {
+  if (result.end == AttemptEnd::kSilent) {
+    return true;
+  }
+  if (result.end != AttemptEnd::kBroken || result.verdict == Verdict::kNotRun) {
+    return false;
+  }
+  switch (result.error.code) {
+    case ErrorCode::kUpstreamFailed:
+    case ErrorCode::kUpstreamMalformed:
+    case ErrorCode::kWrongRequestId:
+    case ErrorCode::kStreamGap:
+      return false;
+    default:
+      return true;
+  }
+}
+
+bool MayBeRetried(AttemptEnd end) {
+  return end == AttemptEnd::kRefused || end == AttemptEnd::kConnectFailed ||
+         end == AttemptEnd::kBroken || end == AttemptEnd::kSilent;
+}
+
+}  // namespace
+
+void StandardDispatcher::FirstToken(const RequestId& request, TimePoint now) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.upstream.empty() ||
+      it->second.first_token) {
+    return;
+  }
+  Open& open = it->second;
+  UpstreamState* upstream = upstreams_.Find(open.upstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  for (RunningAttempt& attempt : upstream->running) {
+    if (attempt.request == request) {
+      attempt.first_token_seen = true;
+      open.first_token = now;
+      const Duration wait = now - attempt.started;
+      latency_.FirstToken(open.declared.name, open.target, wait, now);
+      NoteFirstToken(upstream, wait, now);
+    }
+  }
+}
+
+std::vector<Decision> StandardDispatcher::Finish(const AttemptResult& result,
+                                                 TimePoint now) {
+  const auto it = open_.find(result.request);
+  if (it == open_.end() || it->second.upstream.empty() ||
+      it->second.attempt != result.attempt) {
+    return {};
+  }
+  Open& open = it->second;
+  const UpstreamState* upstream = upstreams_.Find(open.upstream);
+  std::vector<Target> targets = {open.target};
+  if (upstream != nullptr) {
+    targets = TargetsOf(upstream->announcement);
+  }
+  Decisions out;
+  NoteEnd(open, result, now);
+  open.upstream = {};
+  open.verdict = Strongest(open.verdict, result.verdict);
+  if (result.end == AttemptEnd::kCompleted) {
+    retries_.Success(open.declared.tier);
+    Close(result.request);
+  } else if (result.end == AttemptEnd::kCallerLeft) {
+    Close(result.request);
+  } else {
+    FinishFailed(&open, result, &out, now);
+  }
+  for (const Target& target : targets) {
+    Pump(target, &out, now);
+    RefuseUnserved(target, &out);
+  }
+  return out;
+}
+
+void StandardDispatcher::NoteEnd(const Open& open, const AttemptResult& result,
+                                 TimePoint now) {
+  if (SignOfDeath(result)) {
+    NoteDeath(open.upstream, now);
+    quarantine_.AddDeath(open.info.fingerprint, open.upstream, now);
+  }
+  UpstreamState* upstream = upstreams_.Find(open.upstream);
+  if (upstream != nullptr && MayBeRetried(result.end)) {
+    const Duration pause = result.end == AttemptEnd::kRefused
+                               ? kAvoidAfterRefusal
+                               : kAvoidAfterFailure;
+    upstream->avoid_until = std::max(upstream->avoid_until, now + pause);
+  }
+  const RunningAttempt ended =
+      upstreams_.Ended(open.upstream, open.info.id, now);
+  const auto running = running_.find(open.info.fingerprint);
+  if (running != running_.end() && --running->second == 0) {
+    running_.erase(running);
+  }
+  if (result.end != AttemptEnd::kCompleted) {
+    return;
+  }
+  quarantine_.FinishedWhole(open.info.fingerprint);
+  const TimePoint first = open.first_token.value_or(now);
+  if (!open.first_token) {
+    latency_.FirstToken(open.declared.name, open.target, now - ended.started,
+                        now);
+  }
+  latency_.Completed(open.declared.name, open.target, result.output_tokens,
+                     now - first, now);
+}
+
+void StandardDispatcher::NoteDeath(const UpstreamId& upstream, TimePoint now) {
+  const UpstreamState* state = upstreams_.Find(upstream);
+  if (state == nullptr) {
+    return;
+  }
+  for (const RunningAttempt& attempt : state->running) {
+    quarantine_.AddDeath(attempt.fingerprint, upstream, now);
+  }
+}
+
+std::optional<Error> StandardDispatcher::RetryBar(const Open& open,
+                                                  const AttemptResult& result,
+                                                  TimePoint now) {
+  Error error = result.error;
+  if (quarantine_.StandingOf(open.info.fingerprint) == Standing::kQuarantined) {
+    return Doom(open, now);
+  }
+  if (!MayBeRetried(result.end) || result.answer_begun ||
+      (!open.info.idempotent && open.verdict != Verdict::kNotRun)) {
+    return error;
+  }
+  if (open.attempt >= config_.limits.max_attempts) {
+    error.retry_after = kRetryAfterFailure;
+    return error;
+  }
+  if (const auto doom = Doom(open, now)) {
+    return doom;
+  }
+  if (!upstreams_.HasService(open.target)) {
+    return NoUpstreamError(open.target);
+  }
+  if (result.end != AttemptEnd::kConnectFailed &&
+      !retries_.TryTake(open.declared.tier)) {
+    error.code = ErrorCode::kRetryBudgetSpent;
+    error.message = "the retry budget of the tier is spent";
+    error.retry_after = kRetryAfterFailure;
+    return error;
+  }
+  return std::nullopt;
+}
+
+void StandardDispatcher::FinishFailed(Open* open, const AttemptResult& result,
+                                      Decisions* out, TimePoint now) {
+  if (const auto bar = RetryBar(*open, result, now)) {
+    RefuseOpen(open->info.id, *bar, out);
+    return;
+  }
+  Enqueue(*open);
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/tests/src/unit-dispatcher.cc
@@ -0,0 +1,234 @@
+#include <doctest/doctest.h>
+
+#include "fakes/policy_values.h"
+
+namespace rattanward::policy {
+namespace {
+
+using fakes::MakeEngine;
+using fakes::MakeRequest;
+using fakes::MakeResult;
+using fakes::RefusedWith;
+using fakes::StartedOn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Config TwoTiers() {
+  Config config;
+  config.classes = {fakes::MakeClass("gate", 0, 2),
+                    fakes::MakeClass("stowage", 3, 2)};
+  return config;
+}
+
+Dispatcher MakeStandard(const Config& config) {
+  Dispatcher dispatcher(fakes::MakeOptions(Profile::kStandard));
+  dispatcher.SetConfig(config, TimePoint());
+  return dispatcher;
+}
+
+Error RefusalIn(const std::vector<Decision>& decisions) {
+  for (const Decision& decision : decisions) {
+    if (const auto* refuse = std::get_if<Refuse>(&decision)) {
+      return refuse->error;
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+TEST_CASE("dispatcher: the higher tier goes first") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  CHECK(StartedOn(d.Submit(MakeRequest("r1", "gate"), now).at(0)) == "e1");
+  CHECK(d.Submit(MakeRequest("r2", "stowage"), now).empty());
+  CHECK(d.Submit(MakeRequest("r3", "gate"), now).empty());
+  const auto next = d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now);
+  CHECK(std::get<StartAttempt>(next.at(0)).request == RequestId("r3"));
+}
+
+TEST_CASE("dispatcher: a full queue displaces the lowest tier") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  for (const char* id : {"r0", "r1", "r2"}) {
+    d.Submit(MakeRequest(id, "gate"), now);
+  }
+  d.Submit(MakeRequest("low", "stowage"), now);
+  const auto out = d.Submit(MakeRequest("r3", "gate"), now);
+  CHECK(std::get<Refuse>(out.at(0)).request == RequestId("low"));
+  CHECK(RefusedWith(out.at(0)) == ErrorCode::kDisplaced);
+  CHECK(RefusalIn(out).retry_after.has_value());
+  CHECK(RefusedWith(d.Submit(MakeRequest("r4", "gate"), now).at(0)) ==
+        ErrorCode::kQueueFull);
+}
+
+TEST_CASE("dispatcher: an unknown class and a missing upstream are refused") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  CHECK(RefusedWith(d.Submit(MakeRequest("r1", "other"), now).at(0)) ==
+        ErrorCode::kUnknownClass);
+  const auto out = d.Submit(MakeRequest("r1", "gate"), now);
+  CHECK(RefusedWith(out.at(0)) == ErrorCode::kNoUpstream);
+  CHECK(RefusalIn(out).retry_after.has_value());
+}
+
+TEST_CASE("dispatcher: what cannot begin in time is answered at once") {
+  Config config = TwoTiers();
+  config.classes[0].expected_output_tokens = 500;
+  Dispatcher d = MakeStandard(config);
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.Submit(MakeRequest("r1", "gate"), now);
+  const auto out = d.Submit(MakeRequest("r2", "gate"), now);
+  CHECK(RefusedWith(out.at(0)) == ErrorCode::kDeadlineUnattainable);
+  CHECK(RefusalIn(out).verdict == Verdict::kNotRun);
+  CHECK(RefusalIn(out).retry_after == Duration(seconds(10)));
+  CHECK(d.OpenRequests() == 1);
+}
+
+TEST_CASE("dispatcher: a request past its deadline is not sent") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.Submit(MakeRequest("r1", "gate"), now);
+  d.Submit(MakeRequest("r2", "gate"), now);
+  const auto out = d.Tick(now + seconds(10));
+  CHECK(RefusedWith(out.at(0)) == ErrorCode::kDeadlinePassed);
+}
+
+TEST_CASE("dispatcher: draining upstreams get nothing") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  Announcement engine = MakeEngine("e1", 1);
+  d.UpstreamChanged(engine, now);
+  d.Submit(MakeRequest("r1", "gate"), now);
+  d.Submit(MakeRequest("r2", "gate"), now);
+  engine.sequence = 2;
+  engine.draining = true;
+  CHECK(RefusedWith(d.UpstreamChanged(engine, now).at(0)) ==
+        ErrorCode::kNoUpstream);
+  CHECK(d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now).empty());
+}
+
+TEST_CASE("dispatcher: an idempotent request is tried on another upstream") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.UpstreamChanged(MakeEngine("e2", 1), now);
+  const std::string first =
+      StartedOn(d.Submit(MakeRequest("r1", "gate"), now).at(0));
+  const auto again = d.Finish(
+      MakeResult("r1", 1, AttemptEnd::kBroken, Verdict::kMayHaveRun), now);
+  CHECK(StartedOn(again.at(0)) != first);
+  CHECK_FALSE(StartedOn(again.at(0)).empty());
+}
+
+TEST_CASE("dispatcher: no second attempt where the first may have run") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.UpstreamChanged(MakeEngine("e2", 1), now);
+  RequestInfo booking = MakeRequest("r1", "gate");
+  booking.idempotent = false;
+  d.Submit(booking, now);
+  auto out = d.Finish(MakeResult("r1", 1, AttemptEnd::kRefused), now);
+  CHECK_FALSE(StartedOn(out.at(0)).empty());
+  out = d.Finish(MakeResult("r1", 2, AttemptEnd::kBroken, Verdict::kMayHaveRun),
+                 now);
+  CHECK(RefusalIn(out).verdict == Verdict::kMayHaveRun);
+  CHECK(d.OpenRequests() == 0);
+}
+
+TEST_CASE("dispatcher: nothing is tried again once the answer has begun") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.UpstreamChanged(MakeEngine("e2", 1), now);
+  d.Submit(MakeRequest("r1", "gate"), now);
+  AttemptResult result =
+      MakeResult("r1", 1, AttemptEnd::kBroken, Verdict::kRan);
+  result.answer_begun = true;
+  CHECK(RefusalIn(d.Finish(result, now)).verdict == Verdict::kRan);
+}
+
+TEST_CASE("dispatcher: a second death puts the request in quarantine") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  for (const char* id : {"e1", "e2", "e3"}) {
+    d.UpstreamChanged(MakeEngine(id, 2), now);
+  }
+  RequestInfo poison = MakeRequest("r1", "gate");
+  poison.fingerprint = 7;
+  d.Submit(poison, now);
+  d.Finish(MakeResult("r1", 1, AttemptEnd::kBroken, Verdict::kMayHaveRun), now);
+  CHECK(d.TakeSuspicions().at(0).deaths.size() == 1);
+  const auto out = d.Finish(
+      MakeResult("r1", 2, AttemptEnd::kBroken, Verdict::kMayHaveRun), now);
+  CHECK(RefusedWith(out.at(0)) == ErrorCode::kQuarantined);
+  CHECK(RefusalIn(out).verdict == Verdict::kRan);
+  poison.id = RequestId("r2");
+  CHECK(RefusedWith(d.Submit(poison, now).at(0)) == ErrorCode::kQuarantined);
+  CHECK(d.TakeSuspicions().at(0).quarantined);
+  CHECK(d.ReleaseSuspicion(7));
+  CHECK_FALSE(StartedOn(d.Submit(poison, now).at(0)).empty());
+}
+
+TEST_CASE("dispatcher: a suspect runs alone among suspects") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 4), now);
+  d.MergeSuspicion({7, {UpstreamId("x")}, false}, now);
+  d.MergeSuspicion({8, {UpstreamId("x")}, false}, now);
+  RequestInfo first = MakeRequest("r1", "gate");
+  first.fingerprint = 7;
+  RequestInfo second = MakeRequest("r2", "gate");
+  second.fingerprint = 8;
+  CHECK(StartedOn(d.Submit(first, now).at(0)) == "e1");
+  CHECK(d.Submit(second, now).empty());
+  CHECK(StartedOn(d.Submit(MakeRequest("r3", "gate"), now).at(0)) == "e1");
+  const auto next = d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now);
+  CHECK(std::get<StartAttempt>(next.at(0)).request == RequestId("r2"));
+}
+
+TEST_CASE("dispatcher: an account's higher tier takes its lower tier's place") {
+  Config config = TwoTiers();
+  ClientAccount account;
+  account.id = ClientAccountId("a");
+  account.max_in_flight = 2;
+  config.accounts = {account};
+  Dispatcher d = MakeStandard(config);
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.Submit(MakeRequest("r1", "gate"), now);
+  d.Submit(MakeRequest("low", "stowage"), now);
+  const auto out = d.Submit(MakeRequest("r2", "gate"), now);
+  CHECK(std::get<Refuse>(out.at(0)).request == RequestId("low"));
+  CHECK(RefusedWith(d.Submit(MakeRequest("r3", "gate"), now).at(0)) ==
+        ErrorCode::kAccountLimit);
+  d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now);
+  CHECK(d.Submit(MakeRequest("r4", "gate"), now).empty());
+}
+
+TEST_CASE("dispatcher: a straggler is put on probation and probed later") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  TimePoint now;
+  d.UpstreamChanged(MakeEngine("fast", 1), now);
+  d.UpstreamChanged(MakeEngine("slow", 1), now);
+  int slow_starts = 0;
+  for (int round = 0; round < 40; ++round) {
+    const std::string id = "r" + std::to_string(round);
+    const auto out = d.Submit(MakeRequest(id, "gate", now), now);
+    const std::string on = StartedOn(out.at(0));
+    slow_starts += on == "slow" ? 1 : 0;
+    now += milliseconds(on == "slow" ? 900 : 30);
+    d.FirstToken(RequestId(id), now);
+    d.Finish(MakeResult(id, 1, AttemptEnd::kCompleted), now);
+    d.Tick(now);
+  }
+  CHECK(slow_starts >= 5);
+  CHECK(slow_starts <= 8);
+}
+
+}  // namespace rattanward::policy
