Test the class queue against a flat list; serve floors within their bound

Cause: a floor of 333 permille was passed over 4 times in a row where the bound allows 3: the credit left out the dispatch that serves the class. Change: a floor is due once credit plus floor reaches 1000.

--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -22,7 +22,7 @@
 /// account limits, probation, retry budgets and quarantine.
 class StandardDispatcher {
  public:
-  explicit StandardDispatcher(const DispatcherOptions& options);
+  explicit StandardDispatcher(DispatcherOptions options);
 
   std::vector<Decision> SetConfig(const Config& config, TimePoint now);
   std::vector<Decision> UpstreamChanged(const Announcement& announcement,
--- a/src/policy/class_queue.cc
+++ b/src/policy/class_queue.cc
@@ -194,8 +194,9 @@
     if (line.due_since != 0) {
       continue;
     }
-    line.credit_permille += classes_.at(name).floor_permille;
-    if (line.credit_permille >= kWholePermille) {
+    const std::uint32_t floor = classes_.at(name).floor_permille;
+    line.credit_permille += floor;
+    if (floor > 0 && line.credit_permille + floor >= kWholePermille) {
       line.due_since = ++due_count_;
     }
   }
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -11,19 +11,19 @@
 
 using Profiles = std::variant<BaselineDispatcher, StandardDispatcher>;
 
-Profiles MakeProfile(const DispatcherOptions& options) {
+Profiles MakeProfile(DispatcherOptions options) {
   if (options.profile == Profile::kBaseline) {
     return BaselineDispatcher(options);
   }
-  return StandardDispatcher(options);
+  return StandardDispatcher(std::move(options));
 }
 
 }  // namespace
 
 class Dispatcher::Impl {
  public:
-  explicit Impl(const DispatcherOptions& options)
-      : profile_(MakeProfile(options)) {}
+  explicit Impl(DispatcherOptions options)
+      : profile_(MakeProfile(std::move(options))) {}
 
   /// Calls a function with the dispatcher of the chosen profile.
   template <class Function>
--- a/src/policy/probation.cc
+++ b/src/policy/probation.cc
@@ -56,7 +56,8 @@
 
 /// Lower median, so that of two upstreams the faster one is the measure.
 Duration LowerMedian(std::vector<Duration>* values) {
-  const auto middle = values->begin() + (values->size() - 1) / 2;
+  const auto middle =
+      values->begin() + static_cast<std::ptrdiff_t>((values->size() - 1) / 2);
   std::nth_element(values->begin(), middle, values->end());
   return *middle;
 }
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-StandardDispatcher::StandardDispatcher(const DispatcherOptions& options)
-    : chooser_(options.failure_domain, options.seed),
+StandardDispatcher::StandardDispatcher(DispatcherOptions options)
+    : chooser_(std::move(options.failure_domain), options.seed),
       accounts_(options.entries) {}
 
 std::vector<Decision> StandardDispatcher::SetConfig(const Config& config,
@@ -173,7 +173,7 @@
   if (*admitted) {
     return std::nullopt;
   }
-  const auto displaced = queue_.DisplaceOfAccount(request.account, tier);
+  auto displaced = queue_.DisplaceOfAccount(request.account, tier);
   *admitted = displaced.has_value();
   return displaced;
 }
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -149,7 +149,7 @@
     error.retry_after = kRetryAfterFailure;
     return error;
   }
-  if (const auto doom = Doom(open, now)) {
+  if (auto doom = Doom(open, now)) {
     return doom;
   }
   if (!upstreams_.HasService(open.target)) {
--- /dev/null
+++ b/tests/src/fuzz-queue.cc
@@ -0,0 +1,192 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fakes/policy_values.h"
+#include "rattanward/policy/class_queue.h"
+
+namespace rattanward::policy {
+namespace {
+
+constexpr std::uint32_t kWholePermille = 1000;
+constexpr std::size_t kTargets = 2;
+constexpr std::size_t kActions = 20;
+/// Actions that pop; the others push.
+constexpr std::size_t kPops = 8;
+
+using Commands = std::vector<std::uint16_t>;
+
+// The oracle keeps every waiting request in one flat list.
+struct Oracle {
+  std::vector<RequestClass> classes;
+  std::vector<QueuedRequest> waiting;
+  // Dispatches of a target that passed a waiting class over since its last.
+  std::map<std::pair<Target, RequestClassName>, std::uint32_t> passed_over;
+
+  const RequestClass& ClassOf(const QueuedRequest& request) const {
+    for (const RequestClass& c : classes) {
+      if (c.name == request.request_class) {
+        return c;
+      }
+    }
+    return classes.front();
+  }
+
+  // The oldest of its class and target, in a class with a floor.
+  bool HoldsFloor(const QueuedRequest& request) const {
+    for (const QueuedRequest& other : waiting) {
+      if (other.target == request.target &&
+          other.request_class == request.request_class &&
+          other.arrived < request.arrived) {
+        return false;
+      }
+    }
+    return ClassOf(request).floor_permille > 0;
+  }
+
+  // Whether a waiting request of a lower tier holds room.
+  bool LowerHoldsRoom(Tier tier) const {
+    for (const QueuedRequest& other : waiting) {
+      if (ClassOf(other).tier > tier && !HoldsFloor(other)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Waiting requests that hold room: of one class, or of all.
+  std::size_t RoomUsed(const RequestClassName* name) const {
+    std::size_t used = 0;
+    for (const QueuedRequest& r : waiting) {
+      const bool counts = name == nullptr || r.request_class == *name;
+      used += counts && !HoldsFloor(r) ? 1 : 0;
+    }
+    return used;
+  }
+
+  std::size_t RoomLimit() const {
+    std::size_t limit = 0;
+    for (const RequestClass& c : classes) {
+      limit += c.queue_limit;
+    }
+    return limit;
+  }
+
+  std::uint32_t FloorBound(const RequestClass& c) const {
+    std::uint32_t floors = 0;
+    for (const RequestClass& other : classes) {
+      floors += other.floor_permille > 0 ? 1 : 0;
+    }
+    return (kWholePermille + c.floor_permille - 1) / c.floor_permille + floors -
+           1;
+  }
+
+  void Forget(const RequestId& id) {
+    std::erase_if(waiting, [&](const QueuedRequest& r) { return r.id == id; });
+  }
+
+  void Dispatched(const QueuedRequest& served) {
+    Forget(served.id);
+    for (const RequestClass& c : classes) {
+      std::uint32_t& passed = passed_over[{served.target, c.name}];
+      bool still_waits = false;
+      for (const QueuedRequest& r : waiting) {
+        still_waits = still_waits ||
+                      (r.target == served.target && r.request_class == c.name);
+      }
+      passed = c.name == served.request_class || !still_waits ? 0 : passed + 1;
+      if (c.floor_permille > 0) {
+        RC_ASSERT(passed < FloorBound(c));
+      }
+    }
+  }
+};
+
+std::vector<RequestClass> AnyClasses() {
+  const int count = *rc::gen::inRange(1, 6);
+  std::vector<RequestClass> classes;
+  for (int i = 0; i < count; ++i) {
+    RequestClass c =
+        fakes::MakeClass("c" + std::to_string(i),
+                         *rc::gen::inRange<std::uint8_t>(0, Tier::kCount),
+                         *rc::gen::inRange<std::uint32_t>(0, 5));
+    c.floor_permille = *rc::gen::element<std::uint32_t>(0, 0, 50, 200, 333);
+    classes.push_back(c);
+  }
+  return classes;
+}
+
+// Strict order: nobody of a higher tier waits for the same target, unless the
+// request's class has a floor and was passed over by its share of dispatches.
+void CheckOrder(const Oracle& oracle, const QueuedRequest& served) {
+  const RequestClass& c = oracle.ClassOf(served);
+  const auto it = oracle.passed_over.find({served.target, c.name});
+  const std::uint32_t passed = it == oracle.passed_over.end() ? 0 : it->second;
+  if ((passed + 1) * c.floor_permille >= kWholePermille) {
+    return;
+  }
+  for (const QueuedRequest& other : oracle.waiting) {
+    if (other.target == served.target) {
+      RC_ASSERT(oracle.ClassOf(other).tier >= c.tier);
+    }
+  }
+}
+
+void CheckShed(const Oracle& oracle, const QueuedRequest& incoming,
+               const QueuedRequest& shed) {
+  const Tier tier = oracle.ClassOf(incoming).tier;
+  const Tier shed_tier = oracle.ClassOf(shed).tier;
+  const RequestClass& c = oracle.ClassOf(incoming);
+  const bool class_full = oracle.RoomUsed(&c.name) > c.queue_limit;
+  const bool all_full = oracle.RoomUsed(nullptr) > oracle.RoomLimit();
+  RC_ASSERT(class_full || all_full);
+  RC_ASSERT(shed_tier >= tier);
+  RC_ASSERT(!oracle.HoldsFloor(shed));
+  RC_ASSERT(!oracle.LowerHoldsRoom(shed_tier));
+}
+
+void Step(ClassQueue* queue, Oracle* oracle, int step, std::uint16_t command) {
+  // A command picks a target, and pops or pushes for one of the classes.
+  const Target target{UpstreamKind::kModelEngine,
+                      command % kTargets == 0 ? "a" : "b"};
+  const std::size_t action = command / kTargets % kActions;
+  if (action >= kPops) {
+    const QueuedRequest request{
+        RequestId("r" + std::to_string(step)), ClientAccountId(),
+        oracle->classes[action % oracle->classes.size()].name, target,
+        TimePoint(Duration(step))};
+    queue->Push(request);
+    oracle->waiting.push_back(request);
+    if (const auto shed = queue->Shed(request.id)) {
+      CheckShed(*oracle, request, *shed);
+      oracle->Forget(shed->id);
+    }
+  } else if (const auto served = queue->PopNext(
+                 target,
+                 [](const QueuedRequest&, bool) { return Fit::kRuns; })) {
+    CheckOrder(*oracle, *served);
+    oracle->Dispatched(*served);
+  }
+  RC_ASSERT(queue->size() == oracle->waiting.size());
+  RC_ASSERT(oracle->RoomUsed(nullptr) <= oracle->RoomLimit());
+}
+
+}  // namespace
+
+TEST_CASE("queue: strict tiers, floors within their bound, lowest shed first") {
+  CHECK(rc::check("queue against a flat list", [](const Commands& commands) {
+    Oracle oracle;
+    oracle.classes = AnyClasses();
+    ClassQueue queue;
+    queue.SetClasses(oracle.classes);
+    int step = 0;
+    for (const std::uint16_t command : commands) {
+      Step(&queue, &oracle, step++, command);
+    }
+  }));
+}
+
+}  // namespace rattanward::policy
