Test the dispatcher's promises by fuzzing; mend what it found

Found on scratch copies: with every upstream on probation nothing was sent, since the choice did not heed the exception (unit-dispatcher, new case).

Change: an account's displacement hands the room over one for one and is reported as the account's limit; probation is ignored when no upstream of the target is trusted.

--- a/include/rattanward/policy/class_queue.h
+++ b/include/rattanward/policy/class_queue.h
@@ -67,6 +67,9 @@
   /// Complexity: linear in targets times classes.
   std::optional<QueuedRequest> Shed(const RequestId& id);
 
+  /// @brief Waiting requests that hold room.
+  std::size_t RoomInUse() const { return UsedRoom().total; }
+
   /// @brief Removes the newest request of the account's lowest tier below one.
   /// @param account The account at its limit.
   /// @param tier Tier of the request that needs the place.
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -61,7 +61,10 @@
                                                Tier tier, bool* admitted,
                                                TimePoint now);
   void Enqueue(const Open& open);
-  bool AdmitWaiting(const RequestId& id, Decisions* out, TimePoint now);
+  /// Whether a request that found no upstream is kept; in_exchange says that
+  /// another one has left the queue's room to it.
+  bool AdmitWaiting(const RequestId& id, bool in_exchange, Decisions* out,
+                    TimePoint now);
   void SettleDisplaced(const QueuedRequest& displaced, const RequestId& by,
                        Decisions* out, TimePoint now);
 
--- a/src/policy/chooser.cc
+++ b/src/policy/chooser.cc
@@ -71,14 +71,10 @@
 
 bool HasPlace(const UpstreamState& upstream, const ChoiceQuery& query) {
   const std::uint32_t capacity = upstream.announcement.capacity;
-  if (!upstream.InService() || query.now < upstream.avoid_until ||
-      upstream.running.size() >= capacity || !Trusted(upstream)) {
-    return false;
-  }
-  const bool tried =
-      std::find(query.tried.begin(), query.tried.end(),
-                upstream.announcement.instance) != query.tried.end();
-  if (tried || (query.allowed && !query.allowed(upstream))) {
+  const bool trusted = query.ignore_probation || Trusted(upstream);
+  if (!trusted || !Usable(upstream, query) ||
+      upstream.running.size() >= capacity ||
+      (query.allowed && !query.allowed(upstream))) {
     return false;
   }
   const std::uint32_t limit =
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -85,8 +85,10 @@
   }
   const RequestClass& declared = *FindClass(config_, request.request_class);
   bool admitted = false;
+  const std::size_t room_before = queue_.RoomInUse();
   const auto displaced =
       MakeAccountRoom(request, declared.tier, &admitted, now);
+  const bool in_exchange = queue_.RoomInUse() < room_before;
   if (!admitted) {
     Error error = MakeError(
         ErrorCode::kAccountLimit,
@@ -94,26 +96,21 @@
     error.retry_after = accounts_.RetryAfter(request.account, now);
     return {Refuse{request.id, error}};
   }
-  const Open& open = open_
-                         .emplace(request.id, Open{request,
-                                                   declared,
-                                                   TargetOf(request),
-                                                   0,
-                                                   {},
-                                                   Verdict::kNotRun,
-                                                   {},
-                                                   {},
-                                                   !displaced})
-                         .first->second;
-  Decisions out;
+  const Target target = TargetOf(request);
+  Open open{request, declared, target, 0, {}, Verdict::kNotRun, {}, {}, true};
+  open.counted = !displaced;
   Enqueue(open);
-  Pump(TargetOf(request), &out, now);
-  const bool kept = AdmitWaiting(request.id, &out, now);
+  open_.emplace(request.id, std::move(open));
+  Decisions out;
+  Pump(target, &out, now);
+  Decisions admission;
+  const bool kept = AdmitWaiting(request.id, in_exchange, &admission, now);
   if (displaced && kept) {
     SettleDisplaced(*displaced, request.id, &out, now);
   } else if (displaced) {
     queue_.Push(*displaced);
   }
+  out.insert(out.end(), admission.begin(), admission.end());
   return out;
 }
 
@@ -186,16 +183,16 @@
 void StandardDispatcher::SettleDisplaced(const QueuedRequest& displaced,
                                          const RequestId& by, Decisions* out,
                                          TimePoint now) {
-  Error error = MakeError(ErrorCode::kDisplaced,
-                          "a higher tier of the account needed the place");
+  Error error = MakeError(ErrorCode::kAccountLimit,
+                          "a higher tier of the account took the place");
   error.retry_after = accounts_.RetryAfter(displaced.account, now);
   open_.at(displaced.id).counted = false;
   open_.at(by).counted = true;
   RefuseOpen(displaced.id, error, out);
 }
 
-bool StandardDispatcher::AdmitWaiting(const RequestId& id, Decisions* out,
-                                      TimePoint now) {
+bool StandardDispatcher::AdmitWaiting(const RequestId& id, bool in_exchange,
+                                      Decisions* out, TimePoint now) {
   if (!queue_.Contains(id)) {
     return open_.contains(id);
   }
@@ -209,6 +206,9 @@
     RefuseOpen(id, *error, out);
     return false;
   }
+  if (in_exchange) {
+    return true;
+  }
   const auto shed = queue_.Shed(id);
   if (!shed) {
     return true;
--- /dev/null
+++ b/tests/src/fuzz-dispatcher.cc
@@ -0,0 +1,276 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "fakes/policy_values.h"
+#include "rattanward/policy/trunk_reservation.h"
+
+namespace rattanward::policy {
+namespace {
+
+using Command = std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>;
+
+constexpr int kUpstreams = 4;
+constexpr int kAccounts = 2;
+constexpr std::uint32_t kAccountLimit = 6;
+constexpr int kDrainRounds = 60;
+
+Config AnyConfig() {
+  Config config;
+  for (std::uint8_t tier = 0; tier < Tier::kCount; ++tier) {
+    config.classes.push_back(
+        fakes::MakeClass("c" + std::to_string(tier), tier, 1 + tier % 2U));
+  }
+  for (int i = 0; i < kAccounts; ++i) {
+    ClientAccount account;
+    account.id = ClientAccountId("a" + std::to_string(i));
+    account.max_in_flight = kAccountLimit;
+    config.accounts.push_back(account);
+  }
+  return config;
+}
+
+// What the oracle knows of one request.
+struct Request {
+  RequestInfo info;
+  Tier tier;
+  std::uint32_t attempts = 0;
+  std::string upstream;
+  Verdict verdict = Verdict::kNotRun;
+  bool answer_begun = false;
+};
+
+class World {
+ public:
+  World() : dispatcher_(fakes::MakeOptions(Profile::kStandard)) {
+    dispatcher_.SetConfig(config_, now_);
+  }
+
+  void Run(const Command& command) {
+    const auto [kind, a, b] = command;
+    switch (kind % 8) {
+      case 0:
+      case 1:
+      case 2:
+        return Submit(a, b);
+      case 3:
+        return Announce(a % kUpstreams, b);
+      case 4:
+      case 5:
+        return FinishOne(a, b);
+      case 6:
+        now_ += std::chrono::milliseconds(20 * a);
+        return Take(dispatcher_.Tick(now_));
+      default:
+        return Leave(a, b);
+    }
+  }
+
+  // Everything ends once upstreams answer and time passes.
+  void Drain() {
+    for (int round = 0; round < kDrainRounds && !open_.empty(); ++round) {
+      std::vector<std::string> running;
+      for (const auto& [id, request] : open_) {
+        if (!request.upstream.empty()) {
+          running.push_back(id);
+        }
+      }
+      for (const std::string& id : running) {
+        Finish(id, AttemptEnd::kCompleted, Verdict::kRan, false);
+      }
+      now_ += std::chrono::seconds(1);
+      Take(dispatcher_.Tick(now_));
+    }
+    RC_ASSERT(open_.empty());
+  }
+
+ private:
+  void Submit(std::uint8_t a, std::uint8_t b) {
+    const std::uint8_t tier = a % Tier::kCount;
+    const std::string id = "r" + std::to_string(next_id_++);
+    Request request;
+    request.info = fakes::MakeRequest(id, "c" + std::to_string(tier), now_);
+    request.info.account = ClientAccountId("a" + std::to_string(b % kAccounts));
+    request.info.idempotent = b % 3 != 0;
+    request.info.fingerprint = b / 8U;
+    request.tier = Tier{tier};
+    open_[id] = request;
+    Take(dispatcher_.Submit(request.info, now_));
+  }
+
+  void Announce(int index, std::uint8_t b) {
+    const std::string id = "e" + std::to_string(index);
+    if (b % 8 == 0) {
+      upstreams_.erase(id);
+      return Take(dispatcher_.UpstreamGone(UpstreamId(id), now_));
+    }
+    Announcement engine = fakes::MakeEngine(id, 1 + b % 5U);
+    engine.sequence = ++sequence_;
+    engine.draining = b % 8 == 1;
+    engine.load.running = b / 8U % 4U;
+    upstreams_[id] = engine;
+    Take(dispatcher_.UpstreamChanged(engine, now_));
+  }
+
+  void FinishOne(std::uint8_t a, std::uint8_t b) {
+    std::vector<std::string> running;
+    for (const auto& [id, request] : open_) {
+      if (!request.upstream.empty()) {
+        running.push_back(id);
+      }
+    }
+    if (running.empty()) {
+      return;
+    }
+    const std::string id = running[a % running.size()];
+    const std::uint32_t attempt = open_.at(id).attempts;
+    if (b % 16 == 15 && attempt > 1) {
+      // A late report on an earlier attempt changes nothing.
+      return Take(dispatcher_.Finish(
+          fakes::MakeResult(id, attempt - 1, AttemptEnd::kCompleted), now_));
+    }
+    const auto end = static_cast<AttemptEnd>(b % 7);
+    const bool unsent = end == AttemptEnd::kRefused ||
+                        end == AttemptEnd::kConnectFailed ||
+                        end == AttemptEnd::kAbandoned;
+    if (end == AttemptEnd::kCompleted) {
+      dispatcher_.FirstToken(RequestId(id), now_);
+    }
+    Finish(id, end, unsent ? Verdict::kNotRun : Verdict::kMayHaveRun,
+           !unsent && b % 5 == 0);
+  }
+
+  void Finish(const std::string& id, AttemptEnd end, Verdict verdict,
+              bool answer_begun) {
+    Request& request = open_.at(id);
+    AttemptResult result =
+        fakes::MakeResult(id, request.attempts, end, verdict);
+    result.answer_begun = answer_begun;
+    request.verdict = Strongest(request.verdict, verdict);
+    request.answer_begun = answer_begun;
+    request.upstream.clear();
+    if (end == AttemptEnd::kCompleted || end == AttemptEnd::kCallerLeft) {
+      open_.erase(id);
+    }
+    Take(dispatcher_.Finish(result, now_));
+  }
+
+  void Leave(std::uint8_t a, std::uint8_t b) {
+    if (open_.empty()) {
+      return;
+    }
+    auto it = open_.begin();
+    std::advance(it, a % open_.size());
+    if (it->second.upstream.empty() && b % 2 == 0) {
+      const std::string id = it->first;
+      open_.erase(it);
+      Take(dispatcher_.Cancel(RequestId(id), now_));
+    }
+  }
+
+  void Take(const std::vector<Decision>& decisions) {
+    for (const Decision& decision : decisions) {
+      if (const auto* start = std::get_if<StartAttempt>(&decision)) {
+        CheckStart(*start);
+      } else {
+        CheckRefuse(std::get<Refuse>(decision));
+      }
+    }
+    RC_ASSERT(dispatcher_.OpenRequests() == open_.size());
+    CheckAccounts();
+    CheckNobodyWaitsForNothing();
+  }
+
+  std::uint32_t RunningOn(const std::string& upstream) const {
+    return std::count_if(open_.begin(), open_.end(), [&](const auto& item) {
+      return item.second.upstream == upstream;
+    });
+  }
+
+  void CheckStart(const StartAttempt& start) {
+    const auto it = open_.find(start.request.str());
+    RC_ASSERT(it != open_.end());
+    Request& request = it->second;
+    RC_ASSERT(request.upstream.empty());
+    RC_ASSERT(start.attempt == request.attempts + 1);
+    RC_ASSERT(start.attempt <= config_.limits.max_attempts);
+    RC_ASSERT(!request.answer_begun);
+    if (!request.info.idempotent) {
+      RC_ASSERT(request.verdict == Verdict::kNotRun);
+    }
+    const auto upstream = upstreams_.find(start.upstream.str());
+    RC_ASSERT(upstream != upstreams_.end());
+    RC_ASSERT(!upstream->second.draining);
+    RC_ASSERT(RunningOn(start.upstream.str()) <
+              TrunkLimit(upstream->second.capacity, request.tier));
+    request.upstream = start.upstream.str();
+    request.attempts = start.attempt;
+  }
+
+  void CheckRefuse(const Refuse& refuse) {
+    const auto it = open_.find(refuse.request.str());
+    RC_ASSERT(it != open_.end());
+    const Request refused = it->second;
+    RC_ASSERT(refused.upstream.empty());
+    RC_ASSERT(refuse.error.verdict >= refused.verdict);
+    open_.erase(it);
+    for (const auto& [id, other] : open_) {
+      if (!other.upstream.empty() || other.tier <= refused.tier) {
+        continue;
+      }
+      RC_ASSERT(refuse.error.code != ErrorCode::kQueueFull);
+      RC_ASSERT(refuse.error.code != ErrorCode::kDisplaced);
+      if (other.info.account == refused.info.account) {
+        RC_ASSERT(refuse.error.code != ErrorCode::kAccountLimit);
+      }
+    }
+  }
+
+  // A request is not held back when no upstream may take it.
+  void CheckNobodyWaitsForNothing() const {
+    const bool served =
+        std::any_of(upstreams_.begin(), upstreams_.end(),
+                    [](const auto& item) { return !item.second.draining; });
+    for (const auto& [id, request] : open_) {
+      if (request.upstream.empty()) {
+        RC_ASSERT(served);
+      }
+    }
+  }
+
+  void CheckAccounts() const {
+    std::map<ClientAccountId, std::uint32_t> in_flight;
+    for (const auto& [id, request] : open_) {
+      RC_ASSERT(++in_flight[request.info.account] <= kAccountLimit);
+    }
+  }
+
+  Config config_ = AnyConfig();
+  Dispatcher dispatcher_;
+  TimePoint now_;
+  std::map<std::string, Announcement> upstreams_;
+  std::map<std::string, Request> open_;
+  std::uint64_t sequence_ = 0;
+  int next_id_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("dispatcher: one end each, right verdicts, reservation, no drain") {
+  CHECK(rc::check("dispatcher against its promises",
+                  [](const std::vector<Command>& commands) {
+                    World world;
+                    for (const Command& command : commands) {
+                      world.Run(command);
+                    }
+                    world.Drain();
+                  }));
+}
+
+}  // namespace rattanward::policy
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -231,4 +231,22 @@
   CHECK(slow_starts <= 8);
 }
 
+TEST_CASE("dispatcher: upstreams on probation serve when no other is left") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  TimePoint now;
+  d.UpstreamChanged(MakeEngine("fast", 1), now);
+  d.UpstreamChanged(MakeEngine("slow", 1), now);
+  for (int round = 0; round < 40; ++round) {
+    const std::string id = "r" + std::to_string(round);
+    const auto out = d.Submit(MakeRequest(id, "gate", now), now);
+    now += milliseconds(StartedOn(out.at(0)) == "slow" ? 900 : 30);
+    d.FirstToken(RequestId(id), now);
+    d.Finish(MakeResult(id, 1, AttemptEnd::kCompleted), now);
+    d.Tick(now);
+  }
+  d.UpstreamGone(UpstreamId("fast"), now);
+  CHECK(StartedOn(d.Submit(MakeRequest("last", "gate", now), now).at(0)) ==
+        "slow");
+}
+
 }  // namespace rattanward::policy
