--- a/include/rattanward/policy/account_limits.h
+++ b/include/rattanward/policy/account_limits.h
@@ -87,6 +87,7 @@
   };
 
   static bool IsIdle(Active* active, TimePoint now);
+  static bool Leased(const Active& active, TimePoint now);
   void Ask(const ClientAccountId& account, Active* active, const Limit& limit,
            TimePoint now, std::vector<AddressedRequest>* out);
   std::uint32_t Entries() const;
--- a/src/policy/account_limits.cc
+++ b/src/policy/account_limits.cc
@@ -184,14 +184,17 @@
   return limit - Share(limit) * Entries();
 }
 
+bool AccountLimits::Leased(const Active& active, TimePoint now) {
+  return active.granted_at && now - *active.granted_at < kLease;
+}
+
 bool AccountLimits::PlaceFree(const Active& active, const Limit& limit,
                               TimePoint now) const {
   if (limit.in_flight == 0) {
     return true;
   }
-  const bool leased = active.granted_at && now - *active.granted_at < kLease;
   return active.in_flight <
-         Share(limit.in_flight) + (leased ? active.leased : 0);
+         Share(limit.in_flight) + (Leased(active, now) ? active.leased : 0);
 }
 
 bool AccountLimits::TakeStart(Active* active, const Limit& limit,
@@ -218,7 +221,9 @@
   const std::uint32_t used = Above(active->in_flight, share);
   std::uint32_t wanted = Above(demand + demand / kHeadroomDivisor, share);
   wanted = limit.in_flight == 0 ? 0 : wanted;
-  active->leased = std::max(used, std::min(active->leased, wanted));
+  // After the lease the home may have taken back what is not in use.
+  const std::uint32_t kept = Leased(*active, now) ? active->leased : 0;
+  active->leased = std::max(used, std::min(kept, wanted));
   active->asked_sequence = ++sequence_;
   active->asked_at = now;
   active->leased_starts = 0;
