Admit a class by its floor where that is sooner; forget idle accounts

Cause: admission took the wait by tier alone, so in a rush a background class was refused as unattainable although its floor would have served it: it starved at the door. Accounts' state was only dropped once a group of entries was set. Change: the expected wait is the sooner of the wait by tier and by floor; idle accounts expire with the quarantine.

Shown failing with the floor's wait off (scratch copy): unit-dispatcher, 'a floor admits a class behind a long backlog'.

--- a/include/rattanward/policy/account_limits.h
+++ b/include/rattanward/policy/account_limits.h
@@ -48,6 +48,10 @@
   /// Complexity: linear in the number of active accounts.
   std::vector<AddressedRequest> TakeRequests(TimePoint now);
 
+  /// @brief Forgets accounts without a request, a recent start or a lease.
+  /// Complexity: linear in the number of active accounts.
+  void Expire(TimePoint now);
+
   /// @brief Answers an entry's request as the home of its account.
   /// @return Nothing if the request is stale or the account is unknown.
   std::optional<PortionGrant> Answer(const PortionRequest& request,
@@ -86,7 +90,7 @@
     bool released = false;
   };
 
-  static bool IsIdle(Active* active, TimePoint now);
+  bool IsIdle(Active* active, TimePoint now) const;
   static bool Leased(const Active& active, TimePoint now);
   void Ask(const ClientAccountId& account, Active* active, const Limit& limit,
            TimePoint now, std::vector<AddressedRequest>* out);
--- a/include/rattanward/policy/admission.h
+++ b/include/rattanward/policy/admission.h
@@ -25,6 +25,16 @@
 Duration ExpectedWait(const std::vector<WorkAhead>& ahead,
                       std::uint32_t places);
 
+/// @brief Expected wait of a class for a place by its floor alone.
+/// @param own Requests of the class that wait, the new one included.
+/// @param floor_permille The class's floor; must not be 0.
+/// @param ahead Requests that go first by tier, the class's own included.
+/// @param places Requests that this entry can have running at once.
+/// @return The time of the dispatches in which the floor serves `own` requests.
+Duration ExpectedFloorWait(std::size_t own, std::uint32_t floor_permille,
+                           const std::vector<WorkAhead>& ahead,
+                           std::uint32_t places);
+
 /// @brief When to try again after a refusal for lack of room.
 /// @param backlog Time in which the work that waits drains.
 /// @return The backlog, between one second and one minute.
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -87,7 +87,10 @@
   void RefuseOpen(const RequestId& id, Error error, Decisions* out);
   void Close(const RequestId& id);
 
-  Duration PlaceWait(const Target& target, Tier tier, TimePoint now) const;
+  /// Expected wait of a new request of the class: by its tier, or by its
+  /// floor if that is sooner.
+  Duration PlaceWait(const Target& target, const RequestClass& declared,
+                     TimePoint now) const;
   TimePoint DeadlineOf(const Open& open) const;
   bool IsSuspect(std::uint64_t fingerprint) const;
 
--- a/src/policy/account_limits.cc
+++ b/src/policy/account_limits.cc
@@ -90,25 +90,32 @@
   if (group_.entries.empty()) {
     return out;
   }
-  home_->Expire(now);
-  for (auto it = active_.begin(); it != active_.end();) {
-    Active& active = it->second;
-    const Limit* limit = LimitOf(it->first);
-    if (limit == nullptr || IsIdle(&active, now)) {
-      it = active.in_flight == 0 ? active_.erase(it) : std::next(it);
-      continue;
-    }
-    if (now - active.asked_at >= kAskPeriod) {
-      Ask(it->first, &active, *limit, now, &out);
+  Expire(now);
+  for (auto& [account, active] : active_) {
+    const Limit* limit = LimitOf(account);
+    if (limit != nullptr && now - active.asked_at >= kAskPeriod) {
+      Ask(account, &active, *limit, now, &out);
     }
-    ++it;
   }
   return out;
 }
 
-bool AccountLimits::IsIdle(Active* active, TimePoint now) {
-  return active->in_flight == 0 && active->refused == 0 &&
-         !active->home_holds && active->own_starts.Count(now) == 0;
+void AccountLimits::Expire(TimePoint now) {
+  if (home_) {
+    home_->Expire(now);
+  }
+  for (auto it = active_.begin(); it != active_.end();) {
+    const bool unlimited =
+        it->second.in_flight == 0 && LimitOf(it->first) == nullptr;
+    const bool idle = unlimited || IsIdle(&it->second, now);
+    it = idle ? active_.erase(it) : std::next(it);
+  }
+}
+
+bool AccountLimits::IsIdle(Active* active, TimePoint now) const {
+  return active->in_flight == 0 && !active->home_holds &&
+         (active->refused == 0 || group_.entries.empty()) &&
+         active->own_starts.Count(now) == 0;
 }
 
 void AccountLimits::Ask(const ClientAccountId& account, Active* active,
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -126,6 +126,7 @@
   if (!next_review_ || now >= *next_review_) {
     next_review_ = now + kReviewPeriod;
     quarantine_.Expire(now);
+    accounts_.Expire(now);
     for (const auto& [target, list] : upstreams_.ByTarget()) {
       ReviewProbation(list, now);
     }
@@ -197,7 +198,7 @@
     return open_.contains(id);
   }
   const Open& open = open_.at(id);
-  const Duration wait = PlaceWait(open.target, open.declared.tier, now);
+  const Duration wait = PlaceWait(open.target, open.declared, now);
   const Duration first_token = latency_.FirstTokenWait(
       open.declared.name, open.target, kAdmissionPermille, now);
   if (const auto error =
@@ -331,7 +332,7 @@
           error->code == ErrorCode::kQuarantined
               ? std::nullopt
               : std::optional(RetryAfterBacklog(PlaceWait(
-                    queued.target, open_.at(queued.id).declared.tier, now)));
+                    queued.target, open_.at(queued.id).declared, now)));
       RefuseOpen(queued.id, *error, out);
     }
   }
@@ -364,22 +365,30 @@
   open_.erase(it);
 }
 
-Duration StandardDispatcher::PlaceWait(const Target& target, Tier tier,
+Duration StandardDispatcher::PlaceWait(const Target& target,
+                                       const RequestClass& declared,
                                        TimePoint now) const {
+  std::size_t own = 1;
   std::vector<WorkAhead> ahead;
-  for (const ClassBacklog& backlog : queue_.Ahead(target, tier)) {
-    const RequestClass* declared = FindClass(config_, backlog.request_class);
-    if (declared != nullptr) {
+  for (const ClassBacklog& backlog : queue_.Ahead(target, declared.tier)) {
+    const RequestClass* other = FindClass(config_, backlog.request_class);
+    own = backlog.request_class == declared.name ? backlog.waiting : own;
+    if (other != nullptr) {
       ahead.push_back(
           {backlog.waiting,
-           latency_.ServiceTime(*declared, target, kMedianPermille, now)});
+           latency_.ServiceTime(*other, target, kMedianPermille, now)});
     }
   }
   std::uint32_t places = 0;
   for (const UpstreamState* upstream : upstreams_.Serving(target)) {
-    places += PlacesFor(*upstream, tier);
+    places += PlacesFor(*upstream, declared.tier);
   }
-  return ExpectedWait(ahead, places);
+  const Duration by_tier = ExpectedWait(ahead, places);
+  if (declared.floor_permille == 0) {
+    return by_tier;
+  }
+  return std::min(
+      by_tier, ExpectedFloorWait(own, declared.floor_permille, ahead, places));
 }
 
 TimePoint StandardDispatcher::DeadlineOf(const Open& open) const {
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -249,4 +249,20 @@
         "slow");
 }
 
+TEST_CASE("dispatcher: a floor admits a class behind a long backlog") {
+  Config config = TwoTiers();
+  config.classes[0].queue_limit = 100;
+  config.classes[0].expected_output_tokens = 25;
+  config.classes[0].deadline = std::chrono::minutes(10);
+  config.classes[1].expected_output_tokens = 25;
+  config.classes[1].floor_permille = 200;
+  Dispatcher d = MakeStandard(config);
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  for (int i = 0; i < 50; ++i) {
+    d.Submit(MakeRequest("r" + std::to_string(i), "gate"), now);
+  }
+  CHECK(d.Submit(MakeRequest("low", "stowage"), now).empty());
+}
+
 }  // namespace rattanward::policy
--- /dev/null
+++ b/tests/src/unit-policy-parts.cc
@@ -0,0 +1,205 @@
+#include <doctest/doctest.h>
+
+#include "fakes/policy_values.h"
+#include "rattanward/policy/account_limits.h"
+#include "rattanward/policy/admission.h"
+#include "rattanward/policy/chooser.h"
+#include "rattanward/policy/latency_estimator.h"
+#include "rattanward/policy/quarantine.h"
+#include "rattanward/policy/retry_budget.h"
+#include "rattanward/policy/trunk_reservation.h"
+
+namespace rattanward::policy {
+namespace {
+
+using fakes::MakeEngine;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const Target kModel{UpstreamKind::kModelEngine, "m"};
+const TimePoint kNow{std::chrono::hours(1)};
+
+ChoiceQuery QueryAt(std::uint8_t tier) {
+  ChoiceQuery query;
+  query.tier = Tier{tier};
+  query.now = kNow;
+  return query;
+}
+
+}  // namespace
+
+TEST_CASE("estimator: quantiles of recent answers, declared values before") {
+  LatencyEstimator latency;
+  RequestClass gate = fakes::MakeClass("gate", 0, 1);
+  gate.expected_output_tokens = 50;
+  CHECK(latency.ServiceTime(gate, kModel, 500, kNow) == Duration(seconds(2)));
+  for (std::uint32_t tokens = 1; tokens <= 9; ++tokens) {
+    latency.FirstToken(gate.name, kModel, milliseconds(100), kNow);
+    latency.Completed(gate.name, kModel, tokens * 10,
+                      milliseconds(tokens * 200), kNow);
+  }
+  CHECK(latency.OutputTokens(gate, kModel, 500, kNow) == 50);
+  CHECK(latency.ServiceTime(gate, kModel, 500, kNow) ==
+        Duration(milliseconds(1100)));
+  CHECK(latency.OutputTokens(gate, kModel, 500, kNow + minutes(6)) == 50);
+  CHECK(latency.FirstTokenWait(gate.name, kModel, 500, kNow + minutes(6)) ==
+        Duration(0));
+}
+
+TEST_CASE("admission: the wait is the work ahead by the places") {
+  CHECK(ExpectedWait({{4, seconds(2)}, {2, seconds(1)}}, 5) ==
+        Duration(seconds(2)));
+  CHECK(ExpectedWait({{1, seconds(2)}}, 0) == Duration(seconds(2)));
+  CHECK(ExpectedFloorWait(1, 100, {{50, seconds(2)}}, 10) ==
+        Duration(seconds(2)));
+  CHECK(RetryAfterBacklog(milliseconds(5)) == Duration(seconds(1)));
+  CHECK(RetryAfterBacklog(minutes(5)) == Duration(minutes(1)));
+}
+
+TEST_CASE("retry budget: a share of successes, apart for each tier") {
+  RetryBudget budget;
+  budget.SetShare(100);
+  for (std::uint32_t i = 0; i < RetryBudget::kInitial; ++i) {
+    CHECK(budget.TryTake(Tier{3}));
+  }
+  CHECK_FALSE(budget.TryTake(Tier{3}));
+  CHECK(budget.TryTake(Tier{0}));
+  for (int i = 0; i < 10; ++i) {
+    budget.Success(Tier{3});
+  }
+  CHECK(budget.TryTake(Tier{3}));
+  CHECK_FALSE(budget.TryTake(Tier{3}));
+}
+
+TEST_CASE("trunk reservation: a place for each tier, fewer for lower ones") {
+  CHECK(TrunkLimit(0, Tier{0}) == 0);
+  CHECK(TrunkLimit(1, Tier{3}) == 1);
+  CHECK(TrunkLimit(10, Tier{0}) == 10);
+  CHECK(TrunkLimit(10, Tier{3}) == 7);
+}
+
+TEST_CASE("upstreams: a report counts what was sent since it was made") {
+  UpstreamTable table;
+  Announcement engine = MakeEngine("e1", 8);
+  table.Announce(engine, kNow);
+  UpstreamState* state = table.Find(engine.instance);
+  table.Started(state, {RequestId("old"), 0, kNow, false});
+  table.Started(state, {RequestId("new"), 0, kNow + seconds(5), false});
+  engine.sequence = 2;
+  engine.load.running = 3;
+  table.Announce(engine, kNow + seconds(5));
+  CHECK(state->others == 2);
+  CHECK(state->Load() == 4);
+  engine.sequence = 1;
+  engine.load.running = 0;
+  CHECK_FALSE(table.Announce(engine, kNow + seconds(6)));
+  CHECK(state->others == 2);
+}
+
+TEST_CASE("chooser: own domain first, others once it is loaded") {
+  UpstreamTable table;
+  table.Announce(MakeEngine("near", 10), kNow);
+  Announcement far = MakeEngine("far", 10);
+  far.failure_domain = FailureDomain("d2");
+  table.Announce(far, kNow);
+  Chooser chooser(FailureDomain("d1"), 1);
+  UpstreamState* near = table.Find(UpstreamId("near"));
+  CHECK(chooser.Choose(table.Serving(kModel), QueryAt(0)) == near);
+  for (int i = 0; i < 8; ++i) {
+    table.Started(near, {RequestId(std::to_string(i)), 0, kNow, false});
+  }
+  CHECK(chooser.Choose(table.Serving(kModel), QueryAt(0)) != near);
+}
+
+TEST_CASE("chooser: a prefix stays on one upstream until it is loaded") {
+  UpstreamTable table;
+  for (const char* id : {"e1", "e2", "e3", "e4"}) {
+    table.Announce(MakeEngine(id, 10), kNow);
+  }
+  Chooser chooser(FailureDomain("d1"), 1);
+  ChoiceQuery query = QueryAt(0);
+  query.prefix = 42;
+  UpstreamState* first = chooser.Choose(table.Serving(kModel), query);
+  CHECK(chooser.Choose(table.Serving(kModel), query) == first);
+  for (int i = 0; i < 5; ++i) {
+    table.Started(first, {RequestId(std::to_string(i)), 0, kNow, false});
+  }
+  CHECK(chooser.Choose(table.Serving(kModel), query) != first);
+}
+
+TEST_CASE("chooser: one request of the top tier passes others' load") {
+  UpstreamTable table;
+  Announcement engine = MakeEngine("e1", 2);
+  engine.load.running = 9;
+  table.Announce(engine, kNow);
+  Chooser chooser(FailureDomain("d1"), 1);
+  CHECK(chooser.Choose(table.Serving(kModel), QueryAt(1)) == nullptr);
+  UpstreamState* chosen = chooser.Choose(table.Serving(kModel), QueryAt(0));
+  REQUIRE(chosen != nullptr);
+  table.Started(chosen, {RequestId("r"), 0, kNow, false});
+  CHECK(chooser.Choose(table.Serving(kModel), QueryAt(0)) == nullptr);
+}
+
+TEST_CASE("quarantine: finishing whole clears, late news does not revive") {
+  Quarantine quarantine;
+  const UpstreamId dead("e1");
+  quarantine.AddDeath(7, dead, kNow);
+  CHECK(quarantine.StandingOf(7) == Standing::kSuspect);
+  quarantine.FinishedWhole(7);
+  quarantine.Merge({7, {dead}, false}, kNow);
+  CHECK(quarantine.StandingOf(7) == Standing::kClear);
+  quarantine.Merge({7, {UpstreamId("e2"), UpstreamId("e3")}, true}, kNow);
+  CHECK(quarantine.StandingOf(7) == Standing::kQuarantined);
+  quarantine.FinishedWhole(7);
+  CHECK(quarantine.StandingOf(7) == Standing::kQuarantined);
+  quarantine.Expire(kNow + Quarantine::kQuarantineExpiry + seconds(1));
+  CHECK(quarantine.StandingOf(7) == Standing::kClear);
+}
+
+TEST_CASE("quarantine: an instance that goes on announcing did not die") {
+  Quarantine quarantine;
+  const UpstreamId cut("e1");
+  quarantine.AddDeath(7, cut, kNow);
+  quarantine.AddDeath(7, UpstreamId("e2"), kNow);
+  CHECK(quarantine.StandingOf(7) == Standing::kQuarantined);
+  quarantine.Heard(cut, 10, kNow + seconds(1));
+  quarantine.Heard(cut, 10, kNow + seconds(2));
+  quarantine.Heard(cut, 11, kNow + seconds(2));
+  CHECK(quarantine.StandingOf(7) == Standing::kQuarantined);
+  quarantine.Heard(cut, 12, kNow + seconds(3));
+  CHECK(quarantine.StandingOf(7) == Standing::kSuspect);
+}
+
+TEST_CASE("quarantine: the table is bounded and keeps what is quarantined") {
+  Quarantine quarantine;
+  quarantine.Merge({1, {UpstreamId("e1"), UpstreamId("e2")}, true}, kNow);
+  for (std::uint64_t i = 2; i < Quarantine::kMaxEntries + 100; ++i) {
+    quarantine.AddDeath(i, UpstreamId("e3"), kNow + Duration(i));
+  }
+  CHECK(quarantine.size() == Quarantine::kMaxEntries);
+  CHECK(quarantine.StandingOf(1) == Standing::kQuarantined);
+  CHECK(quarantine.StandingOf(0) == Standing::kClear);
+}
+
+TEST_CASE("accounts: state is kept for active accounts only") {
+  AccountLimits limits(2);
+  ClientAccount account;
+  account.id = ClientAccountId("a");
+  account.max_in_flight = 2;
+  account.requests_per_minute = 4;
+  limits.SetAccounts({account});
+  CHECK(limits.TryStart(account.id, kNow) == AccountRefusal::kNone);
+  CHECK(limits.TryStart(account.id, kNow) == AccountRefusal::kInFlight);
+  limits.End(account.id);
+  CHECK(limits.TryStart(account.id, kNow) == AccountRefusal::kNone);
+  limits.End(account.id);
+  CHECK(limits.TryStart(account.id, kNow) == AccountRefusal::kRate);
+  CHECK(limits.RetryAfter(account.id, kNow) > Duration(seconds(59)));
+  limits.Expire(kNow);
+  CHECK(limits.ActiveAccounts() == 1);
+  limits.Expire(kNow + minutes(2));
+  CHECK(limits.ActiveAccounts() == 0);
+}
+
+}  // namespace rattanward::policy
