--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -9,9 +9,11 @@
 
 #include "rattanward/adapter/command_line.h"
 #include "rattanward/adapter/event_log.h"
+#include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
 #include "rattanward/entry/caller_front.h"
 #include "rattanward/entry/entry_core.h"
+#include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
 
 DEFINE_string(settings, "", "Path of the settings file");
@@ -50,9 +52,11 @@
         events_(adapter::MakeEventSink(std::move(log))),
         core_(Options(), events_),
         upstream_front_(core_, std::move(announce_token)),
-        caller_front_(core_, settings_.identity.process.str() + "-" + BootId(),
+        recorder_(metrics_, events_),
+        caller_front_(core_, recorder_,
+                      settings_.identity.process.str() + "-" + BootId(),
                       settings_.max_open_requests + kSpareThreads, nullptr,
-                      nullptr) {}
+                      [this] { return MetricsText(); }) {}
 
   int Run() {
     events_(Event{EventId::kProcessStarted, {}});
@@ -85,6 +89,13 @@
     return options;
   }
 
+  std::string MetricsText() {
+    const entry::EntryStatusView view = core_.Status();
+    metrics_.SetConfigVersion(view.version);
+    metrics_.SetOpenRequests(static_cast<std::uint32_t>(view.open_requests));
+    return adapter::ToScrapeText(metrics_.Snapshot());
+  }
+
   void Shutdown() {
     events_(Event{EventId::kShutdownStarted, {}});
     caller_front_.FailReadiness();
@@ -105,6 +116,8 @@
   port::EventSink events_;
   entry::EntryCore core_;
   entry::UpstreamFront upstream_front_;
+  adapter::Metrics metrics_;
+  entry::RequestRecorder recorder_;
   entry::CallerFront caller_front_;
 };
 
--- a/include/rattanward/entry/caller_front.h
+++ b/include/rattanward/entry/caller_front.h
@@ -21,11 +21,13 @@
  public:
   /// @brief Prepares the routes.
   /// @param core The entry's control thread.
+  /// @param recorder Logs and counts requests.
   /// @param id_prefix Start of request ids; unique for this process's life.
   /// @param max_threads Connections served at once.
   /// @param guards Makes guards; may be empty if nothing needs one.
   /// @param metrics Text of GET /metrics.
-  CallerFront(EntryCore& core, std::string id_prefix, std::size_t max_threads,
+  CallerFront(EntryCore& core, const RequestRecorder& recorder,
+              std::string id_prefix, std::size_t max_threads,
               GuardFactory guards, std::function<std::string()> metrics);
   ~CallerFront();
   CallerFront(const CallerFront&) = delete;
@@ -61,6 +63,7 @@
   RequestId NextId();
 
   EntryCore& core_;
+  const RequestRecorder& recorder_;
   std::string id_prefix_;
   GuardFactory guards_;
   std::function<std::string()> metrics_;
--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -8,6 +8,7 @@
 #include "rattanward/entry/answer_channel.h"
 #include "rattanward/entry/decision_mailbox.h"
 #include "rattanward/entry/entry_core.h"
+#include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_attempt.h"
 
 namespace rattanward::entry {
@@ -39,17 +40,21 @@
   UpstreamRequest request;
   AnswerShape shape = AnswerShape::kEventStream;
   Duration silence{0};
+  /// First-token target of the request's class.
+  Duration first_token_target{0};
   std::shared_ptr<RunGuard> guard;
 };
 
 /// @brief Runs a request to its end, on a thread of its own.
 /// @param core Takes reports and makes the decisions.
+/// @param recorder Logs and counts what happens.
 /// @param plan The request; its first decision is already in `first`.
 /// @param mailbox Where further decisions arrive.
 /// @param first The first attempt.
 /// @param channel Takes the answer.
-void RunExchange(EntryCore& core, const ExchangePlan& plan,
-                 DecisionMailbox& mailbox, policy::StartAttempt first,
+void RunExchange(EntryCore& core, const RequestRecorder& recorder,
+                 const ExchangePlan& plan, DecisionMailbox& mailbox,
+                 policy::StartAttempt first,
                  const std::shared_ptr<AnswerChannel>& channel);
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -58,6 +58,9 @@
   /// @return How the attempt ended.
   policy::AttemptResult RunWhole(WholeAnswer& answer);
 
+  /// @brief How often the stream was resumed on a new connection.
+  std::uint32_t resumes() const { return resumes_; }
+
  private:
   enum class ConnectionEnd { kDone, kBroken, kFinal };
 
@@ -79,6 +82,7 @@
   std::string stream_id_;
   StreamAssembler assembler_;
   std::uint64_t produced_ = 0;
+  std::uint32_t resumes_ = 0;
   policy::AttemptResult result_;
   bool ended_ = false;
 };
--- a/include/rattanward/ledger/detail/codec.h
+++ b/include/rattanward/ledger/detail/codec.h
@@ -75,7 +75,8 @@
   void Put(const std::variant<T...>& value) {
     packer_.pack_array(2);
     packer_.pack(static_cast<std::uint32_t>(value.index()));
-    std::visit([this](const auto& alternative) { Put(alternative); }, value);
+    std::visit([this](const auto& alternative) { this->Put(alternative); },
+               value);
   }
 
  private:
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -79,10 +79,12 @@
   std::atomic<std::size_t>& count_;
 };
 
-CallerFront::CallerFront(EntryCore& core, std::string id_prefix,
-                         std::size_t max_threads, GuardFactory guards,
+CallerFront::CallerFront(EntryCore& core, const RequestRecorder& recorder,
+                         std::string id_prefix, std::size_t max_threads,
+                         GuardFactory guards,
                          std::function<std::string()> metrics)
     : core_(core),
+      recorder_(recorder),
       id_prefix_(std::move(id_prefix)),
       guards_(std::move(guards)),
       metrics_(std::move(metrics)) {
@@ -242,15 +244,17 @@
   if (!checked.idempotency_key.empty() && guards_) {
     checked.plan.guard = guards_(checked, request.body);
   }
+  recorder_.Arrived(checked.plan.info);
   core_.Submit(checked.plan.info, mailbox);
   policy::Decision decision = mailbox->Wait();
   if (const auto* refused = std::get_if<policy::Refuse>(&decision)) {
+    recorder_.Shed(checked.plan.info, refused->error);
     WriteError(refused->error, response);
     return;
   }
   std::thread([this, open, mailbox, channel, plan = std::move(checked.plan),
                first = std::get<policy::StartAttempt>(decision)] {
-    RunExchange(core_, plan, *mailbox, first, channel);
+    RunExchange(core_, recorder_, plan, *mailbox, first, channel);
   }).detach();
   AnswerFromChannel(channel, open, response);
 }
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -67,17 +67,22 @@
                      "this request may run at most once, so it needs an "
                      "Idempotency-Key header");
   }
-  return IdempotencyKey(idempotent ? std::string() : key.value());
+  if (idempotent) {
+    return IdempotencyKey();
+  }
+  return IdempotencyKey(key.value());
 }
 
 void FillCommon(const ConfigSnapshot& config, const ClientAccount& account,
                 const httplib::Request& request, const RequestId& id,
-                ExchangePlan& plan) {
+                const RequestClass& request_class, ExchangePlan& plan) {
   plan.info.id = id;
   plan.info.account = account.id;
   plan.info.fingerprint = Hash(request.body, Hash(account.id.str()));
   plan.request.id = id;
   plan.request.method = request.method;
+  plan.info.request_class = request_class.name;
+  plan.first_token_target = request_class.first_token_target;
   plan.silence = config.config().limits.silence;
 }
 
@@ -131,8 +136,9 @@
     return MakeError(ErrorCode::kUnknownKey,
                      "an Authorization header with a bearer key is required");
   }
+  const std::string_view key = header;
   const ClientAccount* account =
-      config.AccountOfKey(std::string_view(header).substr(kBearer.size()));
+      config.AccountOfKey(key.substr(kBearer.size()));
   if (account == nullptr) {
     return MakeError(ErrorCode::kUnknownKey, "no client account has this key");
   }
@@ -159,8 +165,7 @@
   CheckedRequest checked;
   checked.idempotency_key = key.value();
   ExchangePlan& plan = checked.plan;
-  FillCommon(config, account, request, id, plan);
-  plan.info.request_class = request_class.value()->name;
+  FillCommon(config, account, request, id, *request_class.value(), plan);
   plan.info.model = ModelName(body["model"].get<std::string>());
   plan.info.idempotent = idempotent;
   plan.info.prefix = Hash(PromptStart(body), Hash(plan.info.model.str()));
@@ -201,14 +206,12 @@
   CheckedRequest checked;
   checked.idempotency_key = key.value();
   ExchangePlan& plan = checked.plan;
-  FillCommon(config, account, request, id, plan);
+  FillCommon(config, account, request, id, *request_class.value(), plan);
   plan.info.kind = UpstreamKind::kService;
   plan.info.service = name;
-  plan.info.request_class = request_class.value()->name;
   plan.info.idempotent = idempotent;
   plan.shape = AnswerShape::kService;
-  const std::string path = rest.substr(slash);
-  plan.request.path = path.empty() ? "/" : path;
+  plan.request.path = slash == rest.size() ? "/" : rest.substr(slash);
   if (const auto query = request.target.find('?'); query != std::string::npos) {
     plan.request.path += request.target.substr(query);
   }
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -61,29 +61,54 @@
 
 class ExchangeRun {
  public:
-  ExchangeRun(EntryCore& core, const ExchangePlan& plan,
-              std::shared_ptr<AnswerChannel> channel)
-      : core_(core), plan_(plan), channel_(std::move(channel)) {}
-
-  /// Runs one attempt; its report has gone to the core when this returns.
+  ExchangeRun(EntryCore& core, const RequestRecorder& recorder,
+              const ExchangePlan& plan, std::shared_ptr<AnswerChannel> channel)
+      : core_(core),
+        recorder_(recorder),
+        plan_(plan),
+        channel_(std::move(channel)) {}
+
+  /// Runs one attempt; the report is the caller's to hand to the core.
   AttemptResult Attempt(const StartAttempt& start) {
+    recorder_.Dispatched(plan_.info, start);
     if (plan_.guard) {
       if (const Status claimed = plan_.guard->BeforeSend(); !claimed) {
         return Abandon(start, claimed.error());
       }
     }
+    tokens_ = 0;
     AttemptResult result = plan_.shape == AnswerShape::kService
                                ? Service(start)
                                : Completion(start);
     result.output_tokens = tokens_;
     result.answer_begun = begun_;
-    verdict_ = Strongest(verdict_, result.verdict);
-    result.error.verdict = verdict_;
+    summary_.verdict = Strongest(summary_.verdict, result.verdict);
+    result.error.verdict = summary_.verdict;
+    if (result.end != AttemptEnd::kCompleted) {
+      summary_.wasted_tokens += tokens_;
+    }
     return result;
   }
 
-  /// Whether no attempt may have run.
-  bool never_ran() const { return verdict_ == Verdict::kNotRun; }
+  /// The request ended with a whole answer or because its caller left.
+  void Conclude(const AttemptResult& last) {
+    const bool left = last.end == AttemptEnd::kCallerLeft || channel_->left();
+    summary_.outcome =
+        left ? adapter::Outcome::kCallerLeft : adapter::Outcome::kAnswered;
+    summary_.output_tokens = last.output_tokens;
+    recorder_.Ended(plan_.info, summary_, plan_.first_token_target);
+  }
+
+  /// The request ended with an error.
+  void Fail(const Error& error) {
+    if (plan_.guard && summary_.verdict == Verdict::kNotRun) {
+      plan_.guard->NeverRan();
+    }
+    summary_.outcome = adapter::Outcome::kFailed;
+    summary_.error = error;
+    recorder_.Ended(plan_.info, summary_, plan_.first_token_target);
+    channel_->Push(error);
+  }
 
  private:
   AttemptResult Abandon(const StartAttempt& start, const Error& error) {
@@ -99,8 +124,9 @@
   AttemptResult Service(const StartAttempt& start) {
     UpstreamAttempt attempt(start, plan_.request, plan_.silence, channel_);
     WholeAnswer answer;
-    const AttemptResult result = attempt.RunWhole(answer);
+    AttemptResult result = attempt.RunWhole(answer);
     if (result.end == AttemptEnd::kCompleted) {
+      NoteFirstToken();
       Deliver(answer);
     }
     return result;
@@ -109,12 +135,9 @@
   AttemptResult Completion(const StartAttempt& start) {
     UpstreamAttempt attempt(start, plan_.request, plan_.silence, channel_);
     CompletionBuilder builder;
-    tokens_ = 0;
     bool malformed = false;
     AttemptResult result = attempt.RunStream([&](const StreamPieces& pieces) {
-      if (tokens_ == 0) {
-        core_.FirstToken(plan_.info.id);
-      }
+      NoteFirstToken();
       tokens_ += static_cast<std::uint32_t>(std::count_if(
           pieces.events.begin(), pieces.events.end(), HasContent));
       if (plan_.shape == AnswerShape::kEventStream) {
@@ -125,13 +148,15 @@
       }
       return !malformed && !channel_->left();
     });
+    if (attempt.resumes() > 0) {
+      recorder_.Resumed(plan_.info);
+    }
     if (malformed) {
       result.end = AttemptEnd::kBroken;
       result.verdict = Verdict::kRan;
-      result.error = MakeError(ErrorCode::kUpstreamMalformed,
-                               "the upstream's event is not a chunk of a "
-                               "completion",
-                               Verdict::kRan);
+      result.error = MakeError(
+          ErrorCode::kUpstreamMalformed,
+          "the upstream's event is not a chunk of a completion", Verdict::kRan);
     } else if (result.end == AttemptEnd::kCompleted &&
                plan_.shape == AnswerShape::kWholeCompletion) {
       Deliver(builder.Build(plan_.info.id, tokens_));
@@ -139,6 +164,13 @@
     return result;
   }
 
+  void NoteFirstToken() {
+    if (!summary_.first_token) {
+      summary_.first_token = EntryCore::Now();
+      core_.FirstToken(plan_.info.id);
+    }
+  }
+
   bool Relay(const StreamPieces& pieces) {
     bool there = true;
     if (!begun_) {
@@ -162,33 +194,33 @@
   }
 
   EntryCore& core_;
+  const RequestRecorder& recorder_;
   const ExchangePlan& plan_;
   std::shared_ptr<AnswerChannel> channel_;
+  RequestSummary summary_;
   std::uint32_t tokens_ = 0;
   bool begun_ = false;
-  Verdict verdict_ = Verdict::kNotRun;
 };
 
 }  // namespace
 
-void RunExchange(EntryCore& core, const ExchangePlan& plan,
-                 DecisionMailbox& mailbox, StartAttempt first,
+void RunExchange(EntryCore& core, const RequestRecorder& recorder,
+                 const ExchangePlan& plan, DecisionMailbox& mailbox,
+                 StartAttempt first,
                  const std::shared_ptr<AnswerChannel>& channel) {
-  ExchangeRun run(core, plan, channel);
+  ExchangeRun run(core, recorder, plan, channel);
   StartAttempt start = std::move(first);
   while (true) {
     const AttemptResult result = run.Attempt(start);
     core.Finish(result);
     if (result.end == AttemptEnd::kCompleted ||
         result.end == AttemptEnd::kCallerLeft) {
+      run.Conclude(result);
       return;
     }
     policy::Decision decision = mailbox.Wait();
     if (const auto* refuse = std::get_if<policy::Refuse>(&decision)) {
-      if (plan.guard && run.never_ran()) {
-        plan.guard->NeverRan();
-      }
-      channel->Push(refuse->error);
+      run.Fail(refuse->error);
       return;
     }
     start = std::get<StartAttempt>(std::move(decision));
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -153,6 +153,7 @@
 UpstreamAttempt::ConnectionEnd UpstreamAttempt::ResumeStream(
     const StreamSink& sink) {
   assembler_.BeginConnection();
+  ++resumes_;
   httplib::Client client(start_.endpoint.address, start_.endpoint.port);
   Prepare(client, silence_);
   const StopWhenCallerLeaves stop(*channel_, client);
--- a/tests/src/fuzz-stream.cc
+++ b/tests/src/fuzz-stream.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "rattanward/entry/stream_assembler.h"
@@ -16,12 +17,11 @@
 }
 
 /// Feeds a text in pieces whose sizes are drawn; stops at the first error.
-bool FeedInPieces(StreamAssembler& assembler, const std::string& text,
+bool FeedInPieces(StreamAssembler& assembler, std::string_view text,
                   std::vector<std::string>& taken) {
-  std::size_t at = 0;
-  while (at < text.size()) {
+  for (std::size_t at = 0; at < text.size();) {
     const auto size = *rc::gen::inRange<std::size_t>(1, 120);
-    const auto pieces = assembler.Feed(std::string_view(text).substr(at, size));
+    const auto pieces = assembler.Feed(text.substr(at, size));
     if (!pieces) {
       return false;
     }
