Implement the replicated log without I/O

Every node waits one election timeout after its start before it votes, since it may have acknowledged a lease before it stopped.

--- a/include/rattanward/consensus/node.h
+++ b/include/rattanward/consensus/node.h
@@ -17,13 +17,13 @@
 /// @brief Timing and batching of a node.
 struct NodeOptions {
   /// Time between two heartbeats of a leader.
-  Duration heartbeat{std::chrono::milliseconds(50)};
+  Duration heartbeat{std::chrono::milliseconds(100)};
   /// Silence of the leader after which an election may start; each wait is
   /// drawn between this and twice this.
-  Duration election_timeout{std::chrono::milliseconds(500)};
+  Duration election_timeout{std::chrono::milliseconds(1000)};
   /// How long after its sending a heartbeat that a quorum acknowledged still
   /// confirms the leader; less than election_timeout.
-  Duration lease{std::chrono::milliseconds(350)};
+  Duration lease{std::chrono::milliseconds(700)};
   /// Entries of one AppendRequest, in bytes of payload.
   std::size_t max_append_bytes = 256U << 10U;
   /// State in one SnapshotChunk, in bytes.
--- /dev/null
+++ b/src/consensus/node_election.cc
@@ -0,0 +1,125 @@
+#include <tuple>
+
+#include "rattanward/consensus/detail/node_impl.h"
+
+namespace rattanward::consensus {
+namespace {
+
+/// @brief Whether a log ending at one position has all that a log ending at
+/// another may have committed.
+bool UpToDate(const LogPosition& candidate, const LogPosition& own) {
+  return std::tie(candidate.term, candidate.index) >=
+         std::tie(own.term, own.index);
+}
+
+}  // namespace
+
+std::size_t Node::Impl::CountVoters(const std::set<VoterId>& ids) const {
+  std::size_t count = 0;
+  for (const VoterId& id : ids) {
+    count += IsVoter(log_.membership(), id) ? 1 : 0;
+  }
+  return count;
+}
+
+void Node::Impl::StartPreVote() {
+  role_ = Role::kPreCandidate;
+  leader_ = VoterId();
+  votes_ = {id_};
+  ResetElectionDeadline();
+  if (CountVoters(votes_) >= QuorumSize(log_.membership())) {
+    StartElection();
+  } else {
+    RequestVotes(/*pre_vote=*/true);
+  }
+}
+
+void Node::Impl::StartElection() {
+  role_ = Role::kCandidate;
+  hard_state_ = {hard_state_.term + 1, id_};
+  pending_.hard_state = hard_state_;
+  votes_ = {id_};
+  ResetElectionDeadline();
+  if (CountVoters(votes_) >= QuorumSize(log_.membership())) {
+    BecomeLeader();
+  } else {
+    RequestVotes(/*pre_vote=*/false);
+  }
+}
+
+void Node::Impl::RequestVotes(bool pre_vote) {
+  const Term candidate_term = hard_state_.term + (pre_vote ? 1 : 0);
+  for (const Member& member : log_.membership().members) {
+    if (member.role == MemberRole::kVoter && member.id != id_) {
+      Send(member.id, VoteRequest{pre_vote, candidate_term, log_.last()});
+    }
+  }
+}
+
+void Node::Impl::BecomeLeader() {
+  role_ = Role::kLeader;
+  leader_ = id_;
+  votes_.clear();
+  incoming_.reset();
+  peers_.clear();
+  rounds_.clear();
+  reads_.clear();
+  read_round_due_ = false;
+  confirmed_round_ = round_;
+  confirmed_at_ = now_;
+  SyncPeers();
+  AppendLocal(EntryType::kNoOp, std::string());
+  term_start_ = log_.last_index();
+  StartRound();
+}
+
+bool Node::Impl::HeardFromLeader() const {
+  return role_ == Role::kLeader ||
+         now_ - leader_contact_ < options_.election_timeout;
+}
+
+void Node::Impl::HandleVoteRequest(const Message& message,
+                                   const VoteRequest& request) {
+  if (HeardFromLeader()) {
+    return;
+  }
+  if (!request.pre_vote && request.candidate_term > hard_state_.term) {
+    BecomeFollower(request.candidate_term, VoterId());
+  }
+  VoteAnswer answer{request.pre_vote, request.candidate_term, false};
+  const bool up_to_date = UpToDate(request.last, log_.last());
+  if (request.pre_vote) {
+    answer.granted = request.candidate_term > hard_state_.term && up_to_date;
+  } else if (request.candidate_term == hard_state_.term && up_to_date &&
+             (hard_state_.voted_for.empty() ||
+              hard_state_.voted_for == message.from)) {
+    answer.granted = true;
+    hard_state_.voted_for = message.from;
+    pending_.hard_state = hard_state_;
+    ResetElectionDeadline();
+  }
+  Send(message.from, answer);
+}
+
+void Node::Impl::HandleVoteAnswer(const Message& message,
+                                  const VoteAnswer& answer) {
+  const bool awaited = answer.pre_vote
+                           ? role_ == Role::kPreCandidate &&
+                                 answer.candidate_term == hard_state_.term + 1
+                           : role_ == Role::kCandidate &&
+                                 answer.candidate_term == hard_state_.term;
+  if (!awaited || !answer.granted) {
+    return;
+  }
+  votes_.insert(message.from);
+  if (CountVoters(votes_) < QuorumSize(log_.membership())) {
+    return;
+  }
+  if (answer.pre_vote) {
+    StartElection();
+  } else {
+    BecomeLeader();
+  }
+}
+
+}  // namespace rattanward::consensus
