--- /dev/null
+++ b/include/rattanward/control/control_daemon.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/adapter/message_transport.h"
+#include "rattanward/adapter/settings.h"
+#include "rattanward/consensus/repair.h"
+#include "rattanward/control/entry_hub.h"
+#include "rattanward/control/replica.h"
+#include "rattanward/control/voter_directory.h"
+#include "rattanward/port/event_sink.h"
+
+namespace rattanward::control {
+
+/// @brief One control VM's process, but for the operator RPC.
+/// @note Everything runs on the thread that runs the io_context; only Stop()
+/// and Post() may be called from another one.
+class ControlDaemon {
+ public:
+  /// @param settings The checked settings.
+  /// @param secret The secret that our own processes share.
+  /// @param storage The opened data folder.
+  /// @param events Takes this process's events.
+  ControlDaemon(asio::io_context& io, adapter::ControlSettings settings,
+                const std::string& secret, adapter::FileLogStorage storage,
+                port::EventSink events);
+
+  /// @brief Binds the peer address and starts timers and connections.
+  /// Errors: kDisconnected if the address can't be bound.
+  Status Start();
+
+  /// @brief Runs a step on the control thread; from any thread.
+  void Post(std::function<void()> step);
+
+  /// @brief Ends the run; from any thread.
+  void Stop();
+
+  /// @brief Why the run ended by itself; absent if it did not.
+  const std::optional<Error>& failure() const { return failure_; }
+
+  /// @brief The control VM at this endpoint, if it answers.
+  const protocol::VoterHello* FindVoter(const Endpoint& endpoint) const;
+
+  /// @brief Operator address of the leader; empty if unknown.
+  std::string LeaderOperatorEndpoint() const;
+
+  Replica& replica() { return replica_; }
+  const Replica& replica() const { return replica_; }
+  const EntryHub& entries() const { return entries_; }
+  VoterDirectory& voters() { return voters_; }
+  const adapter::ControlSettings& settings() const { return settings_; }
+  adapter::AsioTimerService& timers() { return timers_; }
+
+ private:
+  ReplicaHooks Hooks();
+  protocol::VoterHello Hello() const;
+  void Take(const adapter::InboundMessage& message,
+            const adapter::ReplyHandle& reply);
+  void TakeHello(const protocol::Envelope& envelope,
+                 const adapter::ReplyHandle& reply);
+  void TakeConsensus(const protocol::Envelope& envelope);
+  void SendConsensus(const consensus::Message& message);
+  void RelayStatus(const protocol::EntryStatus& status);
+  void ContactMembers();
+  void TryBootstrap();
+  void NoteConfig();
+  void Fail(const Error& error);
+
+  asio::io_context& io_;
+  adapter::ControlSettings settings_;
+  port::EventSink events_;
+  adapter::TransportOptions transport_;
+  adapter::AsioTimerService timers_;
+  VoterDirectory voters_;
+  Replica replica_;
+  EntryHub entries_;
+  adapter::MessageListener listener_;
+  ConfigVersion logged_config_;
+  std::optional<Error> failure_;
+};
+
+}  // namespace rattanward::control
--- /dev/null
+++ b/include/rattanward/control/voter_directory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "rattanward/adapter/message_transport.h"
+#include "rattanward/consensus/message.h"
+#include "rattanward/domain/ids.h"
+#include "rattanward/domain/time.h"
+#include "rattanward/protocol/control_messages.h"
+
+namespace rattanward::control {
+
+/// @brief Connections to the other control VMs, and who was found there.
+/// @note All calls are on the io_context's thread.
+class VoterDirectory {
+ public:
+  VoterDirectory(asio::io_context& io, adapter::TransportOptions options,
+                 Endpoint self);
+
+  /// @brief Keeps a connection to this endpoint; ignored for the own one.
+  void Contact(const Endpoint& endpoint);
+
+  /// @brief Says hello at every known endpoint.
+  /// @param self What this control VM says of itself.
+  void SayHello(const protocol::VoterHello& self);
+
+  /// @brief Takes a hello, as a call or an answer.
+  void Heard(const protocol::VoterHello& hello);
+
+  /// @brief Sends a one-way message; dropped if the voter is not connected.
+  /// @param endpoint Where the voter should be; where it was last heard goes
+  /// first.
+  void Send(const VoterId& voter, const std::optional<Endpoint>& endpoint,
+            protocol::MessageKind kind, std::string body);
+
+  /// @brief The newest hello of this data folder; null if never heard.
+  const protocol::VoterHello* Find(const VoterId& voter) const;
+  /// @brief The newest hello from this endpoint; null if never heard.
+  const protocol::VoterHello* FindAt(const Endpoint& endpoint) const;
+  /// @brief The newest hello from each endpoint.
+  const std::map<Endpoint, protocol::VoterHello>& heard() const {
+    return heard_;
+  }
+
+  /// @brief Closes every connection.
+  void Stop();
+
+ private:
+  asio::io_context& io_;
+  adapter::TransportOptions options_;
+  Endpoint self_;
+  std::map<Endpoint, std::unique_ptr<adapter::PeerClient>> clients_;
+  std::map<Endpoint, protocol::VoterHello> heard_;
+};
+
+}  // namespace rattanward::control
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -14,9 +14,11 @@
   kControlStatus = 2,
   kConfigFetch = 3,
   kConfigPush = 4,
+  kOperatorState = 5,
   kPropose = 10,
   kProposeAnswer = 11,
   kConsensus = 20,
+  kVoterHello = 21,
   kGossip = 30,
 };
 
@@ -68,6 +70,19 @@
   friend bool operator==(const ConfigPush&, const ConfigPush&) = default;
 };
 
+/// @brief Control VM to entry: what operators have drained or quarantined.
+/// @note Sent on each change and to an entry that is new; the highest revision
+/// holds.
+struct OperatorState {
+  /// Log index of the state that this was read from.
+  std::uint64_t revision = 0;
+  std::vector<UpstreamId> drained;
+  /// Fingerprints of requests that must not run.
+  std::vector<std::uint64_t> quarantined;
+
+  friend bool operator==(const OperatorState&, const OperatorState&) = default;
+};
+
 /// @brief Entry to control: commit this ledger command (its encoded bytes).
 struct Propose {
   std::string command;
@@ -88,4 +103,18 @@
   friend bool operator==(const ProposeAnswer&, const ProposeAnswer&) = default;
 };
 
+/// @brief Between control VMs, as call and answer: who is at this endpoint.
+struct VoterHello {
+  VoterId id;
+  ProcessId process;
+  /// Connections of other control VMs and of entries.
+  Endpoint peer_endpoint;
+  /// Operator RPC.
+  Endpoint operator_endpoint;
+  /// Encoded consensus::Membership; empty while the data folder is blank.
+  std::string membership;
+
+  friend bool operator==(const VoterHello&, const VoterHello&) = default;
+};
+
 }  // namespace rattanward::protocol
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -94,4 +94,19 @@
   }
 };
 
+template <>
+struct FieldsOf<OperatorState> {
+  static auto Tie(auto& m) {
+    return std::tie(m.revision, m.drained, m.quarantined);
+  }
+};
+
+template <>
+struct FieldsOf<VoterHello> {
+  static auto Tie(auto& m) {
+    return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
+                    m.membership);
+  }
+};
+
 }  // namespace rattanward::protocol
--- /dev/null
+++ b/src/control/control_daemon.cc
@@ -0,0 +1,217 @@
+#include "rattanward/control/control_daemon.h"
+
+#include <asio/post.hpp>
+#include <random>
+#include <utility>
+
+#include "rattanward/control/bootstrap.h"
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::control {
+namespace {
+
+constexpr Duration kTick{std::chrono::milliseconds(20)};
+constexpr Duration kHelloPeriod{std::chrono::milliseconds(500)};
+constexpr Duration kHubPeriod{std::chrono::seconds(10)};
+/// Idle time between two marks that move log time on.
+constexpr Duration kTimeMarkPeriod{std::chrono::seconds(60)};
+
+consensus::NodeOptions MakeNodeOptions() {
+  consensus::NodeOptions options;
+  options.seed = std::random_device()();
+  return options;
+}
+
+adapter::TransportOptions MakeTransport(
+    const adapter::ControlSettings& settings, const std::string& secret,
+    const port::EventSink& events) {
+  adapter::TransportOptions options;
+  options.self = settings.identity.process;
+  options.secret = secret;
+  options.events = events;
+  return options;
+}
+
+}  // namespace
+
+ControlDaemon::ControlDaemon(asio::io_context& io,
+                             adapter::ControlSettings settings,
+                             const std::string& secret,
+                             adapter::FileLogStorage storage,
+                             port::EventSink events)
+    : io_(io),
+      settings_(std::move(settings)),
+      events_(std::move(events)),
+      transport_(MakeTransport(settings_, secret, events_)),
+      timers_(io),
+      voters_(io, transport_, settings_.peer_listen),
+      replica_(io, std::move(storage), MakeNodeOptions(), Hooks()),
+      entries_(
+          replica_, events_,
+          [this](const protocol::EntryStatus& status) { RelayStatus(status); }),
+      listener_(
+          io, transport_,
+          [this](const adapter::InboundMessage& message,
+                 const adapter::ReplyHandle& reply) { Take(message, reply); }) {
+}
+
+ReplicaHooks ControlDaemon::Hooks() {
+  ReplicaHooks hooks;
+  hooks.send = [this](const consensus::Message& message) {
+    SendConsensus(message);
+  };
+  hooks.changed = [this] {
+    ContactMembers();
+    entries_.LedgerChanged();
+    NoteConfig();
+  };
+  hooks.failed = [this](const Error& error) { Fail(error); };
+  hooks.events = events_;
+  return hooks;
+}
+
+Status ControlDaemon::Start() {
+  Status listening = listener_.Listen(settings_.peer_listen);
+  if (!listening) {
+    return listening;
+  }
+  for (const Endpoint& endpoint : settings_.initial_voters) {
+    voters_.Contact(endpoint);
+  }
+  ContactMembers();
+  timers_.Every(kTick, [this](TimePoint) {
+    TryBootstrap();
+    replica_.Tick();
+  });
+  timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(Hello()); });
+  timers_.Every(kHubPeriod, [this](TimePoint) { entries_.Tick(); });
+  timers_.Every(kTimeMarkPeriod, [this](TimePoint) {
+    replica_.Propose(ledger::TimeMark{}, [](const Result<ledger::Outcome>&) {});
+  });
+  return outcome::success();
+}
+
+void ControlDaemon::Post(std::function<void()> step) {
+  asio::post(io_, std::move(step));
+}
+
+void ControlDaemon::Stop() {
+  asio::post(io_, [this] {
+    timers_.Stop();
+    listener_.Stop();
+    voters_.Stop();
+    io_.stop();
+  });
+}
+
+void ControlDaemon::Fail(const Error& error) {
+  failure_ = error;
+  io_.stop();
+}
+
+protocol::VoterHello ControlDaemon::Hello() const {
+  protocol::VoterHello hello;
+  hello.id = replica_.id();
+  hello.process = settings_.identity.process;
+  hello.peer_endpoint = settings_.peer_listen;
+  hello.operator_endpoint = settings_.operator_listen;
+  if (!replica_.blank()) {
+    hello.membership =
+        consensus::EncodeMembership(replica_.node().membership());
+  }
+  return hello;
+}
+
+void ControlDaemon::Take(const adapter::InboundMessage& message,
+                         const adapter::ReplyHandle& reply) {
+  switch (message.envelope.kind) {
+    case protocol::MessageKind::kVoterHello:
+      TakeHello(message.envelope, reply);
+      break;
+    case protocol::MessageKind::kConsensus:
+      TakeConsensus(message.envelope);
+      break;
+    default:
+      entries_.Take(message, reply);
+  }
+}
+
+void ControlDaemon::TakeHello(const protocol::Envelope& envelope,
+                              const adapter::ReplyHandle& reply) {
+  const auto hello = protocol::Decode<protocol::VoterHello>(envelope.body);
+  if (hello) {
+    voters_.Heard(hello.value());
+    reply.Reply(protocol::MessageKind::kVoterHello, protocol::Encode(Hello()));
+  }
+}
+
+void ControlDaemon::TakeConsensus(const protocol::Envelope& envelope) {
+  const auto message = consensus::DecodeMessage(envelope.body);
+  if (message) {
+    replica_.Receive(message.value());
+  }
+}
+
+void ControlDaemon::SendConsensus(const consensus::Message& message) {
+  const consensus::Member* member =
+      consensus::FindMember(replica_.node().membership(), message.to);
+  voters_.Send(
+      message.to,
+      member == nullptr ? std::nullopt : std::optional(member->endpoint),
+      protocol::MessageKind::kConsensus, consensus::EncodeMessage(message));
+}
+
+void ControlDaemon::RelayStatus(const protocol::EntryStatus& status) {
+  const VoterId& leader = replica_.node().leader();
+  if (!leader.empty() && leader != replica_.id()) {
+    voters_.Send(leader, replica_.node().leader_endpoint(),
+                 protocol::MessageKind::kEntryStatus, protocol::Encode(status));
+  }
+}
+
+void ControlDaemon::ContactMembers() {
+  for (const consensus::Member& member : replica_.node().membership().members) {
+    voters_.Contact(member.endpoint);
+  }
+}
+
+void ControlDaemon::TryBootstrap() {
+  if (!replica_.blank() || !settings_.bootstrap) {
+    return;
+  }
+  const auto membership =
+      FirstMembership(Hello(), settings_.initial_voters, voters_.heard());
+  if (!membership) {
+    return;
+  }
+  const Status started =
+      replica_.Bootstrap(consensus::InitialState(*membership));
+  if (!started) {
+    Fail(started.error());
+  }
+}
+
+void ControlDaemon::NoteConfig() {
+  const ConfigVersion newest = replica_.ledger().config_version();
+  if (newest != logged_config_) {
+    logged_config_ = newest;
+    events_({EventId::kConfigCommitted,
+             {{"version", std::to_string(newest.value)}}});
+  }
+}
+
+const protocol::VoterHello* ControlDaemon::FindVoter(
+    const Endpoint& endpoint) const {
+  return voters_.FindAt(endpoint);
+}
+
+std::string ControlDaemon::LeaderOperatorEndpoint() const {
+  const VoterId& leader = replica_.node().leader();
+  if (leader.empty() || leader == replica_.id()) {
+    return std::string();
+  }
+  const protocol::VoterHello* hello = voters_.Find(leader);
+  return hello == nullptr ? std::string() : ToString(hello->operator_endpoint);
+}
+
+}  // namespace rattanward::control
--- /dev/null
+++ b/src/control/replica.cc
@@ -0,0 +1,272 @@
+#include "rattanward/control/replica.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <chrono>
+
+#include "rattanward/adapter/asio_timer_service.h"
+
+namespace rattanward::control {
+namespace {
+
+/// Longest wait for a proposal or a read to be answered.
+constexpr Duration kAnswerTimeout{std::chrono::seconds(3)};
+/// A log of fewer bytes is not worth a snapshot.
+constexpr std::uint64_t kMinCompactBytes = 256U << 10U;
+
+using adapter::MonotonicNow;
+
+ledger::LogTime WallClock() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return ledger::LogTime{static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count())};
+}
+
+bool IsBlank(const consensus::PersistedState& state) {
+  return state.snapshot.membership.members.empty() && state.entries.empty() &&
+         state.snapshot.last.index == 0;
+}
+
+}  // namespace
+
+Replica::Replica(asio::io_context& io, adapter::FileLogStorage storage,
+                 consensus::NodeOptions options, ReplicaHooks hooks)
+    : io_(io),
+      storage_(std::move(storage)),
+      options_(options),
+      hooks_(std::move(hooks)) {
+  StartNode(storage_.TakeState());
+}
+
+void Replica::StartNode(consensus::PersistedState state) {
+  blank_ = IsBlank(state);
+  RestoreLedger(state.snapshot);
+  node_ = std::make_unique<consensus::Node>(storage_.id(), options_,
+                                            std::move(state), MonotonicNow());
+}
+
+Status Replica::Bootstrap(consensus::PersistedState state) {
+  consensus::Output first;
+  first.hard_state = state.hard_state;
+  first.snapshot = state.snapshot;
+  first.discard_log = true;
+  first.entries = state.entries;
+  const Status saved = storage_.Save(first);
+  if (saved) {
+    StartNode(std::move(state));
+  }
+  return saved;
+}
+
+void Replica::Tick() {
+  node_->Tick(MonotonicNow());
+  ExpirePending();
+  ScheduleFlush();
+}
+
+void Replica::Receive(const consensus::Message& message) {
+  node_->Receive(message, MonotonicNow());
+  ScheduleFlush();
+}
+
+Error Replica::NoLeaderError() const {
+  return node_->leader().empty() || node_->leader() == node_->id()
+             ? MakeError(ErrorCode::kNoQuorum, "no quorum of control VMs")
+             : MakeError(ErrorCode::kNotLeader, "not the leader");
+}
+
+void Replica::Propose(const ledger::Command& command,
+                      OutcomeCallback callback) {
+  const TimePoint now = MonotonicNow();
+  if (failed_ || !node_->HoldsLease(now)) {
+    callback(NoLeaderError());
+    return;
+  }
+  const auto position = node_->Propose(
+      ledger::Encode(ledger::StampedCommand{WallClock(), command}), now);
+  if (!position) {
+    callback(position.error());
+    return;
+  }
+  pending_[position.value().index] = {
+      position.value().term, now + kAnswerTimeout, std::move(callback)};
+  ScheduleFlush();
+}
+
+void Replica::Read(ReadCallback callback) {
+  const TimePoint now = MonotonicNow();
+  const consensus::ReadId id = next_read_++;
+  const Status asked = node_->Read(id, now);
+  if (failed_ || !asked) {
+    callback(NoLeaderError());
+    return;
+  }
+  reads_[id] = {now + kAnswerTimeout, std::move(callback)};
+  ScheduleFlush();
+}
+
+Result<consensus::LogPosition> Replica::Change(
+    const consensus::MembershipChange& change) {
+  auto position = node_->Change(change, MonotonicNow());
+  ScheduleFlush();
+  return position;
+}
+
+bool Replica::HoldsLease() const { return node_->HoldsLease(MonotonicNow()); }
+
+void Replica::ScheduleFlush() {
+  if (flush_scheduled_ || failed_) {
+    return;
+  }
+  flush_scheduled_ = true;
+  asio::post(io_, [this] {
+    flush_scheduled_ = false;
+    Flush();
+  });
+}
+
+void Replica::Flush() {
+  consensus::Output output = node_->TakeOutput();
+  if (failed_ || !Persist(output)) {
+    return;
+  }
+  for (const consensus::Message& message : output.messages) {
+    hooks_.send(message);
+  }
+  if (output.snapshot && output.discard_log) {
+    blank_ = false;
+    RestoreLedger(*output.snapshot);
+  }
+  for (const consensus::Entry& entry : output.committed) {
+    Apply(entry);
+  }
+  for (const consensus::ConfirmedRead& read : output.reads) {
+    confirmed_[read.id] = read.index;
+  }
+  std::erase_if(confirmed_, [this](const auto& read) {
+    if (read.second > applied_) {
+      return false;
+    }
+    if (auto waiting = reads_.extract(read.first)) {
+      waiting.mapped().callback(outcome::success());
+    }
+    return true;
+  });
+  for (const consensus::ReadId id : output.failed_reads) {
+    if (auto waiting = reads_.extract(id)) {
+      waiting.mapped().callback(NoLeaderError());
+    }
+  }
+  if (output.role_change) {
+    NoteRole(*output.role_change);
+  }
+  if (!output.committed.empty() || output.role_change || output.discard_log) {
+    hooks_.changed();
+  }
+  CompactIfLarge();
+}
+
+bool Replica::Persist(const consensus::Output& output) {
+  if (!output.NeedsSync()) {
+    return true;
+  }
+  const Status saved = storage_.Save(output);
+  if (!saved) {
+    failed_ = true;
+    hooks_.failed(saved.error());
+    return false;
+  }
+  if (output.snapshot) {
+    hooks_.events({EventId::kSnapshotWritten,
+                   {{"index", std::to_string(output.snapshot->last.index)},
+                    {"bytes", std::to_string(storage_.snapshot_bytes())}}});
+  }
+  return true;
+}
+
+void Replica::RestoreLedger(const consensus::Snapshot& snapshot) {
+  applied_ = snapshot.last.index;
+  if (snapshot.state.empty()) {
+    ledger_ = ledger::StateMachine();
+    return;
+  }
+  auto restored = ledger::StateMachine::Restore(snapshot.state);
+  if (!restored) {
+    failed_ = true;
+    hooks_.failed(restored.error());
+    return;
+  }
+  ledger_ = std::move(restored.value());
+}
+
+void Replica::Apply(const consensus::Entry& entry) {
+  applied_ = entry.index;
+  if (entry.type != consensus::EntryType::kCommand) {
+    Answer(entry, MakeError(ErrorCode::kNotLeader, "the leader changed"));
+    return;
+  }
+  const auto stamped = ledger::DecodeStamped(entry.payload);
+  if (!stamped) {
+    Answer(entry, stamped.error());
+    return;
+  }
+  Answer(entry, ledger_.Apply(stamped.value()));
+}
+
+void Replica::Answer(const consensus::Entry& entry,
+                     Result<ledger::Outcome> outcome) {
+  auto pending = pending_.extract(entry.index);
+  if (pending.empty()) {
+    return;
+  }
+  if (pending.mapped().term != entry.term) {
+    outcome = MakeError(ErrorCode::kNotLeader, "the leader changed");
+  }
+  pending.mapped().callback(std::move(outcome));
+}
+
+void Replica::NoteRole(const consensus::RoleChange& change) {
+  const bool leads = change.role == consensus::Role::kLeader;
+  hooks_.events({leads ? EventId::kLeaderElected : EventId::kLeaderStepped,
+                 {{"term", std::to_string(change.term)},
+                  {"leader", change.leader.str()}}});
+}
+
+void Replica::CompactIfLarge() {
+  const std::uint64_t limit =
+      std::max(kMinCompactBytes, 2 * storage_.snapshot_bytes());
+  if (storage_.log_bytes() > limit && applied_ > node_->snapshot_index()) {
+    node_->Compact(applied_, ledger_.Snapshot());
+    ScheduleFlush();
+  }
+}
+
+void Replica::ExpirePending() {
+  const TimePoint now = MonotonicNow();
+  std::vector<OutcomeCallback> late;
+  std::erase_if(pending_, [&](auto& pending) {
+    const bool expired = pending.second.deadline <= now;
+    if (expired) {
+      late.push_back(std::move(pending.second.callback));
+    }
+    return expired;
+  });
+  for (const OutcomeCallback& callback : late) {
+    callback(MakeError(ErrorCode::kOutcomeUnknown,
+                       "sent to the log, but not known to be committed",
+                       Verdict::kMayHaveRun));
+  }
+  std::vector<ReadCallback> late_reads;
+  std::erase_if(reads_, [&](auto& read) {
+    const bool expired = read.second.deadline <= now;
+    if (expired) {
+      late_reads.push_back(std::move(read.second.callback));
+    }
+    return expired;
+  });
+  for (const ReadCallback& callback : late_reads) {
+    callback(MakeError(ErrorCode::kNoQuorum, "no quorum of control VMs"));
+  }
+}
+
+}  // namespace rattanward::control
--- /dev/null
+++ b/src/control/voter_directory.cc
@@ -0,0 +1,96 @@
+#include "rattanward/control/voter_directory.h"
+
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::control {
+namespace {
+
+constexpr Duration kHelloTimeout{std::chrono::seconds(1)};
+/// Endpoints that are contacted at most; hellos could name any number.
+constexpr std::size_t kMaxEndpoints = 64;
+
+}  // namespace
+
+VoterDirectory::VoterDirectory(asio::io_context& io,
+                               adapter::TransportOptions options, Endpoint self)
+    : io_(io), options_(std::move(options)), self_(std::move(self)) {}
+
+void VoterDirectory::Contact(const Endpoint& endpoint) {
+  if (endpoint == self_ || endpoint.port == 0 || clients_.count(endpoint) > 0 ||
+      clients_.size() >= kMaxEndpoints) {
+    return;
+  }
+  auto client = std::make_unique<adapter::PeerClient>(io_, options_, endpoint);
+  client->Start();
+  clients_[endpoint] = std::move(client);
+}
+
+void VoterDirectory::SayHello(const protocol::VoterHello& self) {
+  const std::string body = protocol::Encode(self);
+  for (const auto& [endpoint, client] : clients_) {
+    protocol::Envelope envelope;
+    envelope.kind = protocol::MessageKind::kVoterHello;
+    envelope.body = body;
+    client->Call(std::move(envelope), kHelloTimeout,
+                 [this](const Result<protocol::Envelope>& answer) {
+                   if (!answer) {
+                     return;
+                   }
+                   const auto hello = protocol::Decode<protocol::VoterHello>(
+                       answer.value().body);
+                   if (hello) {
+                     Heard(hello.value());
+                   }
+                 });
+  }
+}
+
+void VoterDirectory::Heard(const protocol::VoterHello& hello) {
+  if (hello.peer_endpoint == self_ || heard_.size() >= kMaxEndpoints) {
+    return;
+  }
+  heard_[hello.peer_endpoint] = hello;
+  Contact(hello.peer_endpoint);
+}
+
+void VoterDirectory::Send(const VoterId& voter,
+                          const std::optional<Endpoint>& endpoint,
+                          protocol::MessageKind kind, std::string body) {
+  const protocol::VoterHello* hello = Find(voter);
+  const std::optional<Endpoint> to =
+      hello == nullptr ? endpoint : std::optional(hello->peer_endpoint);
+  if (!to) {
+    return;
+  }
+  Contact(*to);
+  const auto client = clients_.find(*to);
+  if (client != clients_.end()) {
+    protocol::Envelope envelope;
+    envelope.kind = kind;
+    envelope.body = std::move(body);
+    client->second->Send(std::move(envelope));
+  }
+}
+
+const protocol::VoterHello* VoterDirectory::Find(const VoterId& voter) const {
+  for (const auto& [endpoint, hello] : heard_) {
+    if (hello.id == voter) {
+      return &hello;
+    }
+  }
+  return nullptr;
+}
+
+const protocol::VoterHello* VoterDirectory::FindAt(
+    const Endpoint& endpoint) const {
+  const auto it = heard_.find(endpoint);
+  return it == heard_.end() ? nullptr : &it->second;
+}
+
+void VoterDirectory::Stop() {
+  for (const auto& [endpoint, client] : clients_) {
+    client->Stop();
+  }
+}
+
+}  // namespace rattanward::control
