--- a/include/rattanward/domain/ids.h
+++ b/include/rattanward/domain/ids.h
@@ -21,6 +21,8 @@
   const std::string& str() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // clang-tidy 14 takes a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Name&, const Name&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
     return out << name.value_;
--- a/src/adapter/file_log_storage.cc
+++ b/src/adapter/file_log_storage.cc
@@ -122,12 +122,11 @@
 Result<FileLogStorage> FileLogStorage::Open(const std::string& folder) {
   BOOST_OUTCOME_TRY(MakeFolder(folder));
   BOOST_OUTCOME_TRY(before, ListFolder(folder));
-  for (const std::string& name : before) {
-    if (!IsOwn(name)) {
-      return MakeError(
-          ErrorCode::kWrongDataFolder,
-          folder + " holds " + name + ", which is no file of a replicated log");
-    }
+  const auto foreign = std::find_if_not(before.begin(), before.end(), IsOwn);
+  if (foreign != before.end()) {
+    return MakeError(ErrorCode::kWrongDataFolder,
+                     folder + " holds " + *foreign +
+                         ", which is no file of a replicated log");
   }
   FileLogStorage storage(folder);
   BOOST_OUTCOME_TRY(lock, LockFile(folder + "/" + kLockName));
