Add the upstream directory and push gossip among entries

Announcements apply by instance and sequence, draining sticks, silence expires and a new instance on an endpoint ends the old one. Gossip sends changes first and fills each message with a rotation over all it knows.

--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -6,6 +6,7 @@
 #include "rattanward/protocol/codec.h"
 #include "rattanward/protocol/control_messages.h"
 #include "rattanward/protocol/envelope.h"
+#include "rattanward/protocol/gossip_messages.h"
 
 namespace rattanward::protocol {
 
@@ -94,4 +95,32 @@
   }
 };
 
+template <>
+struct FieldsOf<UpstreamBeat> {
+  static auto Tie(auto& m) { return std::tie(m.instance, m.sequence, m.load); }
+};
+
+template <>
+struct FieldsOf<EntryBeat> {
+  static auto Tie(auto& m) {
+    return std::tie(m.process, m.failure_domain, m.incarnation, m.counter,
+                    m.in_force);
+  }
+};
+
+template <>
+struct FieldsOf<policy::Suspicion> {
+  static auto Tie(auto& m) {
+    return std::tie(m.fingerprint, m.deaths, m.quarantined);
+  }
+};
+
+template <>
+struct FieldsOf<GossipMessage> {
+  static auto Tie(auto& m) {
+    return std::tie(m.from, m.entries, m.announcements, m.beats, m.suspicions,
+                    m.in_force);
+  }
+};
+
 }  // namespace rattanward::protocol
--- /dev/null
+++ b/src/membership/gossip.cc
@@ -0,0 +1,307 @@
+#include "rattanward/membership/gossip.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace rattanward::membership {
+namespace {
+
+/// Bytes of a message besides its lists' items, its sender's name aside.
+constexpr std::size_t kMessageOverheadBytes = 32;
+/// Share of a message that beats may take, so that the rotation over whole
+/// announcements always moves.
+constexpr std::size_t kBeatsPercent = 70;
+/// Deaths told of one suspicion; two are enough for a quarantine.
+constexpr std::size_t kMaxDeaths = 8;
+
+void Append(std::vector<DirectoryChange> changes,
+            std::vector<GossipEvent>& events) {
+  for (DirectoryChange& change : changes) {
+    std::visit([&](auto& c) { events.emplace_back(std::move(c)); }, change);
+  }
+}
+
+/// Whether two announcements differ in more than sequence and load.
+bool ContentDiffers(const Announcement& a, Announcement b) {
+  b.sequence = a.sequence;
+  b.load = a.load;
+  return a != b;
+}
+
+bool Newer(const protocol::EntryBeat& a, const protocol::EntryBeat& b) {
+  return std::tie(a.incarnation, a.counter) >
+         std::tie(b.incarnation, b.counter);
+}
+
+}  // namespace
+
+/// @brief One thing that may go into the next message.
+struct Gossip::Candidate {
+  Schedule* schedule;
+  std::size_t bytes;
+  std::function<void(protocol::GossipMessage&)> add;
+};
+
+/// @brief A message being filled, and its size so far.
+struct Gossip::MessageDraft {
+  protocol::GossipMessage message;
+  std::size_t bytes = 0;
+  bool empty = true;
+};
+
+Gossip::Gossip(GossipOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      directory_(options_.directory) {}
+
+std::vector<GossipEvent> Gossip::Announce(const Announcement& announcement,
+                                          TimePoint now) {
+  std::vector<GossipEvent> events;
+  TakeAnnouncement(announcement, now, events);
+  return events;
+}
+
+void Gossip::Suspect(const policy::Suspicion& suspicion, TimePoint now) {
+  MergeSuspicion(suspicion, now);
+}
+
+std::vector<GossipEvent> Gossip::Receive(const protocol::GossipMessage& message,
+                                         TimePoint now) {
+  std::vector<GossipEvent> events;
+  for (const protocol::EntryBeat& beat : message.entries) {
+    TakeEntry(beat, now, events);
+  }
+  for (const Announcement& announcement : message.announcements) {
+    TakeAnnouncement(announcement, now, events);
+  }
+  for (const protocol::UpstreamBeat& beat : message.beats) {
+    Append(directory_.Beat(beat, now), events);
+  }
+  for (const policy::Suspicion& suspicion : message.suspicions) {
+    if (MergeSuspicion(suspicion, now)) {
+      events.emplace_back(
+          SuspicionHeard{suspicions_[suspicion.fingerprint].suspicion});
+    }
+  }
+  if (message.in_force > in_force_) {
+    events.emplace_back(NewerConfigSeen{message.from, message.in_force});
+  }
+  return events;
+}
+
+GossipRound Gossip::Tick(TimePoint now) {
+  GossipRound round;
+  ++round_;
+  Expire(now, round.events);
+  const protocol::GossipMessage message = MakeMessage();
+  for (const ProcessId& peer : ChoosePeers()) {
+    round.pushes.push_back({peer, message});
+  }
+  return round;
+}
+
+std::vector<protocol::EntryBeat> Gossip::LiveEntries() const {
+  std::vector<protocol::EntryBeat> live;
+  for (const auto& [process, entry] : entries_) {
+    if (!entry.lost) {
+      live.push_back(entry.beat);
+    }
+  }
+  return live;
+}
+
+void Gossip::TakeAnnouncement(const Announcement& announcement, TimePoint now,
+                              std::vector<GossipEvent>& events) {
+  const UpstreamId& id = announcement.instance;
+  const Announcement* known = directory_.Find(id);
+  const bool was_known = known != nullptr;
+  const Announcement before = was_known ? *known : Announcement{};
+  Append(directory_.Announce(announcement, now), events);
+  known = directory_.Find(id);
+  if (known != nullptr && (!was_known || ContentDiffers(*known, before))) {
+    announcements_[id].hot_rounds = options_.hot_rounds;
+  }
+}
+
+void Gossip::TakeEntry(const protocol::EntryBeat& beat, TimePoint now,
+                       std::vector<GossipEvent>& events) {
+  if (beat.process == options_.self) {
+    return;
+  }
+  const auto [found, added] =
+      entries_.emplace(beat.process, KnownEntry{beat, now, false, {}});
+  KnownEntry& known = found->second;
+  if (!added && !Newer(beat, known.beat)) {
+    return;
+  }
+  if (added || known.lost || beat.incarnation != known.beat.incarnation) {
+    events.emplace_back(EntryFound{beat});
+  }
+  known.beat = beat;
+  known.heard = now;
+  known.lost = false;
+}
+
+bool Gossip::MergeSuspicion(const policy::Suspicion& suspicion, TimePoint now) {
+  const auto found = suspicions_.find(suspicion.fingerprint);
+  if (found == suspicions_.end() &&
+      suspicions_.size() >= options_.max_suspicions) {
+    return false;
+  }
+  KnownSuspicion& known = suspicions_[suspicion.fingerprint];
+  const policy::Suspicion before = known.suspicion;
+  known.suspicion.fingerprint = suspicion.fingerprint;
+  known.suspicion.quarantined |= suspicion.quarantined;
+  for (const UpstreamId& death : suspicion.deaths) {
+    auto& deaths = known.suspicion.deaths;
+    const auto place = std::lower_bound(deaths.begin(), deaths.end(), death);
+    if (place == deaths.end() || *place != death) {
+      deaths.insert(place, death);
+      deaths.resize(std::min(deaths.size(), kMaxDeaths));
+    }
+  }
+  if (known.suspicion == before) {
+    return false;
+  }
+  known.changed = now;
+  known.schedule.hot_rounds = options_.hot_rounds;
+  return true;
+}
+
+void Gossip::Expire(TimePoint now, std::vector<GossipEvent>& events) {
+  Append(directory_.Tick(now), events);
+  for (auto& [process, entry] : entries_) {
+    if (!entry.lost && now - entry.heard > options_.entry_expiry) {
+      entry.lost = true;
+      events.emplace_back(EntryLost{process});
+    }
+  }
+  std::erase_if(suspicions_, [&](const auto& item) {
+    return now - item.second.changed > options_.suspicion_expiry;
+  });
+  const auto unknown = [&](const auto& item) {
+    return directory_.Find(item.first) == nullptr;
+  };
+  std::erase_if(announcements_, unknown);
+  std::erase_if(beats_, unknown);
+}
+
+protocol::GossipMessage Gossip::MakeMessage() {
+  const protocol::EntryBeat self{options_.self, options_.failure_domain,
+                                 options_.incarnation, round_, in_force_};
+  MessageDraft draft;
+  draft.message.from = options_.self;
+  draft.message.in_force = in_force_;
+  draft.message.entries.push_back(self);
+  draft.bytes =
+      kMessageOverheadBytes + options_.self.str().size() + EncodedBytes(self);
+  std::vector<Candidate> details = Details();
+  const auto cold = std::partition(
+      details.begin(), details.end(),
+      [](const Candidate& c) { return c.schedule->hot_rounds > 0; });
+  const std::vector<Candidate> rest(cold, details.end());
+  details.erase(cold, details.end());
+  Add(std::move(details), options_.max_message_bytes, draft);
+  Add(Beats(), options_.max_message_bytes * kBeatsPercent / 100, draft);
+  Add(rest, options_.max_message_bytes, draft);
+  return std::move(draft.message);
+}
+
+std::vector<Gossip::Candidate> Gossip::Beats() {
+  std::vector<Candidate> candidates;
+  for (auto& [process, entry] : entries_) {
+    if (!entry.lost) {
+      candidates.push_back(
+          {&entry.schedule, EncodedBytes(entry.beat),
+           [&beat = entry.beat](protocol::GossipMessage& message) {
+             message.entries.push_back(beat);
+           }});
+    }
+  }
+  for (const Announcement& upstream : directory_.Upstreams()) {
+    const protocol::UpstreamBeat beat{upstream.instance, upstream.sequence,
+                                      upstream.load};
+    candidates.push_back({&beats_[upstream.instance], EncodedBytes(beat),
+                          [beat](protocol::GossipMessage& message) {
+                            message.beats.push_back(beat);
+                          }});
+  }
+  return candidates;
+}
+
+std::vector<Gossip::Candidate> Gossip::Details() {
+  std::vector<Candidate> candidates;
+  for (auto& [fingerprint, known] : suspicions_) {
+    candidates.push_back(
+        {&known.schedule, EncodedBytes(known.suspicion),
+         [&suspicion = known.suspicion](protocol::GossipMessage& message) {
+           message.suspicions.push_back(suspicion);
+         }});
+  }
+  for (const Announcement& upstream : directory_.Contents()) {
+    candidates.push_back({&announcements_[upstream.instance],
+                          EncodedBytes(upstream),
+                          [upstream](protocol::GossipMessage& message) {
+                            message.announcements.push_back(upstream);
+                          }});
+  }
+  return candidates;
+}
+
+/// Adds what was not sent for longest, until the message has `limit` bytes.
+/// A message takes one item of any size, so that none is left out for good.
+void Gossip::Add(std::vector<Candidate> candidates, std::size_t limit,
+                 MessageDraft& draft) {
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.schedule->last_round < b.schedule->last_round;
+                   });
+  for (const Candidate& candidate : candidates) {
+    if (draft.bytes + candidate.bytes > limit && !draft.empty) {
+      break;
+    }
+    candidate.add(draft.message);
+    draft.bytes += candidate.bytes;
+    draft.empty = false;
+    candidate.schedule->last_round = round_;
+    if (candidate.schedule->hot_rounds > 0) {
+      --candidate.schedule->hot_rounds;
+    }
+  }
+}
+
+/// Live peers of the own domain and of others, and one that was lost, since
+/// it may have come back.
+std::vector<ProcessId> Gossip::ChoosePeers() {
+  std::vector<ProcessId> local;
+  std::vector<ProcessId> remote;
+  std::vector<ProcessId> lost;
+  for (const GossipPeer& peer : options_.peers) {
+    const auto known = entries_.find(peer.process);
+    if (known != entries_.end() && known->second.lost) {
+      lost.push_back(peer.process);
+    } else if (peer.failure_domain == options_.failure_domain) {
+      local.push_back(peer.process);
+    } else {
+      remote.push_back(peer.process);
+    }
+  }
+  std::shuffle(local.begin(), local.end(), random_);
+  std::shuffle(remote.begin(), remote.end(), random_);
+  std::shuffle(lost.begin(), lost.end(), random_);
+  const std::size_t fanout = options_.local_fanout + options_.remote_fanout;
+  const std::size_t remotes = std::min(
+      remote.size(), std::max(options_.remote_fanout,
+                              fanout - std::min(fanout, local.size())));
+  remote.resize(remotes);
+  std::vector<ProcessId> chosen = std::move(remote);
+  local.resize(std::min(local.size(), fanout - std::min(fanout, remotes)));
+  chosen.insert(chosen.end(), local.begin(), local.end());
+  lost.resize(std::min<std::size_t>(lost.size(), 1));
+  chosen.insert(chosen.end(), lost.begin(), lost.end());
+  return chosen;
+}
+
+}  // namespace rattanward::membership
--- /dev/null
+++ b/tests/src/fuzz-membership.cc
@@ -0,0 +1,247 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "rattanward/membership/gossip.h"
+
+namespace rattanward::membership {
+namespace {
+
+constexpr Duration kRound{std::chrono::milliseconds(250)};
+constexpr Duration kDrainBound{std::chrono::seconds(3)};
+constexpr int kRoundsPerAnnouncement = 4;
+constexpr int kQuietRounds = 60;
+constexpr int kMaxDelayRounds = 4;
+
+struct Case {
+  std::uint32_t seed = 1;
+  int entries = 2;
+  int upstreams = 1;
+  /// Share of messages lost and repeated, in percent.
+  int lost = 0;
+  int repeated = 0;
+  std::size_t message_bytes = 1024;
+  /// One event a round: what happens, and to which upstream.
+  std::vector<std::pair<int, int>> events;
+};
+
+/// The oracle: what each upstream really is.
+struct TrueUpstream {
+  int start = 1;
+  std::uint64_t sequence = 0;
+  std::uint64_t content = 1;
+  bool draining = false;
+  /// Announcements, after the first draining one, lack the flag again.
+  bool forgets = false;
+  bool up = true;
+  TimePoint drained;
+};
+
+class Simulation {
+ public:
+  explicit Simulation(const Case& c) : case_(c), random_(c.seed) {
+    for (int i = 0; i < c.entries; ++i) {
+      GossipOptions options;
+      options.self = Entry(i);
+      options.failure_domain = FailureDomain("zone-" + std::to_string(i % 3));
+      options.incarnation = 1;
+      options.seed = c.seed + i;
+      options.max_message_bytes = c.message_bytes;
+      for (int j = 0; j < c.entries; ++j) {
+        if (j != i) {
+          options.peers.push_back(
+              {Entry(j), FailureDomain("zone-" + std::to_string(j % 3))});
+        }
+      }
+      entries_.emplace_back(options);
+    }
+    truth_.resize(c.upstreams);
+    seen_.resize(c.entries);
+  }
+
+  void Run() {
+    for (const auto& [kind, upstream] : case_.events) {
+      Change(kind, truth_[upstream % case_.upstreams]);
+      CutOff(kind, upstream);
+      Round();
+    }
+    case_.lost = 0;
+    cut_off_ = -1;
+    for (int i = 0; i < kQuietRounds; ++i) {
+      Round();
+    }
+    CheckConverged();
+  }
+
+ private:
+  static ProcessId Entry(int i) { return ProcessId(std::to_string(i)); }
+
+  bool Chance(int percent) {
+    return static_cast<int>(random_() % 100) < percent;
+  }
+
+  void Change(int kind, TrueUpstream& upstream) {
+    if (kind == 0 && upstream.up && !upstream.draining) {
+      upstream.draining = true;
+      upstream.drained = now_;
+    } else if (kind == 1) {
+      upstream.up = false;
+    } else if (kind == 2) {
+      upstream = {upstream.start + 1, 0, 1, false, false, true, {}};
+    } else if (kind == 3) {
+      ++upstream.content;
+    } else if (kind == 4) {
+      upstream.forgets = true;
+    }
+  }
+
+  /// Loses every message to and from one entry, or to none again.
+  void CutOff(int kind, int entry) {
+    if (kind == 5) {
+      cut_off_ = entry % case_.entries;
+    } else if (kind == 6) {
+      cut_off_ = -1;
+    }
+    if (cut_off_ >= 0) {
+      last_cut_ = now_;
+    }
+  }
+
+  static Announcement Say(int index, const TrueUpstream& upstream) {
+    Announcement announcement;
+    announcement.instance = UpstreamId(std::to_string(index) + "/" +
+                                       std::to_string(upstream.start));
+    announcement.sequence = upstream.sequence;
+    announcement.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(index)};
+    announcement.capacity = static_cast<std::uint32_t>(upstream.content);
+    announcement.draining = upstream.draining;
+    return announcement;
+  }
+
+  void Round() {
+    ++round_;
+    now_ += kRound;
+    for (int i = 0; i < case_.upstreams; ++i) {
+      if (truth_[i].up && (round_ + i) % kRoundsPerAnnouncement == 0) {
+        ++truth_[i].sequence;
+        Announcement said = Say(i, truth_[i]);
+        said.draining &= !truth_[i].forgets || !told_draining_[said.instance];
+        told_draining_[said.instance] |= said.draining;
+        entries_[(i + truth_[i].start) % entries_.size()].Announce(said, now_);
+      }
+    }
+    for (Gossip& entry : entries_) {
+      const GossipRound made = entry.Tick(now_);
+      for (const GossipPush& push : made.pushes) {
+        Post(push);
+      }
+    }
+    Deliver();
+    CheckEntries();
+  }
+
+  void Post(const GossipPush& push) {
+    if (cut_off_ >= 0 &&
+        (push.to == Entry(cut_off_) || push.message.from == Entry(cut_off_))) {
+      return;
+    }
+    const int copies = Chance(case_.lost) ? 0 : 1 + Chance(case_.repeated);
+    for (int i = 0; i < copies; ++i) {
+      under_way_.emplace(round_ + random_() % kMaxDelayRounds, push);
+    }
+  }
+
+  void Deliver() {
+    std::vector<GossipPush> due;
+    for (auto it = under_way_.begin();
+         it != under_way_.end() && it->first <= round_;) {
+      due.push_back(it->second);
+      it = under_way_.erase(it);
+    }
+    std::shuffle(due.begin(), due.end(), random_);
+    for (const GossipPush& push : due) {
+      entries_[std::stoi(push.to.str())].Receive(push.message, now_);
+    }
+  }
+
+  void CheckEntries() {
+    for (std::size_t e = 0; e < entries_.size(); ++e) {
+      for (const Announcement& a : entries_[e].directory().Upstreams()) {
+        CheckStaleNeverWins(a, seen_[e][a.instance]);
+        CheckDrained(a);
+        seen_[e][a.instance] = a;
+      }
+    }
+  }
+
+  static void CheckStaleNeverWins(const Announcement& a,
+                                  const Announcement& before) {
+    RC_ASSERT(a.sequence >= before.sequence);
+    RC_ASSERT(a.capacity >= before.capacity);
+    RC_ASSERT(a.draining || !before.draining);
+  }
+
+  void CheckDrained(const Announcement& a) const {
+    const TrueUpstream& truth = truth_[a.endpoint.port];
+    if (truth.draining && truth.up &&
+        now_ - std::max(truth.drained, last_cut_) > kDrainBound &&
+        a.instance == Say(a.endpoint.port, truth).instance) {
+      RC_ASSERT(a.draining);
+    }
+  }
+
+  void CheckConverged() const {
+    for (const Gossip& entry : entries_) {
+      std::vector<std::pair<UpstreamId, std::pair<std::uint32_t, bool>>> known;
+      for (const Announcement& a : entry.directory().Upstreams()) {
+        known.push_back({a.instance, {a.capacity, a.draining}});
+      }
+      decltype(known) expected;
+      for (int i = 0; i < case_.upstreams; ++i) {
+        if (truth_[i].up) {
+          const Announcement a = Say(i, truth_[i]);
+          expected.push_back({a.instance, {a.capacity, a.draining}});
+        }
+      }
+      std::sort(expected.begin(), expected.end());
+      RC_ASSERT(known == expected);
+      RC_ASSERT(static_cast<int>(entry.LiveEntries().size()) ==
+                case_.entries - 1);
+    }
+  }
+
+  Case case_;
+  std::mt19937 random_;
+  TimePoint now_{Duration(0)};
+  std::uint64_t round_ = 0;
+  std::vector<Gossip> entries_;
+  std::vector<TrueUpstream> truth_;
+  std::multimap<std::uint64_t, GossipPush> under_way_;
+  std::vector<std::map<UpstreamId, Announcement>> seen_;
+  std::map<UpstreamId, bool> told_draining_;
+  int cut_off_ = -1;
+  TimePoint last_cut_{Duration(0)};
+};
+
+TEST_CASE("directories converge under lost, late and repeated gossip") {
+  CHECK(rc::check("membership converges", [] {
+    Case c;
+    c.seed = *rc::gen::inRange<std::uint32_t>(1, 1U << 30U);
+    c.entries = *rc::gen::inRange(2, 10);
+    c.upstreams = *rc::gen::inRange(1, 17);
+    c.message_bytes = *rc::gen::inRange<std::size_t>(300, 1025);
+    c.lost = *rc::gen::inRange(0, 31);
+    c.repeated = *rc::gen::inRange(0, 31);
+    c.events = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, 16)));
+    Simulation(c).Run();
+  }));
+}
+
+}  // namespace
+}  // namespace rattanward::membership
--- /dev/null
+++ b/tests/src/unit-membership.cc
@@ -0,0 +1,177 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "rattanward/membership/gossip.h"
+#include "rattanward/membership/upstream_directory.h"
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::membership {
+namespace {
+
+using protocol::UpstreamBeat;
+
+TimePoint At(int milliseconds) {
+  return TimePoint(std::chrono::milliseconds(milliseconds));
+}
+
+Announcement Upstream(const std::string& instance, std::uint64_t sequence,
+                      std::uint16_t port = 8000) {
+  Announcement announcement;
+  announcement.instance = UpstreamId(instance);
+  announcement.sequence = sequence;
+  announcement.endpoint = {"127.0.0.1", port};
+  announcement.failure_domain = FailureDomain("zone-a");
+  announcement.models = {ModelName("small"), ModelName("large")};
+  announcement.adapters = {"stowage"};
+  announcement.capacity = 8;
+  return announcement;
+}
+
+TEST_CASE("a stale announcement changes nothing, but its draining sticks") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("u1", 5), At(0));
+  Announcement stale = Upstream("u1", 4);
+  stale.capacity = 1;
+  CHECK(directory.Announce(stale, At(1)).empty());
+  stale.draining = true;
+  CHECK(directory.Announce(stale, At(2)).size() == 1);
+  directory.Announce(Upstream("u1", 6), At(3));
+  CHECK(directory.Find(UpstreamId("u1"))->draining);
+  CHECK(directory.Find(UpstreamId("u1"))->capacity == 8);
+}
+
+TEST_CASE("content newer than the last one counts although a beat was newer") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("u1", 1), At(0));
+  directory.Beat({UpstreamId("u1"), 9, {}}, At(1));
+  Announcement changed = Upstream("u1", 5);
+  changed.capacity = 3;
+  directory.Announce(changed, At(2));
+  CHECK(directory.Find(UpstreamId("u1"))->capacity == 3);
+  CHECK(directory.Find(UpstreamId("u1"))->sequence == 9);
+}
+
+TEST_CASE("an upstream expires, and only a newer sequence brings it back") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("u1", 5), At(0));
+  CHECK(directory.Tick(At(3000)).empty());
+  const auto gone = directory.Tick(At(3001));
+  REQUIRE(gone.size() == 1);
+  CHECK(std::get<UpstreamGone>(gone[0]) ==
+        UpstreamGone{UpstreamId("u1"), GoneReason::kExpired});
+  CHECK(directory.Announce(Upstream("u1", 5), At(3002)).empty());
+  CHECK(directory.Find(UpstreamId("u1")) == nullptr);
+  CHECK(directory.Beat({UpstreamId("u1"), 6, {}}, At(3003)).size() == 1);
+  CHECK(directory.Find(UpstreamId("u1")) != nullptr);
+}
+
+TEST_CASE("a new instance on an endpoint ends the old one at once") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("old", 50), At(0));
+  const auto changes = directory.Announce(Upstream("new", 1), At(1));
+  REQUIRE(changes.size() == 2);
+  CHECK(std::get<UpstreamGone>(changes[0]) ==
+        UpstreamGone{UpstreamId("old"), GoneReason::kReplaced});
+  CHECK(directory.Announce(Upstream("old", 50), At(2)).empty());
+  CHECK(directory.Find(UpstreamId("new")) != nullptr);
+  CHECK(directory.Find(UpstreamId("old")) == nullptr);
+}
+
+TEST_CASE("the size that gossip counts with is the encoded size") {
+  Announcement announcement = Upstream("instance-0123456789", 70000);
+  announcement.not_run_statuses = {429, 503};
+  announcement.load = {300, 5, 1000, 1ULL << 40U};
+  announcement.version = std::string(300, 'v');
+  CHECK(EncodedBytes(announcement) == protocol::Encode(announcement).size());
+  const UpstreamBeat beat{announcement.instance, 128, announcement.load};
+  CHECK(EncodedBytes(beat) == protocol::Encode(beat).size());
+  const protocol::EntryBeat entry{ProcessId("entry-1"), FailureDomain("zone-a"),
+                                  1ULL << 50U, 300, ConfigVersion{7}};
+  CHECK(EncodedBytes(entry) == protocol::Encode(entry).size());
+  const policy::Suspicion suspicion{1ULL << 60U, {UpstreamId("u1")}, true};
+  CHECK(EncodedBytes(suspicion) == protocol::Encode(suspicion).size());
+}
+
+TEST_CASE("old content is not told under the sequence of a newer beat") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("u1", 4), At(0));
+  directory.Beat({UpstreamId("u1"), 9, {}}, At(1));
+  CHECK(directory.Contents()[0].sequence == 4);
+  CHECK(directory.Upstreams()[0].sequence == 9);
+}
+
+GossipOptions Options(int entries) {
+  GossipOptions options;
+  options.self = ProcessId("entry-0");
+  options.failure_domain = FailureDomain("zone-0");
+  for (int i = 1; i < entries; ++i) {
+    options.peers.push_back({ProcessId("entry-" + std::to_string(i)),
+                             FailureDomain("zone-" + std::to_string(i % 3))});
+  }
+  return options;
+}
+
+TEST_CASE(
+    "a message stays within its limit with 600 upstreams and 340 entries") {
+  Gossip gossip(Options(340));
+  for (int i = 0; i < 600; ++i) {
+    gossip.Announce(Upstream("u" + std::to_string(i), 1,
+                             static_cast<std::uint16_t>(1000 + i)),
+                    At(0));
+  }
+  protocol::GossipMessage entries;
+  for (int i = 1; i < 340; ++i) {
+    entries.entries.push_back({ProcessId("entry-" + std::to_string(i)),
+                               FailureDomain("zone-1"), 1, 1,
+                               ConfigVersion{1}});
+  }
+  gossip.Receive(entries, At(0));
+  for (int round = 1; round < 50; ++round) {
+    for (const GossipPush& push : gossip.Tick(At(round)).pushes) {
+      CHECK(protocol::Encode(push.message).size() <= 1024);
+    }
+  }
+}
+
+TEST_CASE("what is dropped of one message is sent again in later ones") {
+  Gossip gossip(Options(9));
+  std::map<UpstreamId, int> sent;
+  for (int i = 0; i < 40; ++i) {
+    gossip.Announce(Upstream("u" + std::to_string(i), 1,
+                             static_cast<std::uint16_t>(1000 + i)),
+                    At(0));
+  }
+  for (int round = 1; round < 200; ++round) {
+    const GossipRound made = gossip.Tick(At(round));
+    for (const auto& a : made.pushes[0].message.announcements) {
+      ++sent[a.instance];
+    }
+  }
+  CHECK(sent.size() == 40);
+  for (const auto& [instance, count] : sent) {
+    CHECK(count > 5);
+  }
+}
+
+TEST_CASE(
+    "suspicions, lost entries and newer configurations are reported once") {
+  Gossip gossip(Options(3));
+  protocol::GossipMessage message;
+  message.from = ProcessId("entry-1");
+  message.entries = {{ProcessId("entry-1"), FailureDomain("zone-1"), 1, 1, {}}};
+  message.suspicions = {{42, {UpstreamId("u1")}, false}};
+  message.in_force = ConfigVersion{3};
+  CHECK(gossip.Receive(message, At(0)).size() == 3);
+  gossip.SetInForce(ConfigVersion{3});
+  CHECK(gossip.Receive(message, At(1)).empty());
+  CHECK(gossip.LiveEntries().size() == 1);
+  const GossipRound round = gossip.Tick(At(5001));
+  REQUIRE(round.events.size() == 1);
+  CHECK(std::get<EntryLost>(round.events[0]).process == ProcessId("entry-1"));
+  CHECK(gossip.LiveEntries().empty());
+  CHECK(gossip.Receive(message, At(5002)).empty());
+}
+
+}  // namespace
+}  // namespace rattanward::membership
