--- a/include/rattanward/domain/ids.h
+++ b/include/rattanward/domain/ids.h
@@ -21,6 +21,7 @@
   const std::string& str() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a defaulted comparison
   friend auto operator<=>(const Name&, const Name&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
     return out << name.value_;
