--- /dev/null
+++ b/apps/rattanward-load/main.cc
@@ -0,0 +1,193 @@
+#include <gflags/gflags.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "rattanward/adapter/announce_client.h"
+#include "rattanward/adapter/command_line.h"
+#include "rattanward/adapter/config_text.h"
+#include "rattanward/adapter/elastic_task_queue.h"
+#include "rattanward/load/caller.h"
+
+DEFINE_string(scenario, "", "path of the scenario (TOML)");
+DEFINE_string(entries, "", "entries' HTTP endpoints, ADDRESS:PORT,...");
+DEFINE_string(engines, "", "stand-in engines whose tokens are counted");
+DEFINE_string(services, "", "stand-in services whose runs are counted");
+DEFINE_string(label, "standard", "name of the run in the report");
+DEFINE_string(json, "", "file that gets the report as a line of JSON");
+DEFINE_uint32(threads, 1500, "requests that may be open at once");
+DEFINE_bool(check, false, "check the scenario, print the outcome and exit");
+
+namespace rattanward::load {
+namespace {
+
+using Clock = Caller::Clock;
+
+constexpr int kExitBadUsage = 2;
+constexpr int kExitWrongAnswers = 3;
+constexpr auto kPollPeriod = std::chrono::milliseconds(500);
+
+/// Reads the counts of upstreams over and over, since some may die.
+class UpstreamWatch {
+ public:
+  UpstreamWatch(std::vector<Endpoint> engines, std::vector<Endpoint> services)
+      : engines_(std::move(engines)), services_(std::move(services)) {
+    Poll();
+    first_ = tokens_;
+    thread_ = std::thread([this] {
+      while (!stopping_) {
+        std::this_thread::sleep_for(kPollPeriod);
+        Poll();
+      }
+    });
+  }
+  ~UpstreamWatch() {
+    stopping_ = true;
+    thread_.join();
+  }
+  UpstreamWatch(const UpstreamWatch&) = delete;
+  UpstreamWatch& operator=(const UpstreamWatch&) = delete;
+
+  UpstreamCounts Finish() {
+    Poll();
+    const std::lock_guard lock(mutex_);
+    UpstreamCounts counts;
+    for (const auto& [engine, tokens] : tokens_) {
+      counts.engine_tokens += tokens - first_[engine];
+    }
+    for (const Endpoint& service : services_) {
+      const auto runs = Read(service, "/runs");
+      for (const auto& [key, count] : runs.items()) {
+        counts.max_runs_of_key =
+            std::max(counts.max_runs_of_key, count.get<std::uint64_t>());
+      }
+    }
+    return counts;
+  }
+
+ private:
+  static nlohmann::json Read(const Endpoint& endpoint, const char* path) {
+    httplib::Client client(endpoint.address, endpoint.port);
+    client.set_connection_timeout(kPollPeriod);
+    client.set_read_timeout(kPollPeriod);
+    const auto answer = client.Get(path);
+    auto json =
+        nlohmann::json::parse(answer ? answer->body : "{}", nullptr, false);
+    return json.is_object() ? json : nlohmann::json::object();
+  }
+
+  void Poll() {
+    for (const Endpoint& engine : engines_) {
+      const auto stats = Read(engine, "/stats");
+      if (stats.contains("tokens")) {
+        const std::lock_guard lock(mutex_);
+        tokens_[engine] = stats["tokens"].get<std::uint64_t>();
+      }
+    }
+  }
+
+  std::vector<Endpoint> engines_;
+  std::vector<Endpoint> services_;
+  std::mutex mutex_;
+  std::map<Endpoint, std::uint64_t> tokens_;
+  std::map<Endpoint, std::uint64_t> first_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+std::vector<CallRecord> Send(const Scenario& scenario,
+                             const std::vector<PlannedRequest>& plan,
+                             const std::vector<Endpoint>& entries) {
+  std::vector<CallRecord> records(plan.size());
+  std::atomic<std::uint32_t> open{0};
+  adapter::ElasticTaskQueue pool(FLAGS_threads);
+  const auto start = Clock::now();
+  const Caller caller(scenario, entries, start);
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    records[i].planned = plan[i];
+    std::this_thread::sleep_until(start + plan[i].at);
+    if (open >= FLAGS_threads) {
+      continue;
+    }
+    ++open;
+    pool.enqueue([&, i] {
+      records[i] = caller.Call(plan[i], i);
+      --open;
+    });
+  }
+  while (open > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  pool.shutdown();
+  return records;
+}
+
+bool OnlyLoopback(const std::vector<Endpoint>& endpoints) {
+  return std::all_of(endpoints.begin(), endpoints.end(), [](const auto& e) {
+    return e.address.rfind("127.", 0) == 0 && e.port != 0;
+  });
+}
+
+Result<Scenario> LoadScenario() {
+  const auto text = adapter::ReadTextFile(FLAGS_scenario);
+  if (!text) {
+    return text.error();
+  }
+  return ParseScenario(text.value(), FLAGS_scenario);
+}
+
+int Run() {
+  const auto scenario = LoadScenario();
+  if (!scenario) {
+    std::cerr << scenario.error().message << "\n";
+    return kExitBadUsage;
+  }
+  const auto plan = PlanArrivals(scenario.value());
+  if (FLAGS_check) {
+    std::cout << "scenario is valid: " << plan.size() << " requests\n";
+    return 0;
+  }
+  const auto entries = adapter::ParseEndpoints(FLAGS_entries);
+  const auto engines = adapter::ParseEndpoints(FLAGS_engines);
+  const auto services = adapter::ParseEndpoints(FLAGS_services);
+  if (entries.empty() || !OnlyLoopback(entries) || !OnlyLoopback(engines) ||
+      !OnlyLoopback(services)) {
+    std::cerr << "--entries, --engines, --services: allowed are loopback "
+                 "endpoints such as 127.0.0.1:7001; entries are required\n";
+    return kExitBadUsage;
+  }
+  UpstreamWatch watch(engines, services);
+  const auto records = Send(scenario.value(), plan, entries);
+  const LoadReport report =
+      MakeReport(scenario.value(), FLAGS_label, records, watch.Finish());
+  std::cout << ToTable(report);
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json, std::ios::app) << ToJson(report) << "\n";
+  }
+  const bool wrong = report.wrong_answers > 0 || report.max_runs_of_key > 1;
+  return wrong ? kExitWrongAnswers : 0;
+}
+
+}  // namespace
+}  // namespace rattanward::load
+
+int main(int argc, char** argv) {
+  const rattanward::adapter::ProgramInfo info{
+      "rattanward-load", RATTANWARD_VERSION,
+      "rattanward-load --scenario FILE --entries ADDRESS:PORT,...\n"
+      "Sends an open-loop load to entries on this machine and reports it by\n"
+      "class. Exit: 0 sent, 2 bad usage, 3 a wrong or doubled answer."};
+  if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  return rattanward::load::Run();
+}
--- /dev/null
+++ b/src/load/caller.cc
@@ -0,0 +1,263 @@
+#include "rattanward/load/caller.h"
+
+#include <httplib.h>
+
+#include <nlohmann/json.hpp>
+
+namespace rattanward::load {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto kConnectTimeout = std::chrono::seconds(2);
+constexpr auto kReadTimeout = std::chrono::seconds(60);
+constexpr int kOk = 200;
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDataField = "data: ";
+constexpr std::string_view kDone = "[DONE]";
+
+Verdict ParseVerdict(const std::string& text) {
+  if (text == ToString(Verdict::kNotRun)) {
+    return Verdict::kNotRun;
+  }
+  return text == ToString(Verdict::kRan) ? Verdict::kRan : Verdict::kMayHaveRun;
+}
+
+std::string Prompt(const CallerLoad& load, std::uint32_t number) {
+  std::string text = "case " + std::to_string(number) + " of " +
+                     load.request_class.str() + ": ";
+  text.resize(std::max<std::size_t>(load.prompt_bytes, text.size()), 'x');
+  return text;
+}
+
+std::string Body(const Scenario& scenario, const CallerLoad& load,
+                 const PlannedRequest& planned) {
+  if (!load.service.empty()) {
+    return Json({{"case", planned.prompt}}).dump();
+  }
+  const Json message = {{"role", "user"},
+                        {"content", Prompt(load, planned.prompt)}};
+  return Json({{"model", scenario.model.str()},
+               {"stream", load.streamed},
+               {"max_tokens", planned.output_tokens},
+               {"messages", Json::array({message})}})
+      .dump();
+}
+
+int ErrorNumber(const Json& json) {
+  const Json error = json.is_object() ? json.value("error", Json()) : Json();
+  return error.is_object() ? error.value("code", -1) : -1;
+}
+
+}  // namespace
+
+std::uint32_t StreamReader::Take(std::string_view bytes) {
+  const std::uint32_t before = tokens_;
+  buffer_ += bytes;
+  std::size_t start = 0;
+  for (std::size_t end = buffer_.find(kEventEnd); end != std::string::npos;
+       end = buffer_.find(kEventEnd, start)) {
+    const std::size_t data = buffer_.find(kDataField, start);
+    if (data < end) {
+      TakeEvent(buffer_.substr(data + kDataField.size(),
+                               end - data - kDataField.size()));
+    }
+    start = end + kEventEnd.size();
+  }
+  buffer_.erase(0, start);
+  return tokens_ - before;
+}
+
+void StreamReader::TakeEvent(const std::string& data) {
+  wrong_ = wrong_ || done_;  // nothing may follow the end marker
+  if (data == kDone) {
+    done_ = true;
+    return;
+  }
+  const Json json = Json::parse(data, nullptr, false);
+  if (json.is_object() && json.contains("error")) {
+    error_ = ErrorNumber(json);
+    verdict_ = ParseVerdict(json["error"].value("verdict", std::string()));
+    return;
+  }
+  if (!json.is_object() || !json.contains("choices")) {
+    wrong_ = true;
+    return;
+  }
+  const Json delta = json["choices"].at(0).value("delta", Json::object());
+  if (delta.contains("content")) {
+    ++tokens_;
+    CheckToken(delta["content"].get<std::string>());
+  }
+}
+
+void StreamReader::CheckToken(const std::string& content) {
+  if (!request_.empty() &&
+      content != request_ + ":" + std::to_string(tokens_) + " ") {
+    wrong_ = true;
+  }
+}
+
+/// One request on its way.
+struct Caller::Exchange {
+  const CallerLoad& load;
+  std::size_t number;
+  std::string body;
+  CallRecord record;
+  Duration last_token{0};
+
+  void NoteTokens(Duration now, std::uint32_t tokens) {
+    if (tokens > 0 && !record.first_token) {
+      record.first_token = now;
+    }
+    record.tokens += tokens;
+    last_token = tokens > 0 ? now : last_token;
+  }
+
+  void Finish(Duration now) {
+    record.total = now;
+    if (record.tokens > 1) {
+      record.between_tokens =
+          (last_token - *record.first_token) / (record.tokens - 1);
+    }
+  }
+};
+
+Caller::Caller(const Scenario& scenario, std::vector<Endpoint> entries,
+               Clock::time_point start)
+    : scenario_(scenario), entries_(std::move(entries)), start_(start) {}
+
+Duration Caller::Since(Duration planned) const {
+  return std::chrono::duration_cast<Duration>(Clock::now() - start_) - planned;
+}
+
+CallRecord Caller::Call(const PlannedRequest& planned,
+                        std::size_t number) const {
+  const CallerLoad& load = scenario_.callers[planned.caller];
+  Exchange exchange{load, number, Body(scenario_, load, planned), {}, {}};
+  exchange.record.planned = planned;
+  exchange.record.late = Since(planned.at);
+  exchange.record.end = CallEnd::kNoConnection;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (Send(exchange, entries_[(number + i) % entries_.size()])) {
+      break;
+    }
+  }
+  exchange.Finish(Since(planned.at));
+  return exchange.record;
+}
+
+namespace {
+
+httplib::Request MakeRequest(const CallerLoad& load, std::size_t number,
+                             const std::string& name) {
+  httplib::Request request;
+  request.method = "POST";
+  request.path = load.service.empty()
+                     ? "/v1/chat/completions"
+                     : "/services/" + load.service.str() + "/assign";
+  request.set_header("Authorization", "Bearer " + load.key);
+  request.set_header("Content-Type", "application/json");
+  request.set_header("X-Request-Class", load.request_class.str());
+  const std::string id = name + "-" + std::to_string(number);
+  request.set_header("X-Request-Id", id);
+  if (!load.service.empty()) {
+    request.set_header("Idempotency-Key", id);
+  }
+  return request;
+}
+
+bool NeverConnected(httplib::Error error) {
+  return error == httplib::Error::Connection ||
+         error == httplib::Error::ConnectionTimeout;
+}
+
+/// Fills the record of an answer that did not come as a stream.
+void NoteWhole(const std::string& body, bool service, Duration now,
+               CallRecord& record) {
+  record.end = CallEnd::kWhole;
+  record.verdict = Verdict::kRan;
+  record.first_token = now;
+  if (service) {
+    return;
+  }
+  const Json json = Json::parse(body, nullptr, false);
+  const bool readable = json.is_object() && json.contains("usage");
+  record.tokens = readable ? json["usage"].value("completion_tokens", 0U) : 0;
+  record.wrong_answer = record.tokens != record.planned.output_tokens;
+}
+
+void NoteStream(const StreamReader& reader, CallRecord& record) {
+  record.wrong_answer = reader.wrong();
+  record.verdict = reader.verdict();
+  if (reader.error() != 0) {
+    record.end = CallEnd::kError;
+    record.error = reader.error();
+  } else if (reader.done()) {
+    record.end = CallEnd::kWhole;
+    record.wrong_answer =
+        reader.wrong() || record.tokens != record.planned.output_tokens;
+  } else {
+    record.end = CallEnd::kBroken;
+  }
+}
+
+void NoteError(const httplib::Response& answer, const std::string& body,
+               CallRecord& record) {
+  record.end = CallEnd::kError;
+  record.error = ErrorNumber(Json::parse(body, nullptr, false));
+  record.verdict =
+      ParseVerdict(answer.get_header_value("X-Rattanward-Verdict"));
+}
+
+}  // namespace
+
+bool Caller::Send(Exchange& exchange, const Endpoint& entry) const {
+  httplib::Client client(entry.address, entry.port);
+  client.set_connection_timeout(kConnectTimeout);
+  client.set_read_timeout(kReadTimeout);
+  client.set_tcp_nodelay(true);
+  httplib::Request request =
+      MakeRequest(exchange.load, exchange.number, scenario_.name);
+  request.body = exchange.body;
+  CallRecord& record = exchange.record;
+  httplib::Response head;
+  StreamReader reader("");
+  std::string body;
+  const bool streamed = exchange.load.service.empty() && exchange.load.streamed;
+  request.response_handler = [&](const httplib::Response& answer) {
+    head.status = answer.status;
+    head.headers = answer.headers;
+    reader = StreamReader(answer.get_header_value("X-Rattanward-Request"));
+    return true;
+  };
+  request.content_receiver = [&](const char* data, std::size_t size,
+                                 std::uint64_t, std::uint64_t) {
+    if (streamed && head.status == kOk) {
+      exchange.NoteTokens(Since(record.planned.at), reader.Take({data, size}));
+    } else {
+      body.append(data, size);
+    }
+    return true;
+  };
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  const bool sent = client.send(request, response, error);
+  if (!sent && NeverConnected(error)) {
+    return false;
+  }
+  if (streamed && head.status == kOk) {
+    NoteStream(reader, record);
+  } else if (!sent) {
+    record.end = CallEnd::kBroken;
+    record.verdict = Verdict::kMayHaveRun;
+  } else if (head.status == kOk) {
+    NoteWhole(body, !exchange.load.service.empty(), Since(record.planned.at),
+              record);
+  } else {
+    NoteError(head, body, record);
+  }
+  return true;
+}
+
+}  // namespace rattanward::load
--- /dev/null
+++ b/tests/src/unit-load.cc
@@ -0,0 +1,218 @@
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <filesystem>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "rattanward/adapter/config_text.h"
+#include "rattanward/load/caller.h"
+#include "rattanward/load/report.h"
+#include "rattanward/load/scenario.h"
+
+namespace rattanward::load {
+namespace {
+
+constexpr const char* kScenario = R"(name = "steady"
+model = "small"
+duration_s = 60
+warmup_s = 10
+max_requests = 5000
+
+[[callers]]
+class = "gate"
+key = "some-key"
+requests_per_minute = 600
+output_tokens_median = 40
+output_tokens_p95 = 160
+output_tokens_max = 400
+first_token_target_ms = 500
+
+[[callers.bursts]]
+at_s = 20
+duration_s = 10
+requests_per_minute = 1200
+)";
+
+Scenario LoadScenario() {
+  const auto scenario = ParseScenario(kScenario, "s.toml");
+  REQUIRE_MESSAGE(scenario.has_value(), scenario.error().message);
+  return scenario.value();
+}
+
+CallRecord Whole(int planned_s, int first_ms, std::uint32_t tokens) {
+  CallRecord record;
+  record.planned.at = std::chrono::seconds(planned_s);
+  record.planned.output_tokens = tokens;
+  record.end = CallEnd::kWhole;
+  record.first_token = std::chrono::milliseconds(first_ms);
+  record.tokens = tokens;
+  return record;
+}
+
+std::string Event(const std::string& content) {
+  return "data: {\"choices\":[{\"delta\":{\"content\":\"" + content +
+         "\"}}]}\n\n";
+}
+
+/// An entry that answers every completion with two tokens.
+class OneEntry {
+ public:
+  OneEntry() {
+    server_.Post("/v1/chat/completions", [](const auto& request, auto& answer) {
+      if (request.get_header_value("Authorization") != "Bearer some-key") {
+        answer.status = 503;
+        answer.set_header("X-Rattanward-Verdict", "not-run");
+        answer.set_content("{\"error\":{\"code\":2001}}", "application/json");
+        return;
+      }
+      answer.set_header("X-Rattanward-Request", "r1");
+      answer.set_content(Event("r1:1 ") + Event("r1:2 ") + "data: [DONE]\n\n",
+                         "text/event-stream");
+    });
+    port_ = server_.bind_to_any_port("127.0.0.1");
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+  }
+  ~OneEntry() {
+    server_.stop();
+    thread_.join();
+  }
+  OneEntry(const OneEntry&) = delete;
+  OneEntry& operator=(const OneEntry&) = delete;
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", static_cast<std::uint16_t>(port_)};
+  }
+
+ private:
+  httplib::Server server_;
+  int port_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace
+
+TEST_CASE("a plan follows the seed, the rates and the bounds") {
+  const Scenario scenario = LoadScenario();
+  const auto plan = PlanArrivals(scenario);
+  CHECK(plan == PlanArrivals(scenario));
+  // 600 expected from the base rate and 200 from the burst.
+  CHECK(plan.size() == doctest::Approx(800).epsilon(0.15));
+  std::size_t in_burst = 0;
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    CHECK((i == 0 || plan[i - 1].at <= plan[i].at));
+    CHECK(plan[i].output_tokens >= 1);
+    CHECK(plan[i].output_tokens <= 400);
+    in_burst += plan[i].at >= std::chrono::seconds(20) &&
+                        plan[i].at < std::chrono::seconds(30)
+                    ? 1
+                    : 0;
+  }
+  CHECK(in_burst == doctest::Approx(300).epsilon(0.2));
+  Scenario bounded = scenario;
+  bounded.max_requests = 10;
+  CHECK(PlanArrivals(bounded).size() == 10);
+}
+
+TEST_CASE("mistakes in a scenario are named") {
+  const std::string text(kScenario);
+  const auto unknown = ParseScenario(text + "rate = 1\n", "s.toml");
+  REQUIRE(unknown.has_error());
+  CHECK(unknown.error().message.find("callers[0].bursts[0].rate") !=
+        std::string::npos);
+  CHECK(ParseScenario("name = \"x\"", "s.toml").has_error());
+}
+
+TEST_CASE("the bench's scenarios load") {
+  const std::string folder =
+      std::string(RATTANWARD_SOURCE_DIR) + "/bench/scenarios";
+  std::size_t count = 0;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    const auto text = adapter::ReadTextFile(file.path().string());
+    const auto scenario =
+        ParseScenario(text.value(), file.path().filename().string());
+    CHECK_MESSAGE(scenario.has_value(), scenario.error().message);
+    ++count;
+  }
+  CHECK(count >= 3);
+}
+
+TEST_CASE("a report counts attainment, goodput and waste") {
+  const Scenario scenario = LoadScenario();
+  CallRecord shed = Whole(30, 0, 0);
+  shed.end = CallEnd::kError;
+  shed.first_token.reset();
+  CallRecord broken = Whole(31, 100, 7);
+  broken.end = CallEnd::kBroken;
+  broken.verdict = Verdict::kRan;
+  const std::vector<CallRecord> records = {
+      Whole(5, 100, 50), Whole(20, 400, 40), Whole(21, 600, 30), shed, broken};
+  const LoadReport report = MakeReport(scenario, "standard", records, {140, 1});
+  REQUIRE(report.classes.size() == 1);
+  const ClassReport& gate = report.classes[0];
+  CHECK(gate.sent == 4);
+  CHECK(gate.whole == 2);
+  CHECK(gate.met == 1);
+  CHECK(gate.not_run == 1);
+  CHECK(gate.broken == 1);
+  CHECK(gate.Attainment() == doctest::Approx(0.25));
+  CHECK(gate.first_token_p50 == std::chrono::milliseconds(400));
+  CHECK(gate.first_token_p99 == std::chrono::milliseconds(600));
+  CHECK(report.Goodput() == doctest::Approx(40.0 / 50.0));
+  CHECK(report.wasted_tokens == 20);
+  std::istringstream table(ToTable(report));
+  for (std::string line; std::getline(table, line);) {
+    CHECK_MESSAGE(line.size() <= 40, line);
+  }
+  CHECK(ToJson(report).find("\"wasted_tokens\":20") != std::string::npos);
+}
+
+TEST_CASE("a streamed answer is read over any split of its bytes") {
+  const std::string text = Event("r1:1 ") + Event("r1:2 ") + "data: [DONE]\n\n";
+  for (std::size_t split = 1; split < text.size(); ++split) {
+    StreamReader reader("r1");
+    const std::uint32_t tokens =
+        reader.Take(text.substr(0, split)) + reader.Take(text.substr(split));
+    CHECK(tokens == 2);
+    CHECK(reader.done());
+    CHECK_FALSE(reader.wrong());
+  }
+}
+
+TEST_CASE("a foreign, missing or repeated token is a wrong answer") {
+  for (const std::string& text :
+       {Event("r2:1 "), Event("r1:2 "), Event("r1:1 ") + Event("r1:1 "),
+        "data: [DONE]\n\n" + Event("r1:1 "), std::string("data: x\n\n")}) {
+    StreamReader reader("r1");
+    reader.Take(text);
+    CHECK_MESSAGE(reader.wrong(), text);
+  }
+  StreamReader reader("r1");
+  reader.Take("data: {\"error\":{\"code\":3005,\"verdict\":\"ran\"}}\n\n");
+  CHECK(reader.error() == 3005);
+  CHECK(reader.verdict() == Verdict::kRan);
+}
+
+TEST_CASE("a call passes over a dead entry and notes what it got") {
+  const OneEntry entry;
+  Scenario scenario = LoadScenario();
+  const auto start = Caller::Clock::now();
+  const Endpoint dead{"127.0.0.1", 1};
+  const Caller caller(scenario, {dead, entry.endpoint()}, start);
+  const CallRecord whole = caller.Call({Duration(0), 0, 2, 0}, 0);
+  CHECK(whole.end == CallEnd::kWhole);
+  CHECK(whole.tokens == 2);
+  CHECK_FALSE(whole.wrong_answer);
+  const CallRecord cut = caller.Call({Duration(0), 0, 3, 0}, 0);
+  CHECK(cut.wrong_answer);
+  scenario.callers[0].key = "other";
+  const CallRecord refused = caller.Call({Duration(0), 0, 2, 0}, 1);
+  CHECK(refused.end == CallEnd::kError);
+  CHECK(refused.error == 2001);
+  CHECK(refused.verdict == Verdict::kNotRun);
+  const Caller lonely(scenario, {dead}, start);
+  CHECK(lonely.Call({Duration(0), 0, 2, 0}, 0).end == CallEnd::kNoConnection);
+}
+
+}  // namespace rattanward::load
