--- a/include/rattanward/domain/ids.h
+++ b/include/rattanward/domain/ids.h
@@ -21,8 +21,6 @@
   const std::string& str() const { return value_; }
   bool empty() const { return value_.empty(); }
 
-  // clang-tidy 14 takes a rewritten comparison for a null pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Name&, const Name&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
     return out << name.value_;
@@ -70,6 +68,7 @@
   std::string address;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a defaulted comparison
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
