--- a/include/rattanward/domain/ids.h
+++ b/include/rattanward/domain/ids.h
@@ -68,7 +68,6 @@
   std::string address;
   std::uint16_t port = 0;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): a defaulted comparison
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
