Add rattanward-control and rattanctl

Three control processes on loopback find each other by hello, start a new cluster only if every initial voter's folder is blank, elect a leader and commit what rattanctl applies. Followers pass operator calls on to the leader.

--- /dev/null
+++ b/apps/rattanctl/main.cc
@@ -0,0 +1,401 @@
+#include <gflags/gflags.h>
+#include <google/protobuf/util/json_util.h>
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "control_addresses.h"
+#include "exit_codes.h"
+#include "rattanward/adapter/command_line.h"
+#include "rattanward/adapter/config_text.h"
+#include "text_output.h"
+
+DEFINE_string(
+    control, "",
+    "operator addresses of control VMs, a,b,c; else the environment's "
+    "RATTANWARD_CONTROL");
+DEFINE_string(token, "",
+              "operator token; better given by --token_file or the "
+              "environment's RATTANWARD_TOKEN");
+DEFINE_string(token_file, "", "file that holds the operator token");
+DEFINE_string(expect, "", "version that is to be replaced (config apply)");
+DEFINE_string(command_id, "", "id under which a resend is safe; else made");
+DEFINE_string(endpoint, "", "peer address of a control VM (voter)");
+DEFINE_int32(wait, 5, "seconds to wait for in force, or for a repair");
+DEFINE_int32(timeout, 10, "seconds to try for an answer");
+DEFINE_bool(json, false, "print JSON, for scripts");
+
+namespace rattanward {
+namespace {
+
+using Arguments = std::vector<std::string>;
+
+constexpr char kUsage[] =
+    "Usage: rattanctl COMMAND [FLAGS]\n"
+    "  config apply FILE --expect VERSION\n"
+    "  config validate FILE\n"
+    "  config diff FILE\n"
+    "  config show [VERSION]\n"
+    "  config history\n"
+    "  config status [VERSION]\n"
+    "  upstream list | drain ID | undrain ID\n"
+    "  voter list | remove ID\n"
+    "  voter add --endpoint ADDRESS\n"
+    "  voter repair LOST_ID --endpoint ADDRESS\n"
+    "  quarantine list | clear FINGERPRINT\n"
+    "  vm forget NAME\n"
+    "  status\n"
+    "  events watch";
+
+std::string FromEnvironment(const std::string& flag, const char* name) {
+  const char* value = std::getenv(name);
+  return flag.empty() && value != nullptr ? value : flag;
+}
+
+std::string RandomCommandId() {
+  std::random_device random;
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr int kLength = 16;
+  std::string id;
+  for (int i = 0; i < kLength; ++i) {
+    id.push_back(kDigits[random() % kDigits.size()]);
+  }
+  return id;
+}
+
+/// The command id of this run; printed first, so that it is known even if the
+/// answer is lost.
+std::string TakeCommandId() {
+  const std::string id =
+      FLAGS_command_id.empty() ? RandomCommandId() : FLAGS_command_id;
+  std::cerr << "command id: " << id << "\n";
+  return id;
+}
+
+std::uint32_t WaitMilliseconds() {
+  return static_cast<std::uint32_t>(std::max(FLAGS_wait, 0)) * 1000;
+}
+
+Duration Patience() { return std::chrono::seconds(std::max(FLAGS_wait, 0)); }
+
+int Fail(const Error& error) {
+  if (FLAGS_json) {
+    v1::OutcomeReply reply;
+    reply.mutable_outcome()->set_error(static_cast<int>(error.code));
+    reply.mutable_outcome()->set_message(error.message);
+    std::string json;
+    (void)google::protobuf::util::MessageToJsonString(reply, &json);
+    std::cout << json << "\n";
+  } else {
+    std::cerr << "error " << static_cast<int>(error.code) << " "
+              << ErrorName(error.code) << "\n"
+              << error.message << "\n";
+  }
+  return ExitCodeFor(error.code);
+}
+
+template <class Reply>
+void PrintReply(const Reply& reply) {
+  if (!FLAGS_json) {
+    Print(reply);
+    return;
+  }
+  google::protobuf::util::JsonPrintOptions options;
+  options.always_print_primitive_fields = true;
+  options.preserve_proto_field_names = true;
+  std::string json;
+  (void)google::protobuf::util::MessageToJsonString(reply, &json, options);
+  std::cout << json << std::endl;
+}
+
+/// Sends a call, prints the reply or the error, and gives the exit code.
+template <class Request>
+int Run(const ControlAddresses& control, const Request& call,
+        Duration patience = Duration(0)) {
+  const auto reply = control.Call(call, patience);
+  if (!reply) {
+    return Fail(reply.error());
+  }
+  const v1::Outcome& outcome = reply.value().outcome();
+  if (outcome.error() != 0) {
+    return Fail(
+        MakeError(static_cast<ErrorCode>(outcome.error()), outcome.message()));
+  }
+  PrintReply(reply.value());
+  return kExitAccepted;
+}
+
+int RunConfigState(const ControlAddresses& control, const auto& call,
+                   Duration patience) {
+  const auto reply = control.Call(call, patience);
+  if (!reply || reply.value().outcome().error() != 0) {
+    return reply ? Fail(MakeError(
+                       static_cast<ErrorCode>(reply.value().outcome().error()),
+                       reply.value().outcome().message()))
+                 : Fail(reply.error());
+  }
+  PrintReply(reply.value());
+  return reply.value().accepted() ? kExitAccepted : kExitPending;
+}
+
+Result<std::uint64_t> ParseNumber(const std::string& text,
+                                  const std::string& what) {
+  std::uint64_t value = 0;
+  std::istringstream in(text);
+  if (text.empty() || text[0] == '-' || !(in >> value) || !in.eof()) {
+    return MakeError(ErrorCode::kMalformedMessage,
+                     what + " must be a number, not \"" + text + "\"");
+  }
+  return value;
+}
+
+int ConfigApply(const ControlAddresses& control, const Arguments& args) {
+  const auto text = adapter::ReadTextFile(args[0]);
+  if (!text) {
+    return Fail(text.error());
+  }
+  const auto parsed = adapter::ParseConfigText(text.value(), args[0]);
+  if (!parsed) {
+    return Fail(parsed.error());
+  }
+  const auto expected = ParseNumber(FLAGS_expect, "--expect");
+  if (!expected) {
+    return Fail(expected.error());
+  }
+  v1::ApplyConfigRequest call;
+  call.set_command_id(TakeCommandId());
+  call.set_expected_version(expected.value());
+  call.set_toml(text.value());
+  call.set_wait_ms(WaitMilliseconds());
+  return RunConfigState(control, call, Patience());
+}
+
+int ConfigValidate(const ControlAddresses&, const Arguments& args) {
+  const auto text = adapter::ReadTextFile(args[0]);
+  const auto parsed = text ? adapter::ParseConfigText(text.value(), args[0])
+                           : Result<Config>(text.error());
+  if (!parsed) {
+    return Fail(parsed.error());
+  }
+  PrintReply(v1::OutcomeReply());
+  return kExitAccepted;
+}
+
+int ConfigDiff(const ControlAddresses& control, const Arguments& args) {
+  const auto text = adapter::ReadTextFile(args[0]);
+  const auto newest = control.Call(v1::ShowConfigRequest());
+  if (!text || !newest) {
+    return Fail(text ? newest.error() : text.error());
+  }
+  std::cout << "--- version " << newest.value().version() << "\n+++ " << args[0]
+            << "\n"
+            << DiffLines(newest.value().toml(), text.value());
+  return kExitAccepted;
+}
+
+int ConfigShow(const ControlAddresses& control, const Arguments& args) {
+  const auto version = ParseNumber(args.empty() ? "0" : args[0], "the version");
+  if (!version) {
+    return Fail(version.error());
+  }
+  v1::ShowConfigRequest call;
+  call.set_version(version.value());
+  return Run(control, call);
+}
+
+int ConfigHistory(const ControlAddresses& control, const Arguments&) {
+  return Run(control, v1::ConfigHistoryRequest());
+}
+
+int ConfigStatus(const ControlAddresses& control, const Arguments& args) {
+  const auto version = ParseNumber(args.empty() ? "0" : args[0], "the version");
+  if (!version) {
+    return Fail(version.error());
+  }
+  v1::ConfigStatusRequest call;
+  call.set_version(version.value());
+  return RunConfigState(control, call, Duration(0));
+}
+
+int UpstreamList(const ControlAddresses& control, const Arguments&) {
+  return Run(control, v1::ListUpstreamsRequest());
+}
+
+int SetDrained(const ControlAddresses& control, const std::string& upstream,
+               bool drained) {
+  v1::DrainUpstreamRequest call;
+  call.set_command_id(TakeCommandId());
+  call.set_upstream(upstream);
+  call.set_drained(drained);
+  return Run(control, call);
+}
+
+int UpstreamDrain(const ControlAddresses& control, const Arguments& args) {
+  return SetDrained(control, args[0], true);
+}
+
+int UpstreamUndrain(const ControlAddresses& control, const Arguments& args) {
+  return SetDrained(control, args[0], false);
+}
+
+int VoterList(const ControlAddresses& control, const Arguments&) {
+  return Run(control, v1::ListVotersRequest());
+}
+
+int VoterAdd(const ControlAddresses& control, const Arguments&) {
+  v1::AddVoterRequest call;
+  call.set_endpoint(FLAGS_endpoint);
+  call.set_wait_ms(WaitMilliseconds());
+  return Run(control, call, Patience());
+}
+
+int VoterRemove(const ControlAddresses& control, const Arguments& args) {
+  v1::RemoveVoterRequest call;
+  call.set_voter(args[0]);
+  return Run(control, call);
+}
+
+int VoterRepair(const ControlAddresses& control, const Arguments& args) {
+  v1::RepairVoterRequest call;
+  call.set_lost_voter(args[0]);
+  call.set_endpoint(FLAGS_endpoint);
+  call.set_wait_ms(WaitMilliseconds());
+  const auto reply = control.Call(call, Patience());
+  if (!reply || reply.value().outcome().error() != 0) {
+    return reply ? Fail(MakeError(
+                       static_cast<ErrorCode>(reply.value().outcome().error()),
+                       reply.value().outcome().message()))
+                 : Fail(reply.error());
+  }
+  PrintReply(reply.value());
+  return reply.value().complete() ? kExitAccepted : kExitPending;
+}
+
+int QuarantineList(const ControlAddresses& control, const Arguments&) {
+  return Run(control, v1::ListQuarantineRequest());
+}
+
+int QuarantineClear(const ControlAddresses& control, const Arguments& args) {
+  const auto fingerprint = ParseNumber(args[0], "the fingerprint");
+  if (!fingerprint) {
+    return Fail(fingerprint.error());
+  }
+  v1::ClearQuarantineRequest call;
+  call.set_command_id(TakeCommandId());
+  call.set_fingerprint(fingerprint.value());
+  return Run(control, call);
+}
+
+int VmForget(const ControlAddresses& control, const Arguments& args) {
+  v1::ForgetVmRequest call;
+  call.set_command_id(TakeCommandId());
+  call.set_vm(args[0]);
+  return Run(control, call);
+}
+
+int ShowStatus(const ControlAddresses& control, const Arguments&) {
+  return Run(control, v1::StatusRequest());
+}
+
+int EventsWatch(const ControlAddresses& control, const Arguments&) {
+  const Status status = control.Watch([](const v1::EventLine& line) {
+    PrintReply(line);
+    return true;
+  });
+  return status ? kExitAccepted : Fail(status.error());
+}
+
+struct Command {
+  std::function<int(const ControlAddresses&, const Arguments&)> run;
+  std::size_t min_arguments = 0;
+  std::size_t max_arguments = 0;
+};
+
+const std::map<std::string, Command>& Commands() {
+  static const auto& commands = *new std::map<std::string, Command>{
+      {"config apply", {ConfigApply, 1, 1}},
+      {"config validate", {ConfigValidate, 1, 1}},
+      {"config diff", {ConfigDiff, 1, 1}},
+      {"config show", {ConfigShow, 0, 1}},
+      {"config history", {ConfigHistory, 0, 0}},
+      {"config status", {ConfigStatus, 0, 1}},
+      {"upstream list", {UpstreamList, 0, 0}},
+      {"upstream drain", {UpstreamDrain, 1, 1}},
+      {"upstream undrain", {UpstreamUndrain, 1, 1}},
+      {"voter list", {VoterList, 0, 0}},
+      {"voter add", {VoterAdd, 0, 0}},
+      {"voter remove", {VoterRemove, 1, 1}},
+      {"voter repair", {VoterRepair, 1, 1}},
+      {"quarantine list", {QuarantineList, 0, 0}},
+      {"quarantine clear", {QuarantineClear, 1, 1}},
+      {"vm forget", {VmForget, 1, 1}},
+      {"status", {ShowStatus, 0, 0}},
+      {"events watch", {EventsWatch, 0, 0}},
+  };
+  return commands;
+}
+
+std::vector<std::string> SplitAddresses(const std::string& text) {
+  std::vector<std::string> addresses;
+  std::istringstream in(text);
+  for (std::string address; std::getline(in, address, ',');) {
+    if (!address.empty()) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+Result<std::string> OperatorToken() {
+  if (FLAGS_token_file.empty()) {
+    return FromEnvironment(FLAGS_token, "RATTANWARD_TOKEN");
+  }
+  auto text = adapter::ReadTextFile(FLAGS_token_file);
+  if (text) {
+    while (!text.value().empty() && text.value().back() == '\n') {
+      text.value().pop_back();
+    }
+  }
+  return text;
+}
+
+int Main(Arguments words) {
+  std::string name;
+  auto found = Commands().end();
+  while (!words.empty() && found == Commands().end()) {
+    name += (name.empty() ? "" : " ") + words.front();
+    words.erase(words.begin());
+    found = Commands().find(name);
+  }
+  if (found == Commands().end() || words.size() < found->second.min_arguments ||
+      words.size() > found->second.max_arguments) {
+    std::cerr << kUsage << "\n";
+    return kExitUsage;
+  }
+  const auto token = OperatorToken();
+  if (!token) {
+    return Fail(token.error());
+  }
+  const ControlAddresses control(
+      SplitAddresses(FromEnvironment(FLAGS_control, "RATTANWARD_CONTROL")),
+      token.value(), std::chrono::seconds(std::max(FLAGS_timeout, 1)));
+  return found->second.run(control, words);
+}
+
+}  // namespace
+}  // namespace rattanward
+
+int main(int argc, char** argv) {
+  const rattanward::adapter::ProgramInfo info{"rattanctl", RATTANWARD_VERSION,
+                                              rattanward::kUsage};
+  if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
+    return 0;
+  }
+  return rattanward::Main({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/apps/rattanward-control/main.cc
@@ -0,0 +1,136 @@
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "rattanward/adapter/command_line.h"
+#include "rattanward/adapter/daemon_flags.h"
+#include "rattanward/adapter/event_log.h"
+#include "rattanward/adapter/file_log_storage.h"
+#include "rattanward/adapter/settings.h"
+#include "rattanward/control/control_daemon.h"
+#include "rattanward/rpc/control_calls.h"
+#include "rattanward/rpc/event_feed.h"
+#include "rattanward/rpc/operator_server.h"
+
+namespace rattanward {
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotListen = 3;
+constexpr int kExitStorage = 4;
+
+int Complain(const Error& error, int code) {
+  std::cerr << "rattanward-control: " << static_cast<int>(error.code) << " "
+            << ErrorName(error.code) << ": " << error.message << "\n";
+  return code;
+}
+
+/// Everything that the settings name, read and checked.
+struct Inputs {
+  adapter::ControlSettings settings;
+  std::string secret;
+  std::string token;
+  std::shared_ptr<adapter::EventLog> log;
+};
+
+Result<Inputs> ReadInputs() {
+  Inputs inputs;
+  auto settings = adapter::LoadControlSettings(FLAGS_settings);
+  if (!settings) {
+    return settings.error();
+  }
+  inputs.settings = std::move(settings.value());
+  auto secret = adapter::ReadSecret(inputs.settings.shared_secret);
+  auto token = adapter::ReadSecret(inputs.settings.operator_token);
+  if (!secret || !token) {
+    return secret ? token.error() : secret.error();
+  }
+  inputs.secret = std::move(secret.value());
+  inputs.token = std::move(token.value());
+  if (FLAGS_check) {
+    return inputs;
+  }
+  auto log = adapter::EventLog::Open(inputs.settings.identity,
+                                     inputs.settings.log_file);
+  if (!log) {
+    return log.error();
+  }
+  inputs.log = std::move(log.value());
+  return inputs;
+}
+
+int Serve(const Inputs& inputs, adapter::FileLogStorage storage) {
+  asio::io_context io(1);
+  rpc::EventFeed feed;
+  const auto sink = adapter::MakeEventSink(inputs.log);
+  const auto events = [sink, &feed](const Event& event) {
+    sink(event);
+    feed.Publish(event);
+  };
+  events({EventId::kProcessStarted, {}});
+  if (storage.cut_bytes() > 0) {
+    events({EventId::kTornTailCut,
+            {{"bytes", std::to_string(storage.cut_bytes())}}});
+  }
+  control::ControlDaemon daemon(io, inputs.settings, inputs.secret,
+                                std::move(storage), events);
+  rpc::ControlCalls calls(daemon, feed);
+  rpc::OperatorServer server(calls, inputs.token);
+  Status started = daemon.Start();
+  if (started) {
+    started = server.Start(inputs.settings.operator_listen);
+  }
+  if (!started) {
+    return Complain(started.error(), kExitCannotListen);
+  }
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const asio::error_code& error, int) {
+    if (!error) {
+      events({EventId::kShutdownStarted, {}});
+      daemon.Stop();
+    }
+  });
+  events({EventId::kProcessReady, {}});
+  io.run();
+  feed.Close();
+  server.Stop();
+  if (daemon.failure()) {
+    return Complain(*daemon.failure(), kExitStorage);
+  }
+  events({EventId::kProcessStopped, {}});
+  return 0;
+}
+
+int Main() {
+  const auto inputs = ReadInputs();
+  if (!inputs) {
+    return Complain(inputs.error(), kExitBadSettings);
+  }
+  if (FLAGS_check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  auto storage =
+      adapter::FileLogStorage::Open(inputs.value().settings.data_folder);
+  if (!storage) {
+    return Complain(storage.error(), kExitStorage);
+  }
+  return Serve(inputs.value(), std::move(storage.value()));
+}
+
+}  // namespace
+}  // namespace rattanward
+
+int main(int argc, char** argv) {
+  const rattanward::adapter::ProgramInfo info{
+      "rattanward-control", RATTANWARD_VERSION,
+      "Usage: rattanward-control --settings control.toml\n"
+      "One control VM: replicated log, ledger and operator RPC."};
+  if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
+    return 0;
+  }
+  return rattanward::Main();
+}
--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <atomic>
 #include <functional>
-#include <memory>
+#include <optional>
 #include <string>
 
 #include "rattanward/adapter/asio_timer_service.h"
@@ -39,6 +40,12 @@
   /// @brief Ends the run; from any thread.
   void Stop();
 
+  /// @brief Whether the run has ended or is about to; from any thread.
+  bool stopped() const { return stopped_; }
+
+  /// @brief Logs an event; from any thread.
+  void Note(const Event& event) const { events_(event); }
+
   /// @brief Why the run ended by itself; absent if it did not.
   const std::optional<Error>& failure() const { return failure_; }
 
@@ -81,6 +88,7 @@
   adapter::MessageListener listener_;
   ConfigVersion logged_config_;
   std::optional<Error> failure_;
+  std::atomic<bool> stopped_{false};
 };
 
 }  // namespace rattanward::control
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -96,6 +96,7 @@
 }
 
 void ControlDaemon::Stop() {
+  stopped_ = true;
   asio::post(io_, [this] {
     timers_.Stop();
     listener_.Stop();
@@ -106,6 +107,7 @@
 
 void ControlDaemon::Fail(const Error& error) {
   failure_ = error;
+  stopped_ = true;
   io_.stop();
 }
 
--- /dev/null
+++ b/src/rpc/control_calls.cc
@@ -0,0 +1,253 @@
+#include "rattanward/rpc/control_calls.h"
+
+#include <thread>
+#include <variant>
+
+#include "control_thread.h"
+#include "rattanward/adapter/config_text.h"
+
+namespace rattanward::rpc {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// Time between two looks at whether a version is in force.
+constexpr auto kInForcePoll = std::chrono::milliseconds(50);
+constexpr auto kMaxWait = std::chrono::seconds(60);
+constexpr char kConfigName[] = "configuration";
+
+Clock::time_point DeadlineOf(std::uint32_t wait_ms) {
+  return Clock::now() + std::min<Clock::duration>(
+                            std::chrono::milliseconds(wait_ms), kMaxWait);
+}
+
+void FillInForce(const control::ControlDaemon& daemon, ConfigVersion version,
+                 v1::ConfigStateReply& reply) {
+  reply.set_version(version.value);
+  const ledger::InForceReport report = daemon.entries().InForce(version);
+  reply.set_accepted(version.value != 0 && report.accepted);
+  for (const ledger::DomainInForce& domain : report.domains) {
+    v1::DomainState& state = *reply.add_domains();
+    state.set_failure_domain(domain.failure_domain.str());
+    state.set_entries(domain.entries);
+    state.set_live(domain.live);
+    state.set_in_force(domain.in_force);
+    state.set_pending(domain.pending);
+  }
+}
+
+/// The state of a version; of the newest one if the version is 0.
+v1::ConfigStateReply InForceReply(control::ControlDaemon& daemon,
+                                  ConfigVersion version) {
+  return ReadReply<v1::ConfigStateReply>(
+      daemon, [&daemon, version](v1::ConfigStateReply& reply) {
+        const ConfigVersion newest = daemon.replica().ledger().config_version();
+        if (version > newest) {
+          SetError(daemon,
+                   MakeError(ErrorCode::kVersionConflict,
+                             "no such version; the newest is " +
+                                 std::to_string(newest.value)),
+                   *reply.mutable_outcome());
+          return;
+        }
+        FillInForce(daemon, version.value == 0 ? newest : version, reply);
+      });
+}
+
+/// Waits until a committed version is in force everywhere.
+v1::ConfigStateReply AwaitInForce(control::ControlDaemon& daemon,
+                                  ConfigVersion version,
+                                  Clock::time_point deadline) {
+  v1::ConfigStateReply committed;
+  committed.set_version(version.value);
+  while (true) {
+    v1::ConfigStateReply reply = InForceReply(daemon, version);
+    if (reply.outcome().error() != 0) {
+      // Committed for sure; only a leader can tell more.
+      committed.mutable_outcome()->set_message(reply.outcome().message());
+      return committed;
+    }
+    if (reply.accepted() || Clock::now() >= deadline) {
+      return reply;
+    }
+    committed = std::move(reply);
+    std::this_thread::sleep_for(kInForcePoll);
+  }
+}
+
+v1::OutcomeReply ProposeDone(control::ControlDaemon& daemon,
+                             const ledger::Command& command) {
+  return ProposeReply<v1::OutcomeReply>(
+      daemon, command, [](const ledger::Outcome&, v1::OutcomeReply&) {});
+}
+
+}  // namespace
+
+v1::ConfigStateReply ControlCalls::Handle(const v1::ApplyConfigRequest& call) {
+  v1::ConfigStateReply reply;
+  const auto parsed = adapter::ParseConfigText(call.toml(), kConfigName);
+  if (!parsed) {
+    reply.mutable_outcome()->set_error(
+        static_cast<int>(ErrorCode::kInvalidConfig));
+    reply.mutable_outcome()->set_message(parsed.error().message);
+    return reply;
+  }
+  const ledger::ConfigApply command{CommandId(call.command_id()),
+                                    ConfigVersion{call.expected_version()},
+                                    call.toml()};
+  reply = ProposeReply<v1::ConfigStateReply>(
+      daemon_, command,
+      [this](const ledger::Outcome& outcome, v1::ConfigStateReply& out) {
+        if (const auto* no = std::get_if<ledger::ConfigConflict>(&outcome)) {
+          out.set_version(no->newest.value);
+          SetError(daemon_,
+                   MakeError(ErrorCode::kVersionConflict,
+                             "the newest version is " +
+                                 std::to_string(no->newest.value)),
+                   *out.mutable_outcome());
+        } else if (const auto* yes =
+                       std::get_if<ledger::ConfigCommitted>(&outcome)) {
+          out.set_version(yes->version.value);
+        }
+      });
+  if (reply.outcome().error() != 0) {
+    return reply;
+  }
+  const ConfigVersion version{reply.version()};
+  reply = AwaitInForce(daemon_, version, DeadlineOf(call.wait_ms()));
+  if (reply.accepted()) {
+    daemon_.Note({EventId::kConfigAccepted,
+                  {{"version", std::to_string(version.value)},
+                   {"command", call.command_id()}}});
+  }
+  return reply;
+}
+
+v1::OutcomeReply ControlCalls::Handle(const v1::ValidateConfigRequest& call) {
+  v1::OutcomeReply reply;
+  const auto parsed = adapter::ParseConfigText(call.toml(), kConfigName);
+  if (!parsed) {
+    reply.mutable_outcome()->set_error(
+        static_cast<int>(ErrorCode::kInvalidConfig));
+    reply.mutable_outcome()->set_message(parsed.error().message);
+  }
+  return reply;
+}
+
+v1::ShowConfigReply ControlCalls::Handle(const v1::ShowConfigRequest& call) {
+  return ReadReply<v1::ShowConfigReply>(
+      daemon_, [this, call](v1::ShowConfigReply& reply) {
+        const ledger::StateMachine& ledger = daemon_.replica().ledger();
+        const ConfigVersion version = call.version() == 0
+                                          ? ledger.config_version()
+                                          : ConfigVersion{call.version()};
+        const ledger::ConfigRecord* record = ledger.FindConfig(version);
+        if (record != nullptr) {
+          reply.set_version(record->version.value);
+          reply.set_toml(record->text);
+        } else if (version.value != 0) {
+          SetError(daemon_,
+                   MakeError(ErrorCode::kVersionConflict,
+                             "version " + std::to_string(version.value) +
+                                 " is not kept"),
+                   *reply.mutable_outcome());
+        }
+      });
+}
+
+v1::ConfigHistoryReply ControlCalls::Handle(const v1::ConfigHistoryRequest&) {
+  return ReadReply<v1::ConfigHistoryReply>(
+      daemon_, [this](v1::ConfigHistoryReply& reply) {
+        for (const auto& config : daemon_.replica().ledger().configs()) {
+          v1::ConfigRecord& record = *reply.add_records();
+          record.set_version(config.version.value);
+          record.set_command_id(config.command_id.str());
+          record.set_committed_at(config.committed_at.value);
+          record.set_bytes(static_cast<std::uint32_t>(config.text.size()));
+        }
+      });
+}
+
+v1::ConfigStateReply ControlCalls::Handle(const v1::ConfigStatusRequest& call) {
+  return InForceReply(daemon_, ConfigVersion{call.version()});
+}
+
+v1::ListUpstreamsReply ControlCalls::Handle(const v1::ListUpstreamsRequest&) {
+  return ReadReply<v1::ListUpstreamsReply>(
+      daemon_, [this](v1::ListUpstreamsReply& reply) {
+        for (const UpstreamId& id : daemon_.replica().ledger().drained()) {
+          reply.add_drained()->set_upstream(id.str());
+        }
+      });
+}
+
+v1::OutcomeReply ControlCalls::Handle(const v1::DrainUpstreamRequest& call) {
+  return ProposeDone(daemon_, ledger::UpstreamDrain{
+                                  CommandId(call.command_id()),
+                                  UpstreamId(call.upstream()), call.drained()});
+}
+
+v1::ListQuarantineReply ControlCalls::Handle(const v1::ListQuarantineRequest&) {
+  return ReadReply<v1::ListQuarantineReply>(
+      daemon_, [this](v1::ListQuarantineReply& reply) {
+        for (const auto fingerprint :
+             daemon_.replica().ledger().quarantined()) {
+          reply.add_fingerprints(fingerprint);
+        }
+      });
+}
+
+v1::OutcomeReply ControlCalls::Handle(const v1::ClearQuarantineRequest& call) {
+  return ProposeDone(daemon_,
+                     ledger::QuarantineChange{CommandId(call.command_id()),
+                                              call.fingerprint(), false});
+}
+
+v1::OutcomeReply ControlCalls::Handle(const v1::ForgetVmRequest& call) {
+  return ProposeDone(
+      daemon_, ledger::EntryForget{CommandId(call.command_id()), ProcessId(),
+                                   VmName(call.vm())});
+}
+
+v1::StatusReply ControlCalls::Handle(const v1::StatusRequest&) {
+  return ReadReply<v1::StatusReply>(daemon_, [this](v1::StatusReply& reply) {
+    const control::Replica& replica = daemon_.replica();
+    reply.set_process(daemon_.settings().identity.process.str());
+    reply.set_leader(true);
+    reply.set_term(replica.node().term());
+    reply.set_commit_index(replica.node().commit_index());
+    reply.set_applied_index(replica.applied());
+    reply.set_config_version(replica.ledger().config_version().value);
+    reply.set_claims(replica.ledger().claims().size());
+    const ledger::InForceTracker& tracker = daemon_.entries().tracker();
+    const TimePoint now = adapter::MonotonicNow();
+    for (const auto& [process, record] : replica.ledger().entries()) {
+      v1::EntryState& entry = *reply.add_entries();
+      entry.set_process(process.str());
+      entry.set_vm(record.vm.str());
+      entry.set_failure_domain(record.failure_domain.str());
+      entry.set_in_force(tracker.Version(process).value);
+      entry.set_live(tracker.IsLive(process, now));
+    }
+  });
+}
+
+void ControlCalls::Watch(
+    const std::function<bool(const v1::EventLine*)>& write) {
+  feed_.Follow([&](const Event* event) {
+    if (event == nullptr) {
+      return write(nullptr);
+    }
+    v1::EventLine line;
+    line.set_id(static_cast<int>(event->id));
+    line.set_name(std::string(EventName(event->id)));
+    for (const EventField& field : event->fields) {
+      v1::EventField& out = *line.add_fields();
+      out.set_name(field.name);
+      out.set_value(field.value);
+    }
+    return write(&line);
+  });
+}
+
+}  // namespace rattanward::rpc
