Test the replicated log with in-memory VMs

A fake disk that forgets what was not synced, a fake network that drops, delays, repeats, reorders and cuts one way, clocks that run slow and fast, and an oracle that only remembers: leaders and votes by term, committed entries, states by index, the floor of each read. After each run everything is healed and every VM must hold all that was ever committed, and something new.

--- /dev/null
+++ b/tests/fakes/consensus_cluster.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "fakes/consensus_oracle.h"
+#include "fakes/fake_network.h"
+#include "fakes/memory_disk.h"
+#include "rattanward/consensus/message.h"
+#include "rattanward/consensus/node.h"
+#include "rattanward/consensus/repair.h"
+
+namespace rattanward::fakes {
+
+/// @brief When in the handling of an output a VM crashes.
+enum class CrashPoint { kNow, kBeforeSync, kBeforeSend };
+
+/// @brief A few VMs with a node each, under one clock.
+/// @note The state machine is a text that depends on every entry applied.
+class ConsensusCluster {
+ public:
+  static constexpr Duration kSlice{std::chrono::milliseconds(10)};
+
+  ConsensusCluster(std::size_t size, std::uint64_t seed)
+      : seed_(seed), network_(seed) {
+    consensus::Membership members;
+    for (Slot slot = 0; slot < size; ++slot) {
+      members.members.push_back(
+          {NewId(slot), EndpointOf(slot), consensus::MemberRole::kVoter});
+    }
+    for (Slot slot = 0; slot < size; ++slot) {
+      vms_.emplace_back(MemoryDisk(members.members[slot].id,
+                                   consensus::InitialState(members)));
+      Start(slot);
+    }
+  }
+
+  std::size_t size() const { return vms_.size(); }
+  TimePoint now() const { return now_; }
+  ConsensusOracle& oracle() { return oracle_; }
+  FakeNetwork& network() { return network_; }
+  const std::optional<consensus::Repair>& repair() const { return repair_; }
+  bool Running(Slot slot) const { return vms_[slot].node.has_value(); }
+  bool Frozen(Slot slot) const { return vms_[slot].frozen; }
+  consensus::Node& node(Slot slot) { return *vms_[slot].node; }
+  consensus::LogIndex applied(Slot slot) const { return vms_[slot].applied; }
+
+  void Start(Slot slot) {
+    Vm& vm = vms_[slot];
+    if (!vm.node) {
+      consensus::PersistedState state = vm.disk.TakeState();
+      vm.applied = state.snapshot.last.index;
+      vm.state = state.snapshot.state;
+      vm.node.emplace(vm.disk.id(), Options(), std::move(state), vm.clock);
+    }
+  }
+
+  void Crash(Slot slot, CrashPoint point) {
+    if (point == CrashPoint::kNow) {
+      vms_[slot].node.reset();
+      vms_[slot].frozen = false;
+      vms_[slot].disk.Crash();
+    } else {
+      vms_[slot].crash = point;
+    }
+  }
+
+  void Freeze(Slot slot) { vms_[slot].frozen = true; }
+
+  /// @brief What arrived meanwhile is handled before the next tick.
+  void Wake(Slot slot) { vms_[slot].frozen = false; }
+
+  /// @brief Makes a VM's clock run slow or fast; leases need good clocks, so
+  /// they are not checked any more.
+  void SetClockRate(Slot slot, int percent) {
+    vms_[slot].clock_percent = percent;
+    exact_clocks_ = exact_clocks_ && percent == 100;
+  }
+
+  /// @brief Gives a VM an empty disk and starts to repair; only one at a time.
+  void ReplaceDisk(Slot slot) {
+    if (repair_.has_value()) {
+      return;
+    }
+    const VoterId lost = vms_[slot].disk.id();
+    Crash(slot, CrashPoint::kNow);
+    vms_[slot].disk = MemoryDisk(NewId(slot), {});
+    vms_[slot].crash.reset();
+    repair_ = consensus::Repair{lost, vms_[slot].disk.id(), EndpointOf(slot)};
+    Start(slot);
+  }
+
+  /// @brief Proposes, and asks for a read, wherever a leader is believed.
+  void Propose(const std::string& payload) {
+    ForLeaders(
+        [&](Vm& vm) { std::ignore = vm.node->Propose(payload, vm.clock); });
+  }
+  void Read() {
+    ForLeaders([&](Vm& vm) {
+      oracle_.ReadAsked(++last_read_);
+      std::ignore = vm.node->Read(last_read_, vm.clock);
+    });
+  }
+
+  void Compact(Slot slot) {
+    if (Running(slot) && !Frozen(slot)) {
+      node(slot).Compact(vms_[slot].applied, vms_[slot].state);
+    }
+  }
+
+  void Pass(Duration span) {
+    for (const TimePoint end = now_ + span; now_ < end;) {
+      now_ += kSlice;
+      for (Vm& vm : vms_) {
+        vm.clock += kSlice * vm.clock_percent / 100;
+      }
+      Deliver();
+      for (Slot slot = 0; slot < size(); ++slot) {
+        if (Running(slot) && !Frozen(slot)) {
+          Handle(slot);
+        }
+      }
+      if (exact_clocks_) {
+        CheckLeases();
+      }
+      AdvanceRepair();
+    }
+  }
+
+ private:
+  struct Vm {
+    explicit Vm(MemoryDisk home) : disk(std::move(home)) {}
+
+    MemoryDisk disk;
+    std::optional<consensus::Node> node;
+    std::vector<std::string> inbox;
+    bool frozen = false;
+    std::optional<CrashPoint> crash;
+    TimePoint clock{std::chrono::seconds(1)};
+    int clock_percent = 100;
+    consensus::LogIndex applied = 0;
+    std::string state;
+  };
+
+  consensus::NodeOptions Options() {
+    consensus::NodeOptions options;
+    options.heartbeat = std::chrono::milliseconds(50);
+    options.election_timeout = std::chrono::milliseconds(300);
+    options.lease = std::chrono::milliseconds(200);
+    options.max_append_bytes = 64;
+    options.max_chunk_bytes = 5;
+    options.max_inflight_entries = 8;
+    options.trailing_entries = 2;
+    options.seed = ++seed_;
+    return options;
+  }
+
+  static Endpoint EndpointOf(Slot slot) {
+    return {"10.0.0.1", static_cast<std::uint16_t>(slot)};
+  }
+
+  VoterId NewId(Slot slot) {
+    VoterId id("disk-" + std::to_string(++disks_));
+    slots_[id] = slot;
+    return id;
+  }
+
+  template <class Fn>
+  void ForLeaders(Fn fn) {
+    for (Vm& vm : vms_) {
+      if (vm.node && !vm.frozen &&
+          vm.node->role() == consensus::Role::kLeader) {
+        fn(vm);
+      }
+    }
+  }
+
+  void Deliver() {
+    for (FakeNetwork::Packet& packet : network_.TakeDue(now_)) {
+      if (Running(packet.to)) {
+        vms_[packet.to].inbox.push_back(std::move(packet.bytes));
+      }
+    }
+  }
+
+  /// One batch: all messages and a tick, one sync, then what may leave.
+  void Handle(Slot slot) {
+    Vm& vm = vms_[slot];
+    for (const std::string& bytes : std::exchange(vm.inbox, {})) {
+      vm.node->Receive(consensus::DecodeMessage(bytes).value(), vm.clock);
+    }
+    vm.node->Tick(vm.clock);
+    const consensus::Output output = vm.node->TakeOutput();
+    const std::optional<CrashPoint> crash = std::exchange(vm.crash, {});
+    vm.disk.Write(output);
+    if (crash == CrashPoint::kBeforeSync) {
+      Crash(slot, CrashPoint::kNow);
+      return;
+    }
+    vm.disk.Sync();
+    if (crash == CrashPoint::kBeforeSend) {
+      Crash(slot, CrashPoint::kNow);
+      return;
+    }
+    Send(slot, output);
+    Apply(&vm, output);
+  }
+
+  void Send(Slot slot, const consensus::Output& output) {
+    for (const consensus::Message& message : output.messages) {
+      const auto* vote = std::get_if<consensus::VoteAnswer>(&message.body);
+      if (vote != nullptr && vote->granted && !vote->pre_vote) {
+        oracle_.Vote(message.from, vote->candidate_term, message.to);
+      }
+      network_.Send(slot, slots_[message.to], consensus::EncodeMessage(message),
+                    now_);
+    }
+  }
+
+  void Apply(Vm* vm, const consensus::Output& output) {
+    if (output.discard_log) {
+      vm->applied = output.snapshot->last.index;
+      vm->state = output.snapshot->state;
+      oracle_.State(vm->applied, vm->state);
+    }
+    for (const consensus::Entry& entry : output.committed) {
+      oracle_.Require(entry.index == vm->applied + 1, "entry out of order");
+      oracle_.Committed(entry);
+      vm->applied = entry.index;
+      vm->state = std::to_string(std::hash<std::string>()(
+          vm->state + std::to_string(entry.term) + entry.payload));
+      oracle_.State(vm->applied, vm->state);
+    }
+    for (const consensus::ConfirmedRead& read : output.reads) {
+      oracle_.ReadConfirmed(read);
+      oracle_.Require(vm->applied >= read.index, "read before apply");
+    }
+    if (vm->node->role() == consensus::Role::kLeader) {
+      oracle_.Leader(vm->node->term(), vm->node->id());
+    }
+  }
+
+  /// Nobody else leads a later term while a leader holds its lease.
+  void CheckLeases() {
+    for (const Vm& holder : vms_) {
+      if (!holder.node || holder.frozen ||
+          !holder.node->HoldsLease(holder.clock)) {
+        continue;
+      }
+      for (const Vm& other : vms_) {
+        oracle_.Require(!other.node ||
+                            other.node->role() != consensus::Role::kLeader ||
+                            other.node->term() <= holder.node->term(),
+                        "a later leader within a lease");
+      }
+    }
+  }
+
+  /// One step of the repair, as a leader's daemon would take it.
+  void AdvanceRepair() {
+    for (Slot slot = 0; repair_ && slot < size(); ++slot) {
+      if (!Running(slot) || Frozen(slot)) {
+        continue;
+      }
+      const consensus::RepairStep step =
+          consensus::NextRepairStep(node(slot), *repair_, vms_[slot].clock);
+      if (step == consensus::RepairStep::kComplete) {
+        repair_.reset();
+      } else if (step != consensus::RepairStep::kNotLeader &&
+                 step != consensus::RepairStep::kWait) {
+        std::ignore = node(slot).Change(
+            consensus::MembershipChangeFor(step, *repair_), vms_[slot].clock);
+      }
+    }
+  }
+
+  std::uint64_t seed_;
+  FakeNetwork network_;
+  ConsensusOracle oracle_;
+  TimePoint now_{std::chrono::seconds(1)};
+  std::vector<Vm> vms_;
+  std::map<VoterId, Slot> slots_;
+  std::size_t disks_ = 0;
+  consensus::ReadId last_read_ = 0;
+  bool exact_clocks_ = true;
+  std::optional<consensus::Repair> repair_;
+};
+
+}  // namespace rattanward::fakes
--- /dev/null
+++ b/tests/fakes/fake_network.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rattanward/domain/time.h"
+
+namespace rattanward::fakes {
+
+/// @brief Place of a VM in the fake network.
+using Slot = std::size_t;
+
+/// @brief What a link does to messages.
+struct LinkQuality {
+  /// Percent of messages that are dropped, and that arrive twice.
+  unsigned loss = 0;
+  unsigned repeat = 0;
+  /// Each message is late by up to this, so messages overtake each other.
+  Duration max_delay{0};
+};
+
+/// @brief Network that drops, delays, repeats, reorders and cuts in one
+/// direction.
+class FakeNetwork {
+ public:
+  struct Packet {
+    Slot from = 0;
+    Slot to = 0;
+    std::string bytes;
+    TimePoint due;
+  };
+
+  explicit FakeNetwork(std::uint64_t seed) : random_(seed) {}
+
+  void set_quality(const LinkQuality& quality) { quality_ = quality; }
+  void Cut(Slot from, Slot to) { cuts_.insert({from, to}); }
+  void Heal() { cuts_.clear(); }
+
+  void Send(Slot from, Slot to, const std::string& bytes, TimePoint now) {
+    if (cuts_.count({from, to}) > 0 || Draw(100) < quality_.loss) {
+      return;
+    }
+    const int copies = Draw(100) < quality_.repeat ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      const Duration delay(Draw(quality_.max_delay.count() + 1));
+      packets_.push_back({from, to, bytes, now + delay});
+    }
+  }
+
+  /// @brief Takes out what is due, in random order.
+  std::vector<Packet> TakeDue(TimePoint now) {
+    std::vector<Packet> due;
+    std::vector<Packet> rest;
+    for (Packet& packet : packets_) {
+      (packet.due <= now ? due : rest).push_back(std::move(packet));
+    }
+    packets_ = std::move(rest);
+    std::shuffle(due.begin(), due.end(), random_);
+    return due;
+  }
+
+ private:
+  std::uint64_t Draw(std::uint64_t limit) { return random_() % limit; }
+
+  std::mt19937_64 random_;
+  LinkQuality quality_;
+  std::set<std::pair<Slot, Slot>> cuts_;
+  std::vector<Packet> packets_;
+};
+
+}  // namespace rattanward::fakes
--- /dev/null
+++ b/tests/fakes/memory_disk.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "rattanward/consensus/node.h"
+#include "rattanward/port/storage.h"
+
+namespace rattanward::fakes {
+
+/// @brief A log's home in memory that forgets what was not synced.
+class MemoryDisk {
+ public:
+  MemoryDisk(VoterId id, consensus::PersistedState state)
+      : id_(std::move(id)), synced_(std::move(state)), written_(synced_) {}
+
+  const VoterId& id() const { return id_; }
+  consensus::PersistedState TakeState() { return synced_; }
+
+  /// @brief Writes without syncing.
+  void Write(const consensus::Output& output) {
+    if (output.hard_state.has_value()) {
+      written_.hard_state = *output.hard_state;
+    }
+    auto& entries = written_.entries;
+    if (output.discard_log) {
+      entries.clear();
+    }
+    for (const consensus::Entry& entry : output.entries) {
+      while (!entries.empty() && entries.back().index >= entry.index) {
+        entries.pop_back();
+      }
+      entries.push_back(entry);
+    }
+    if (output.snapshot.has_value()) {
+      written_.snapshot = *output.snapshot;
+      while (!entries.empty() &&
+             entries.front().index <= output.snapshot->last.index) {
+        entries.erase(entries.begin());
+      }
+    }
+  }
+  void Sync() { synced_ = written_; }
+  /// @brief Loses power.
+  void Crash() { written_ = synced_; }
+
+  Status Save(const consensus::Output& output) {
+    Write(output);
+    Sync();
+    return outcome::success();
+  }
+
+ private:
+  VoterId id_;
+  consensus::PersistedState synced_;
+  consensus::PersistedState written_;
+};
+
+static_assert(
+    port::LogStorage<MemoryDisk, consensus::PersistedState, consensus::Output>);
+
+}  // namespace rattanward::fakes
--- /dev/null
+++ b/tests/src/fuzz-consensus.cc
@@ -0,0 +1,244 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <memory>
+#include <string>
+
+#include "fakes/consensus_cluster.h"
+
+namespace rattanward {
+namespace {
+
+using fakes::ConsensusCluster;
+using fakes::CrashPoint;
+using fakes::LinkQuality;
+using fakes::Slot;
+
+/// The oracle needs no model: it only watches.
+struct Model {};
+using Command = rc::state::Command<Model, ConsensusCluster>;
+
+constexpr Slot kMaxVms = 5;
+
+Slot AnySlot() { return *rc::gen::inRange<Slot>(0, kMaxVms); }
+
+/// A command on one VM; shrinks to small slots.
+class SlotCommand : public Command {
+ public:
+  void show(std::ostream& out) const override { out << Name() << slot_; }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    Run(cluster, slot_ % cluster.size());
+    RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+  }
+
+ protected:
+  virtual std::string Name() const = 0;
+  virtual void Run(ConsensusCluster& cluster, Slot slot) const = 0;
+
+ private:
+  Slot slot_ = AnySlot();
+};
+
+class Pass : public Command {
+ public:
+  void show(std::ostream& out) const override { out << "Pass " << ms_; }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    cluster.Pass(std::chrono::milliseconds(ms_));
+    RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+  }
+
+ private:
+  int ms_ = *rc::gen::inRange(10, 1500);
+};
+
+class Propose : public Command {
+ public:
+  void show(std::ostream& out) const override { out << "Propose " << count_; }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    for (int i = 0; i < count_; ++i) {
+      cluster.Propose(std::string(static_cast<std::size_t>(i), 'p'));
+    }
+  }
+
+ private:
+  int count_ = *rc::gen::inRange(1, 12);
+};
+
+class Read : public Command {
+ public:
+  void show(std::ostream& out) const override { out << "Read"; }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    cluster.Read();
+  }
+};
+
+class Cut : public SlotCommand {
+  std::string Name() const override {
+    return "Cut to " + std::to_string(to_) + " from ";
+  }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.network().Cut(slot, to_ % cluster.size());
+  }
+  Slot to_ = AnySlot();
+};
+
+class Isolate : public SlotCommand {
+  std::string Name() const override { return "Isolate "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    for (Slot other = 0; other < cluster.size(); ++other) {
+      cluster.network().Cut(slot, other);
+      cluster.network().Cut(other, slot);
+    }
+  }
+};
+
+class Heal : public Command {
+ public:
+  void show(std::ostream& out) const override { out << "Heal"; }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    cluster.network().Heal();
+  }
+};
+
+class Weather : public Command {
+ public:
+  void show(std::ostream& out) const override {
+    out << "Weather loss " << loss_ << " repeat " << repeat_ << " delay "
+        << delay_ms_;
+  }
+  void run(const Model& /*model*/, ConsensusCluster& cluster) const override {
+    cluster.network().set_quality(
+        LinkQuality{loss_, repeat_, std::chrono::milliseconds(delay_ms_)});
+  }
+
+ private:
+  unsigned loss_ = *rc::gen::inRange(0U, 40U);
+  unsigned repeat_ = *rc::gen::inRange(0U, 40U);
+  int delay_ms_ = *rc::gen::inRange(0, 120);
+};
+
+class Crash : public SlotCommand {
+  std::string Name() const override {
+    return "Crash at point " + std::to_string(static_cast<int>(point_)) + " ";
+  }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.Crash(slot, point_);
+  }
+  CrashPoint point_ = *rc::gen::element(
+      CrashPoint::kNow, CrashPoint::kBeforeSync, CrashPoint::kBeforeSend);
+};
+
+class Start : public SlotCommand {
+  std::string Name() const override { return "Start "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.Start(slot);
+  }
+};
+
+class Freeze : public SlotCommand {
+  std::string Name() const override { return "Freeze "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.Freeze(slot);
+  }
+};
+
+class Wake : public SlotCommand {
+  std::string Name() const override { return "Wake "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.Wake(slot);
+  }
+};
+
+class ClockRate : public SlotCommand {
+  std::string Name() const override {
+    return "ClockRate " + std::to_string(percent_) + " of ";
+  }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.SetClockRate(slot, percent_);
+  }
+  int percent_ = *rc::gen::element(5, 50, 100, 200);
+};
+
+class ReplaceDisk : public SlotCommand {
+  std::string Name() const override { return "ReplaceDisk "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.ReplaceDisk(slot);
+  }
+};
+
+class Compact : public SlotCommand {
+  std::string Name() const override { return "Compact "; }
+  void Run(ConsensusCluster& cluster, Slot slot) const override {
+    cluster.Compact(slot);
+  }
+};
+
+/// Repairs whatever is broken; then there must be a leader, and everybody must
+/// hold all that was ever committed and something new.
+void CheckRecovers(ConsensusCluster& cluster) {
+  cluster.network().Heal();
+  cluster.network().set_quality(LinkQuality());
+  for (Slot slot = 0; slot < cluster.size(); ++slot) {
+    cluster.Wake(slot);
+    cluster.Start(slot);
+    cluster.SetClockRate(slot, 100);
+  }
+  cluster.Pass(std::chrono::seconds(2));
+  for (Slot slot = 0; slot < cluster.size(); ++slot) {
+    cluster.Start(slot);
+  }
+  cluster.Pass(std::chrono::seconds(4));
+  const consensus::LogIndex before = cluster.oracle().last_committed();
+  cluster.Propose("last");
+  cluster.Pass(std::chrono::seconds(1));
+  RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+  RC_ASSERT(!cluster.repair().has_value());
+  RC_ASSERT(cluster.oracle().last_committed() > before);
+  for (Slot slot = 0; slot < cluster.size(); ++slot) {
+    RC_ASSERT(cluster.applied(slot) == cluster.oracle().last_committed());
+  }
+}
+
+template <class... Commands>
+bool CheckCluster(const std::string& property) {
+  return rc::check(property, [] {
+    const std::size_t size = *rc::gen::inRange<std::size_t>(3, kMaxVms + 1);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    ConsensusCluster cluster(size, seed);
+    cluster.Pass(std::chrono::seconds(1));
+    rc::state::check(Model(), cluster,
+                     rc::state::gen::execOneOfWithArgs<Commands...>());
+    CheckRecovers(cluster);
+  });
+}
+
+}  // namespace
+
+TEST_CASE("links that drop, delay, repeat, reorder and cut one way") {
+  CHECK(CheckCluster<Pass, Pass, Propose, Propose, Read, Cut, Isolate, Heal,
+                     Weather, Compact>("links"));
+}
+
+TEST_CASE("VMs that crash, freeze and wake") {
+  CHECK(CheckCluster<Pass, Pass, Propose, Propose, Read, Crash, Start, Start,
+                     Freeze, Wake, Compact>("VMs"));
+}
+
+TEST_CASE("disks that are lost and repaired, one after another") {
+  CHECK(CheckCluster<Pass, Pass, Propose, Propose, Read, ReplaceDisk,
+                     ReplaceDisk, Isolate, Heal, Compact>("disks"));
+}
+
+TEST_CASE("clocks that run slow and fast") {
+  CHECK(CheckCluster<Pass, Pass, Propose, Propose, Read, Read, Cut, Isolate,
+                     Heal, ClockRate>("clocks"));
+}
+
+TEST_CASE("everything at once") {
+  CHECK(CheckCluster<Pass, Pass, Pass, Propose, Propose, Read, Read, Cut,
+                     Isolate, Heal, Weather, Crash, Start, Start, Freeze, Wake,
+                     Wake, ReplaceDisk, Compact>("everything"));
+}
+
+}  // namespace rattanward
