Test the replicated log's rules one by one

Check-quorum, pre-vote, freeze and wake, the lease's start, no vote right after a restart, commit only by the own term's entries, one write for a batch, one change of voters at a time, repair after repair, and the message codec.

--- /dev/null
+++ b/tests/src/unit-consensus.cc
@@ -0,0 +1,269 @@
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/consensus_cluster.h"
+
+namespace rattanward::consensus {
+namespace {
+
+using fakes::ConsensusCluster;
+using fakes::Slot;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kVms = 3;
+constexpr std::uint64_t kSeed = 11;
+
+/// The VM whose leader has the highest term; it must exist.
+Slot LeaderOf(ConsensusCluster& cluster) {
+  std::optional<Slot> leader;
+  for (Slot slot = 0; slot < cluster.size(); ++slot) {
+    if (cluster.Running(slot) && !cluster.Frozen(slot) &&
+        cluster.node(slot).role() == Role::kLeader &&
+        (!leader || cluster.node(slot).term() > cluster.node(*leader).term())) {
+      leader = slot;
+    }
+  }
+  REQUIRE(leader.has_value());
+  return *leader;
+}
+
+ConsensusCluster Elected() {
+  ConsensusCluster cluster(kVms, kSeed);
+  cluster.Pass(seconds(2));
+  return cluster;
+}
+
+void CutAll(ConsensusCluster& cluster, Slot to) {
+  for (Slot from = 0; from < cluster.size(); ++from) {
+    cluster.network().Cut(from, to);
+  }
+}
+
+TimePoint At(int ms) { return TimePoint(milliseconds(1000 + ms)); }
+
+const VoterId kA("a");
+const VoterId kB("b");
+const VoterId kC("c");
+
+Membership Voters(const std::vector<VoterId>& ids) {
+  Membership members;
+  for (const VoterId& id : ids) {
+    members.members.push_back({id, {"10.0.0.1", 1}, MemberRole::kVoter});
+  }
+  return members;
+}
+
+NodeOptions Options() {
+  NodeOptions options;
+  options.heartbeat = milliseconds(50);
+  options.election_timeout = milliseconds(300);
+  options.lease = milliseconds(200);
+  return options;
+}
+
+/// Node a of {a, b, c}, made leader by b's votes at the given time.
+Node LeaderA(PersistedState state, TimePoint now) {
+  Node node(kA, Options(), std::move(state), At(0));
+  node.Tick(now);
+  const Term term = node.term() + 1;
+  node.Receive({kB, kA, term - 1, VoteAnswer{true, term, true}}, now);
+  node.Receive({kB, kA, term, VoteAnswer{false, term, true}}, now);
+  REQUIRE(node.role() == Role::kLeader);
+  return node;
+}
+
+Message Accept(const Node& leader, LogIndex match, std::uint64_t round) {
+  return {kB, kA, leader.term(), AppendAnswer{true, match, round}};
+}
+
+}  // namespace
+
+TEST_CASE("a leader that is cut off steps down by itself") {
+  ConsensusCluster cluster = Elected();
+  const Slot leader = LeaderOf(cluster);
+  CutAll(cluster, leader);  // it can still send, but hears nobody
+  cluster.Pass(milliseconds(400));
+  CHECK(cluster.node(leader).role() != Role::kLeader);
+  cluster.Pass(seconds(2));
+  CHECK(LeaderOf(cluster) != leader);
+}
+
+TEST_CASE("a voter that was cut off does not disturb the leader") {
+  ConsensusCluster cluster = Elected();
+  const Slot leader = LeaderOf(cluster);
+  const Term term = cluster.node(leader).term();
+  CutAll(cluster, (leader + 1) % kVms);
+  cluster.Pass(seconds(5));
+  cluster.network().Heal();
+  cluster.Pass(seconds(2));
+  CHECK(LeaderOf(cluster) == leader);
+  CHECK(cluster.node(leader).term() == term);
+}
+
+TEST_CASE("a frozen leader that wakes serves nothing") {
+  ConsensusCluster cluster = Elected();
+  const Slot old = LeaderOf(cluster);
+  cluster.Freeze(old);
+  cluster.Pass(seconds(3));
+  CHECK(LeaderOf(cluster) != old);
+  Node& node = cluster.node(old);
+  CHECK(node.role() == Role::kLeader);
+  CHECK_FALSE(node.HoldsLease(cluster.now()));
+  CHECK(node.Read(1, cluster.now()).error().code == ErrorCode::kNotLeader);
+  CHECK(node.Propose("x", cluster.now()).error().code == ErrorCode::kNotLeader);
+}
+
+TEST_CASE("a lease counts from the sending of what was acknowledged") {
+  Node node = LeaderA(InitialState(Voters({kA, kB, kC})), At(700));
+  node.TakeOutput();
+  CHECK_FALSE(node.HoldsLease(At(700)));
+  node.Receive(Accept(node, node.last_index(), 1), At(850));
+  CHECK(node.HoldsLease(At(899)));
+  CHECK_FALSE(node.HoldsLease(At(901)));
+}
+
+TEST_CASE("a restarted voter gives no vote within an election timeout") {
+  Node node(kB, Options(), InitialState(Voters({kA, kB, kC})), At(0));
+  const Message request{kA, kB, 1, VoteRequest{false, 1, {1, 0}}};
+  node.Receive(request, At(299));
+  CHECK(node.TakeOutput() == Output());
+  node.Receive(request, At(301));
+  const Output output = node.TakeOutput();
+  CHECK(output.hard_state == HardState{1, kA});
+  REQUIRE(output.messages.size() == 1);
+  CHECK(output.messages[0].body == MessageBody(VoteAnswer{false, 1, true}));
+}
+
+TEST_CASE("an entry of an old term is not committed by counting") {
+  PersistedState state = InitialState(Voters({kA, kB, kC}));
+  state.hard_state.term = 3;
+  state.entries = {{2, 3, EntryType::kCommand, "old"}};
+  Node node = LeaderA(state, At(700));
+  node.TakeOutput();
+  node.Receive(Accept(node, 2, 1), At(710));
+  CHECK(node.TakeOutput().committed.empty());
+  node.Receive(Accept(node, 3, 1), At(720));
+  CHECK(node.TakeOutput().committed.size() == 2);
+}
+
+TEST_CASE("proposals between two outputs share one write and one message") {
+  Node node = LeaderA(InitialState(Voters({kA, kB, kC})), At(700));
+  node.TakeOutput();
+  node.Receive(Accept(node, 2, 1), At(710));
+  node.TakeOutput();
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(node.Propose("x", At(720)).has_value());
+  }
+  const Output output = node.TakeOutput();
+  CHECK(output.entries.size() == 5);
+  CHECK(output.messages.size() == 2);
+  CHECK(node.TakeOutput() == Output());
+}
+
+TEST_CASE("a single voter commits alone, in the output that it is saved by") {
+  Node node(kA, Options(), InitialState(Voters({kA})), At(0));
+  node.Tick(At(700));
+  REQUIRE(node.Propose("x", At(700)).has_value());
+  REQUIRE(node.Read(7, At(700)).has_value());
+  const Output output = node.TakeOutput();
+  CHECK(output.entries == output.committed);
+  CHECK(output.committed.size() == 2);
+  CHECK(output.reads == std::vector<ConfirmedRead>{{7, 2}});
+}
+
+TEST_CASE("reads fail when the leader steps down") {
+  Node node = LeaderA(InitialState(Voters({kA, kB, kC})), At(700));
+  REQUIRE(node.Read(7, At(710)).has_value());
+  node.Receive({kB, kA, 9, AppendAnswer{}}, At(720));
+  const Output output = node.TakeOutput();
+  CHECK(output.failed_reads == std::vector<ReadId>{7});
+  CHECK(output.role_change == RoleChange{Role::kFollower, 9, VoterId()});
+}
+
+TEST_CASE("a message for another id is dropped") {
+  Node node(kB, Options(), PersistedState(), At(0));
+  node.Receive({kA, kC, 5, VoteRequest{false, 5, {9, 4}}}, At(500));
+  CHECK(node.TakeOutput() == Output());
+  CHECK(node.term() == 0);
+}
+
+TEST_CASE("changes of voters come one at a time and only if they are safe") {
+  using Kind = MembershipChange::Kind;
+  Node node = LeaderA(InitialState(Voters({kA, kB, kC})), At(700));
+  node.TakeOutput();
+  const auto code = [&node](Kind kind, const VoterId& id) {
+    return node.Change({kind, id, {}}, At(730)).error().code;
+  };
+  CHECK(code(Kind::kRemove, kC) == ErrorCode::kVoterChangePending);
+  node.Receive(Accept(node, 2, 1), At(710));
+  CHECK(code(Kind::kRemove, VoterId("z")) == ErrorCode::kUnknownVoter);
+  CHECK(code(Kind::kRemove, kB) == ErrorCode::kNoQuorum);  // c is silent
+  REQUIRE(node.Change({Kind::kAddLearner, VoterId("d"), {}}, At(720)));
+  CHECK(code(Kind::kRemove, kC) == ErrorCode::kVoterChangePending);
+  node.TakeOutput();
+  node.Receive(Accept(node, 3, 1), At(730));
+  CHECK(node.membership_committed());
+  CHECK(code(Kind::kPromote, VoterId("d")) == ErrorCode::kLearnerBehind);
+  CHECK(node.Change({Kind::kRemove, kC, {}}, At(730)).has_value());
+
+  Node single(kA, Options(), InitialState(Voters({kA})), At(0));
+  single.Tick(At(700));
+  single.TakeOutput();
+  CHECK(single.Change({Kind::kRemove, kA, {}}, At(700)).error().code ==
+        ErrorCode::kLastVoter);
+}
+
+TEST_CASE("after a repair a second VM may be lost, then be repaired too") {
+  ConsensusCluster cluster = Elected();
+  for (Slot lost = 0; lost < kVms; ++lost) {
+    cluster.Propose("before " + std::to_string(lost));
+    cluster.Pass(milliseconds(200));
+    cluster.Compact(LeaderOf(cluster));
+    cluster.ReplaceDisk(lost);
+    cluster.Pass(seconds(5));
+    REQUIRE_FALSE(cluster.repair().has_value());
+  }
+  CHECK(cluster.oracle().violations().empty());
+  for (Slot slot = 0; slot < kVms; ++slot) {
+    CHECK(cluster.applied(slot) == cluster.oracle().last_committed());
+    CHECK(VoterCount(cluster.node(slot).membership()) == kVms);
+  }
+}
+
+TEST_CASE("messages survive the codec and damaged bytes do not") {
+  const Snapshot snapshot{{9, 2}, Voters({kA, kB}), "state"};
+  const std::vector<MessageBody> bodies = {
+      VoteRequest{true, 4, {9, 2}},
+      VoteAnswer{true, 4, true},
+      AppendRequest{{9, 2}, {{10, 3, EntryType::kCommand, "x"}}, 9, 77},
+      AppendAnswer{true, 10, 77},
+      SnapshotChunk{snapshot.last, snapshot.membership, 0, 5, "state", 78},
+      SnapshotAnswer{snapshot.last, 5, true, 78}};
+  for (const MessageBody& body : bodies) {
+    const Message message{kA, kB, 3, body};
+    const std::string bytes = EncodeMessage(message);
+    CHECK(DecodeMessage(bytes).value() == message);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      CHECK(DecodeMessage(bytes.substr(0, size)).has_error());
+    }
+  }
+  const auto code = [](const std::string& bytes) {
+    return DecodeMessage(bytes).error().code;
+  };
+  CHECK(code(std::string(kMaxMessageBytes + 1, 'x')) ==
+        ErrorCode::kFrameTooLarge);
+  CHECK(code("\xdd\xff\xff\xff\xff") == ErrorCode::kMalformedMessage);
+  std::string other = EncodeMessage({kA, kB, 3, bodies[0]});
+  other[1] = 2;
+  CHECK(code(other) == ErrorCode::kUnknownProtocol);
+  CHECK(code(EncodeMessage(
+            {kA, kB, 3,
+             AppendRequest{{9, 2}, {{11, 3, EntryType::kNoOp, ""}}, 9, 1}})) ==
+        ErrorCode::kMalformedMessage);
+}
+
+}  // namespace rattanward::consensus
