Add the time line over the logs of all processes

Records are merged by a logical clock, so that a cause precedes its effect whatever the VMs' clocks say; ties go by time. Ruled out: sorting by wall time with estimated offsets, which can't tell which event came first across links whose delay varies. Filters by request, account, upstream, version; text, JSON lines, and a page with a picture. An event log now writes its records in the order of their clock and goes on from the last record after a restart.

--- a/include/rattanward/adapter/event_log.h
+++ b/include/rattanward/adapter/event_log.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "rattanward/adapter/settings.h"
@@ -36,7 +37,8 @@
 
 /// @brief Writes events, one JSON object a line, to a file or standard error.
 /// @note Thread-safe. Each record is handed to the system before Write
-/// returns, so a killed process loses none; nothing is synced to the disk.
+/// returns, so a killed process loses none; nothing is synced to the disk. The
+/// clock goes on from the last record of an existing file.
 class EventLog {
  public:
   /// @brief Opens a log for appending.
@@ -63,6 +65,8 @@
 
   ProcessIdentity identity_;
   LogicalClock clock_;
+  /// Keeps the records of the file in the order of their clock.
+  std::mutex mutex_;
   std::unique_ptr<Backend> backend_;
 };
 
--- a/src/adapter/event_log.cc
+++ b/src/adapter/event_log.cc
@@ -1,5 +1,6 @@
 #include "rattanward/adapter/event_log.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -65,6 +66,26 @@
                      nlohmann::ordered_json::error_handler_t::replace);
 }
 
+/// The logical clock of the last whole record of a log; 0 if there is none.
+std::uint64_t LastSequence(const std::string& file) {
+  constexpr std::streamoff kTailBytes = 64 << 10;
+  std::ifstream log(file, std::ios::binary | std::ios::ate);
+  if (!log) {
+    return 0;
+  }
+  const std::streamoff size = log.tellg();
+  log.seekg(std::max<std::streamoff>(0, size - kTailBytes));
+  std::uint64_t last = 0;
+  for (std::string line; std::getline(log, line);) {
+    const auto record = nlohmann::json::parse(line, nullptr, false);
+    if (record.is_object() && record.contains("seq") &&
+        record["seq"].is_number_unsigned()) {
+      last = std::max(last, record["seq"].get<std::uint64_t>());
+    }
+  }
+  return last;
+}
+
 boost::shared_ptr<std::ostream> OpenStream(const std::string& file) {
   if (file.empty()) {
     return {&std::cerr, boost::null_deleter()};
@@ -111,8 +132,12 @@
                      "log_file: \"" + file +
                          "\" can't be opened; allowed is a writable path");
   }
-  return std::shared_ptr<EventLog>(
+  std::shared_ptr<EventLog> log(
       new EventLog(std::move(identity), std::make_unique<Backend>(stream)));
+  if (!file.empty()) {
+    log->clock().Merge(LastSequence(file));
+  }
+  return log;
 }
 
 EventLog::EventLog(ProcessIdentity identity, std::unique_ptr<Backend> backend)
@@ -121,6 +146,7 @@
 EventLog::~EventLog() = default;
 
 void EventLog::Write(const Event& event) {
+  const std::lock_guard lock(mutex_);
   backend_->Write(ToLine(identity_, clock_.Tick(), event));
 }
 
--- a/tests/src/unit-event-log.cc
+++ b/tests/src/unit-event-log.cc
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -70,6 +69,19 @@
   CHECK(records[1]["seq"] == 41);
 }
 
+TEST_CASE("the clock goes on after a restart, in the order of the file") {
+  const ScratchFile file("rattanward-log-e");
+  {
+    const auto log = EventLog::Open(kIdentity, file.path());
+    log.value()->clock().Merge(500);
+    log.value()->Write({EventId::kProcessStarted, {}});
+  }
+  std::ofstream(file.path(), std::ios::app) << "{\"seq\":9999,\"torn";
+  std::ofstream(file.path(), std::ios::app) << "\n";
+  const auto log = EventLog::Open(kIdentity, file.path());
+  CHECK(log.value()->clock().Now() == 501);
+}
+
 TEST_CASE("two logs of one process are kept apart") {
   const ScratchFile one("rattanward-log-b");
   const ScratchFile two("rattanward-log-c");
@@ -99,11 +111,9 @@
   }
   const auto records = file.Records();
   REQUIRE(records.size() == kThreads * kEach);
-  std::vector<bool> seen(kThreads * kEach + 1);
-  for (const auto& record : records) {
-    seen[record["seq"].get<std::size_t>()] = true;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    CHECK(records[i]["seq"] == i + 1);
   }
-  CHECK(std::count(seen.begin(), seen.end(), true) == kThreads * kEach);
 }
 
 TEST_CASE("a log that can't be opened is an error") {
--- /dev/null
+++ b/tests/src/unit-timeline.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+#include "rattanward/timeline/command.h"
+#include "rattanward/timeline/render.h"
+#include "rattanward/timeline/timeline.h"
+
+namespace rattanward::timeline {
+namespace {
+
+Record Make(const std::string& process, std::uint64_t sequence,
+            const std::string& time, const std::string& name,
+            std::vector<EventField> fields = {}) {
+  Record record;
+  record.time = "2026-12-03T" + time + "Z";
+  record.process = ProcessId(process);
+  record.vm = VmName("vm-" + process);
+  record.failure_domain = FailureDomain("quay");
+  record.sequence = sequence;
+  record.event = 2001;
+  record.name = name;
+  record.fields = std::move(fields);
+  return record;
+}
+
+std::string Names(const std::vector<Record>& records) {
+  std::string names;
+  for (const Record& record : records) {
+    names += record.name + " ";
+  }
+  return names;
+}
+
+}  // namespace
+
+TEST_CASE("a cause precedes its effect though clocks differ") {
+  // The control VM's clock is 5 s behind the entry's.
+  const std::vector<Record> entry = {Make("entry", 10, "22:00:05.0", "propose"),
+                                     Make("entry", 14, "22:00:05.2", "answer")};
+  const std::vector<Record> control = {
+      Make("control", 12, "22:00:00.1", "commit")};
+  CHECK(Names(MergeLogs({control, entry})) == "propose commit answer ");
+  CHECK(MergeLogs({control, entry}) == MergeLogs({entry, control}));
+}
+
+TEST_CASE("events of equal logical time go by the clock") {
+  CHECK(Names(MergeLogs({{Make("a", 3, "22:00:01.0", "later")},
+                         {Make("b", 3, "22:00:00.0", "sooner")}})) ==
+        "sooner later ");
+}
+
+TEST_CASE("a restarted process stays behind its first life") {
+  CHECK(Names(MergeLogs({{Make("a", 50, "22:00:00.0", "old"),
+                          Make("a", 1, "22:00:01.0", "started"),
+                          Make("a", 2, "22:00:02.0", "ready")}})) ==
+        "old started ready ");
+}
+
+TEST_CASE("filters keep what they name, and an account's requests") {
+  const std::vector<Record> all = {
+      Make("e", 1, "22:00:00.0", "arrived",
+           {{"request", "r1"}, {"account", "port"}}),
+      Make("e", 2, "22:00:00.1", "dispatched",
+           {{"request", "r1"}, {"upstream", "u1"}}),
+      Make("e", 3, "22:00:00.2", "arrived",
+           {{"request", "r2"}, {"account", "tuul"}}),
+      Make("e", 4, "22:00:00.3", "in-force", {{"version", "7"}})};
+  const auto select = [&](const Filter& filter) {
+    return Select(all, filter).size();
+  };
+  CHECK(select({}) == 4);
+  CHECK(select({RequestId("r1"), {}, {}, ""}) == 2);
+  CHECK(select({{}, ClientAccountId("port"), {}, ""}) == 2);
+  CHECK(select({{}, {}, UpstreamId("u1"), ""}) == 1);
+  CHECK(select({{}, {}, {}, "7"}) == 1);
+  CHECK(select({RequestId("r2"), {}, UpstreamId("u1"), ""}) == 0);
+}
+
+TEST_CASE("a log is read back as written, and a torn line is counted") {
+  const std::vector<Record> records = {
+      Make("e", 1, "22:00:00.0", "arrived", {{"request", "r\"1"}}),
+      Make("e", 2, "22:00:00.1", "finished")};
+  const std::string text = ToJsonLines(records);
+  const ParsedLog log = ParseLog(text + "{\"time\":\"2026\nnoise\n");
+  CHECK(log.records == records);
+  CHECK(log.skipped == 2);
+}
+
+TEST_CASE("text and picture show each event, with markup escaped") {
+  const std::vector<Record> records = {
+      Make("e", 1, "22:00:00.5", "arrived", {{"request", "<r1>"}})};
+  CHECK(ToText(records) == "22:00:00.5 e arrived\n  request=<r1>\n");
+  const std::string html = ToHtml(records);
+  CHECK(html.find("&lt;r1&gt;") != std::string::npos);
+  CHECK(html.find("<r1>") == std::string::npos);
+  CHECK(html.find("<circle") != std::string::npos);
+}
+
+TEST_CASE("the command tells bad usage and unreadable files") {
+  std::ostringstream out;
+  std::ostringstream err;
+  CHECK(RunTimeline({}, out, err) == 2);
+  CHECK(RunTimeline({"--request"}, out, err) == 2);
+  CHECK(RunTimeline({"--colour", "red", "f"}, out, err) == 2);
+  CHECK(RunTimeline({"/nowhere/log"}, out, err) == 2);
+  CHECK(out.str().empty());
+  const std::string none = std::string(RATTANWARD_SOURCE_DIR) + "/.gitignore";
+  CHECK(RunTimeline({"--json", none}, out, err) == 0);
+}
+
+}  // namespace rattanward::timeline
