Add the entry's configuration gate and the acceptance rule

An entry takes new work only under a version that a confirmed leader, or a majority of its failure domain, has vouched for within the lease; the lease counts from the moment the heartbeat or probe was sent. Control accepts a version only if every live entry runs it and, where an entry is silent, a live majority has reported it for a lease and margin: two majorities meet.

Ruled out: letting any one peer vouch, and accepting as soon as silent entries are past their lease. Each starts work under an old version in the fuzz test.

The restart rules (waiting out the former life, not counting itself, not vouching) pass the fuzz test when off and are shown by unit cases only.

--- a/include/rattanward/domain/ids.h
+++ b/include/rattanward/domain/ids.h
@@ -21,6 +21,8 @@
   const std::string& str() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Name&, const Name&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
     return out << name.value_;
@@ -35,6 +37,7 @@
 struct Number {
   std::uint64_t value = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Number&, const Number&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Number& number) {
     return out << number.value;
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -18,6 +18,8 @@
   kProposeAnswer = 11,
   kConsensus = 20,
   kGossip = 30,
+  kPeerProbe = 31,
+  kPeerProbeAnswer = 32,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
@@ -88,4 +90,27 @@
   friend bool operator==(const ProposeAnswer&, const ProposeAnswer&) = default;
 };
 
+/// @brief Entry to entry, while control is not heard: which version do you run?
+struct PeerProbe {
+  std::uint64_t sequence = 0;
+
+  friend bool operator==(const PeerProbe&, const PeerProbe&) = default;
+};
+
+/// @brief Answer to PeerProbe.
+struct PeerProbeAnswer {
+  /// Sequence of the probe.
+  std::uint64_t sequence = 0;
+  /// Whether the answering entry may vouch for its version; a restarted one
+  /// may not until it was confirmed itself.
+  bool admitted = false;
+  /// Version that it runs; 0 until it has one.
+  ConfigVersion in_force;
+  /// Version below which it takes no new work.
+  ConfigVersion required;
+
+  friend bool operator==(const PeerProbeAnswer&,
+                         const PeerProbeAnswer&) = default;
+};
+
 }  // namespace rattanward::protocol
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -95,6 +95,18 @@
   }
 };
 
+template <>
+struct FieldsOf<PeerProbe> {
+  static auto Tie(auto& m) { return std::tie(m.sequence); }
+};
+
+template <>
+struct FieldsOf<PeerProbeAnswer> {
+  static auto Tie(auto& m) {
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required);
+  }
+};
+
 template <>
 struct FieldsOf<UpstreamBeat> {
   static auto Tie(auto& m) { return std::tie(m.instance, m.sequence, m.load); }
--- /dev/null
+++ b/src/membership/acceptance_rule.cc
@@ -0,0 +1,105 @@
+#include "rattanward/membership/acceptance_rule.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace rattanward::membership {
+namespace {
+
+/// Reported versions kept of an entry; when older ones are dropped, the times
+/// known of them become later, which only delays acceptance.
+constexpr std::size_t kMaxReports = 16;
+
+}  // namespace
+
+/// @brief Entries of one domain, by what they say of a version.
+struct AcceptanceRule::DomainCount {
+  std::size_t known = 0;
+  std::size_t live = 0;
+  /// Live entries that have reported the version for a lease and margin.
+  std::size_t settled = 0;
+  DomainAcceptance acceptance;
+};
+
+void AcceptanceRule::AddEntry(const ProcessId& process,
+                              const FailureDomain& domain) {
+  const auto [entry, added] = entries_.emplace(process, EntryRecord{});
+  if (added) {
+    entry->second.failure_domain = domain;
+    entry->second.heard = began_;
+  }
+}
+
+bool AcceptanceRule::Heard(const protocol::EntryStatus& status, TimePoint now) {
+  AddEntry(status.process, status.failure_domain);
+  EntryRecord& entry = entries_[status.process];
+  if (std::tie(status.incarnation, status.heartbeat) <=
+      std::tie(entry.incarnation, entry.heartbeat)) {
+    return false;
+  }
+  if (status.incarnation != entry.incarnation) {
+    entry.reports.clear();
+  }
+  entry.incarnation = status.incarnation;
+  entry.heartbeat = status.heartbeat;
+  entry.heard = now;
+  while (!entry.reports.empty() &&
+         entry.reports.back().version > status.in_force) {
+    entry.reports.pop_back();
+  }
+  if (entry.reports.empty() || entry.reports.back().version < status.in_force) {
+    entry.reports.push_back({status.in_force, now});
+  }
+  if (entry.reports.size() > kMaxReports) {
+    entry.reports.pop_front();
+  }
+  return true;
+}
+
+std::vector<DomainAcceptance> AcceptanceRule::Check(ConfigVersion version,
+                                                    TimePoint now) const {
+  std::map<FailureDomain, DomainCount> domains;
+  for (const auto& [process, entry] : entries_) {
+    DomainCount& domain = domains[entry.failure_domain];
+    ++domain.known;
+    if (!Live(entry, now)) {
+      domain.acceptance.silent.push_back(process);
+      continue;
+    }
+    ++domain.live;
+    const auto reached = std::find_if(
+        entry.reports.begin(), entry.reports.end(),
+        [&](const Report& report) { return report.version >= version; });
+    if (reached == entry.reports.end()) {
+      domain.acceptance.behind.push_back(process);
+    } else if (now - reached->since >= times_.lease + times_.margin) {
+      ++domain.settled;
+    }
+  }
+  std::vector<DomainAcceptance> result;
+  for (auto& [name, domain] : domains) {
+    const std::size_t majority = domain.known / 2 + 1;
+    domain.acceptance.failure_domain = name;
+    domain.acceptance.in_force =
+        domain.acceptance.behind.empty() &&
+        (domain.live == domain.known || domain.settled >= majority);
+    result.push_back(std::move(domain.acceptance));
+  }
+  return result;
+}
+
+bool AcceptanceRule::Accepted(ConfigVersion version, TimePoint now) const {
+  const std::vector<DomainAcceptance> domains = Check(version, now);
+  return !domains.empty() &&
+         std::all_of(domains.begin(), domains.end(),
+                     [](const DomainAcceptance& d) { return d.in_force; });
+}
+
+/// An entry that was never heard counts as live, and behind, until its lease
+/// from an earlier leader is surely over.
+bool AcceptanceRule::Live(const EntryRecord& entry, TimePoint now) const {
+  return now - std::max(entry.heard, began_) < times_.lease + times_.margin;
+}
+
+}  // namespace rattanward::membership
--- /dev/null
+++ b/tests/src/fuzz-config_gate.cc
@@ -0,0 +1,373 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rattanward/membership/acceptance_rule.h"
+#include "rattanward/membership/config_gate.h"
+
+namespace rattanward::membership {
+namespace {
+
+constexpr Duration kStep{std::chrono::milliseconds(100)};
+constexpr int kStepsPerHeartbeat = 5;
+constexpr int kMaxDelaySteps = 15;
+constexpr int kQuietSteps = 150;
+constexpr int kControl = -1;
+
+enum class EventKind : std::uint8_t {
+  kNothing,
+  kCommit,
+  kCutToControl,
+  kCutFromControl,
+  kCutControl,
+  kCutPair,
+  kSplit,
+  kHealEntry,
+  kHealAll,
+  kFreeze,
+  kRestart,
+  kNewLeader,
+};
+
+struct Event {
+  EventKind kind = EventKind::kNothing;
+  /// The entry; for kSplit the set of entries, as bits.
+  int entry = 0;
+  /// Steps to run after the event.
+  int steps = 1;
+};
+
+/// Lets rapidcheck print a failing case.
+std::ostream& operator<<(std::ostream& out, const Event& event) {
+  return out << static_cast<int>(event.kind) << ":" << event.entry << "+"
+             << event.steps;
+}
+
+struct SimulatedEntry {
+  std::unique_ptr<ConfigGate> gate;
+  std::uint64_t incarnation = 0;
+  int frozen_steps = 0;
+  /// Difference of this VM's time line from control's.
+  Duration offset{0};
+};
+
+/// Entries, one confirmed control leader and a network that delays, drops,
+/// reorders and cuts in one direction. The oracle is `accepted_`: no entry
+/// starts work under an older version.
+class Simulation {
+ public:
+  Simulation(std::uint32_t seed, std::vector<int> domain_sizes)
+      : random_(seed) {
+    for (std::size_t d = 0; d < domain_sizes.size(); ++d) {
+      for (int i = 0; i < domain_sizes[d]; ++i) {
+        domain_of_.push_back(static_cast<int>(d));
+      }
+    }
+    entries_.resize(domain_of_.size());
+    NewLeader();
+    for (int e = 0; e < Size(); ++e) {
+      entries_[e].offset = std::chrono::seconds(random_() % 1000);
+      Restart(e);
+    }
+    committed_ = ConfigVersion{1};
+    Run(kQuietSteps);
+    RC_ASSERT(accepted_ == committed_);
+  }
+
+  void Apply(const Event& event) {
+    const int entry = event.entry % Size();
+    switch (event.kind) {
+      case EventKind::kCommit:
+        ++committed_.value;
+        break;
+      case EventKind::kCutToControl:
+        cut_.insert({entry, kControl});
+        break;
+      case EventKind::kCutFromControl:
+        cut_.insert({kControl, entry});
+        break;
+      case EventKind::kCutControl:
+        cut_.insert({entry, kControl});
+        cut_.insert({kControl, entry});
+        break;
+      case EventKind::kCutPair:
+        cut_.insert({entry, (entry + event.steps) % Size()});
+        break;
+      case EventKind::kSplit:
+        Split(static_cast<unsigned>(event.entry));
+        break;
+      case EventKind::kHealAll:
+        cut_.clear();
+        break;
+      case EventKind::kHealEntry:
+        std::erase_if(cut_, [&](const auto& link) {
+          return link.first == entry || link.second == entry;
+        });
+        break;
+      case EventKind::kFreeze:
+        entries_[entry].frozen_steps = event.steps * 2;
+        break;
+      case EventKind::kRestart:
+        Restart(entry);
+        break;
+      case EventKind::kNewLeader:
+        NewLeader();
+        break;
+      default:
+        break;
+    }
+    Run(event.steps);
+  }
+
+  /// With all links up again, everything serves under the newest version.
+  void Heal() {
+    cut_.clear();
+    late_permille_ = 0;
+    Run(kQuietSteps);
+    RC_ASSERT(accepted_ == committed_);
+    for (int e = 0; e < Size(); ++e) {
+      RC_ASSERT(Serves(e));
+    }
+  }
+
+ private:
+  using Message = std::function<void()>;
+
+  int Size() const { return static_cast<int>(entries_.size()); }
+
+  static ProcessId Name(int entry) { return ProcessId(std::to_string(entry)); }
+
+  FailureDomain Domain(int entry) const {
+    return FailureDomain(std::to_string(domain_of_[entry]));
+  }
+
+  TimePoint Local(int entry) const { return now_ + entries_[entry].offset; }
+
+  bool Serves(int entry) const {
+    return entries_[entry].gate->State(Local(entry)) == GateState::kServing;
+  }
+
+  /// A new process has a new incarnation and has forgotten its version.
+  void Restart(int entry) {
+    ConfigGateOptions options;
+    for (int e = 0; e < Size(); ++e) {
+      if (e != entry && domain_of_[e] == domain_of_[entry]) {
+        options.domain_peers.push_back(Name(e));
+      }
+    }
+    entries_[entry].gate = std::make_unique<ConfigGate>(options, Local(entry));
+    ++entries_[entry].incarnation;
+    entries_[entry].frozen_steps = 0;
+  }
+
+  /// The log knows the entries and the newest version that was accepted.
+  void NewLeader() {
+    ++term_;
+    rule_ = std::make_unique<AcceptanceRule>(LeaseTimes{}, now_);
+    for (int e = 0; e < Size(); ++e) {
+      rule_->AddEntry(Name(e), Domain(e));
+    }
+  }
+
+  /// Cuts a set of entries from control and from all other entries.
+  void Split(unsigned set) {
+    for (int e = 0; e < Size(); ++e) {
+      for (int other = kControl; other < Size(); ++other) {
+        const bool inside = other != kControl && (set >> other & 1U) != 0;
+        if ((set >> e & 1U) != 0 && !inside) {
+          cut_.insert({e, other});
+          cut_.insert({other, e});
+        }
+      }
+    }
+  }
+
+  void Send(int from, int to, const Message& message) {
+    if (!cut_.contains({from, to})) {
+      under_way_.emplace(step_ + 1 + Delay(), std::make_pair(to, message));
+    }
+  }
+
+  /// Most messages are quick, and some are late by up to the bound.
+  int Delay() {
+    const bool late = static_cast<int>(random_() % 1000) < late_permille_;
+    return late ? static_cast<int>(random_() % kMaxDelaySteps) : 0;
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      Step();
+    }
+  }
+
+  void Step() {
+    ++step_;
+    now_ += kStep;
+    for (int e = 0; e < Size(); ++e) {
+      if (entries_[e].frozen_steps > 0) {
+        --entries_[e].frozen_steps;
+      } else {
+        CheckStart(e);
+      }
+    }
+    Deliver();
+    for (int e = 0; e < Size(); ++e) {
+      if (entries_[e].frozen_steps == 0 &&
+          (step_ + e) % kStepsPerHeartbeat == 0) {
+        SendHeartbeat(e);
+        SendProbes(e);
+      }
+    }
+    if (rule_->Accepted(committed_, now_)) {
+      accepted_ = std::max(accepted_, committed_);
+    }
+    for (int e = 0; e < Size(); ++e) {
+      if (entries_[e].frozen_steps == 0) {
+        CheckStart(e);
+      }
+    }
+  }
+
+  /// The property.
+  void CheckStart(int entry) const {
+    if (Serves(entry)) {
+      RC_ASSERT(entries_[entry].gate->in_force() >= accepted_);
+    }
+  }
+
+  /// What reaches a frozen process is read when it wakes.
+  void Deliver() {
+    std::vector<std::pair<int, Message>> due;
+    std::multimap<std::uint64_t, std::pair<int, Message>> later;
+    for (auto& [at, item] : std::exchange(under_way_, {})) {
+      const bool frozen =
+          item.first != kControl && entries_[item.first].frozen_steps > 0;
+      if (at <= step_ && !frozen) {
+        due.push_back(std::move(item));
+      } else {
+        later.emplace(at, std::move(item));
+      }
+    }
+    under_way_ = std::move(later);
+    std::shuffle(due.begin(), due.end(), random_);
+    for (const auto& [to, message] : due) {
+      message();
+    }
+  }
+
+  void SendHeartbeat(int e) {
+    ConfigGate& gate = *entries_[e].gate;
+    const protocol::EntryStatus status{Name(e),
+                                       {},
+                                       Domain(e),
+                                       gate.in_force(),
+                                       gate.NextHeartbeat(Local(e)),
+                                       entries_[e].incarnation};
+    Send(e, kControl, [this, e, status] {
+      rule_->Heard(status, now_);
+      const protocol::ControlStatus answer{
+          true, term_, "", committed_, status.heartbeat, accepted_};
+      SendToLife(kControl, e, status.incarnation, [this, e, answer] {
+        entries_[e].gate->ControlAnswered(answer, Local(e));
+      });
+      if (status.in_force < committed_) {
+        SendVersion(kControl, e, committed_);
+      }
+    });
+  }
+
+  void SendProbes(int e) {
+    if (!entries_[e].gate->NeedsPeers(Local(e))) {
+      return;
+    }
+    const protocol::PeerProbe probe{entries_[e].gate->NextProbe(Local(e))};
+    const std::uint64_t incarnation = entries_[e].incarnation;
+    for (int peer = 0; peer < Size(); ++peer) {
+      if (peer != e) {
+        Send(e, peer, [this, e, peer, probe, incarnation] {
+          const auto answer = entries_[peer].gate->Answer(probe);
+          SendToLife(peer, e, incarnation, [this, e, peer, answer] {
+            entries_[e].gate->PeerAnswered(Name(peer), answer, Local(e));
+          });
+          SendVersion(peer, e, answer.in_force);
+        });
+      }
+    }
+  }
+
+  /// An answer goes to the connection, and so to the process, that asked.
+  void SendToLife(int from, int to, std::uint64_t incarnation,
+                  const Message& message) {
+    Send(from, to, [this, to, incarnation, message] {
+      if (entries_[to].incarnation == incarnation) {
+        message();
+      }
+    });
+  }
+
+  void SendVersion(int from, int to, ConfigVersion version) {
+    Send(from, to,
+         [this, to, version] { entries_[to].gate->Apply(version, Local(to)); });
+  }
+
+  std::mt19937 random_;
+  TimePoint now_{Duration(0)};
+  std::uint64_t step_ = 0;
+  std::vector<int> domain_of_;
+  std::vector<SimulatedEntry> entries_;
+  std::unique_ptr<AcceptanceRule> rule_;
+  std::uint64_t term_ = 0;
+  ConfigVersion committed_;
+  ConfigVersion accepted_;
+  std::set<std::pair<int, int>> cut_;
+  int late_permille_ = 250;
+  std::multimap<std::uint64_t, std::pair<int, Message>> under_way_;
+};
+
+rc::Gen<EventKind> AnyKind() {
+  return rc::gen::weightedElement<EventKind>({{1, EventKind::kNothing},
+                                              {6, EventKind::kCommit},
+                                              {1, EventKind::kCutToControl},
+                                              {1, EventKind::kCutFromControl},
+                                              {2, EventKind::kCutControl},
+                                              {2, EventKind::kCutPair},
+                                              {5, EventKind::kSplit},
+                                              {2, EventKind::kHealEntry},
+                                              {3, EventKind::kHealAll},
+                                              {3, EventKind::kFreeze},
+                                              {3, EventKind::kRestart},
+                                              {1, EventKind::kNewLeader}});
+}
+
+rc::Gen<Event> AnyEvent() {
+  return rc::gen::build<Event>(
+      rc::gen::set(&Event::kind, AnyKind()),
+      rc::gen::set(&Event::entry, rc::gen::inRange(0, 64)),
+      rc::gen::set(&Event::steps, rc::gen::inRange(1, 50)));
+}
+
+TEST_CASE("no entry starts work under a version below an accepted one") {
+  CHECK(rc::check("accepted means in force", [] {
+    const auto seed = *rc::gen::inRange<std::uint32_t>(1, 1U << 30U);
+    const auto sizes = *rc::gen::element(
+        std::vector<int>{3, 1}, std::vector<int>{3, 3}, std::vector<int>{5},
+        std::vector<int>{1, 1, 1}, std::vector<int>{2, 4});
+    const auto events = *rc::gen::container<std::vector<Event>>(AnyEvent());
+    Simulation simulation(seed, sizes);
+    for (const Event& event : events) {
+      simulation.Apply(event);
+    }
+    simulation.Heal();
+  }));
+}
+
+}  // namespace
+}  // namespace rattanward::membership
--- /dev/null
+++ b/tests/src/unit-config_gate.cc
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include "rattanward/membership/acceptance_rule.h"
+#include "rattanward/membership/config_gate.h"
+
+namespace rattanward::membership {
+namespace {
+
+const ProcessId kPeerOne("entry-1");
+const ProcessId kPeerTwo("entry-2");
+
+TimePoint At(int milliseconds) {
+  return TimePoint(std::chrono::milliseconds(milliseconds));
+}
+
+ConfigGateOptions ThreeEntries() { return {{}, {kPeerOne, kPeerTwo}}; }
+
+protocol::ControlStatus Confirmed(std::uint64_t heartbeat,
+                                  std::uint64_t accepted) {
+  return {
+      true, 1, "", ConfigVersion{accepted}, heartbeat, ConfigVersion{accepted}};
+}
+
+/// A gate that runs version 1, confirmed by a heartbeat sent at 0.
+ConfigGate Confirmed(ConfigGateOptions options) {
+  ConfigGate gate(std::move(options), At(0));
+  gate.Apply(ConfigVersion{1}, At(0));
+  gate.ControlAnswered(Confirmed(gate.NextHeartbeat(At(0)), 1), At(100));
+  return gate;
+}
+
+void Answer(ConfigGate& gate, const ProcessId& peer, int sent,
+            protocol::PeerProbeAnswer answer) {
+  answer.sequence = gate.NextProbe(At(sent));
+  gate.PeerAnswered(peer, answer, At(sent + 1));
+}
+
+TEST_CASE("a confirmation counts from the moment its heartbeat was sent") {
+  const ConfigGate gate = Confirmed(ThreeEntries());
+  CHECK(gate.State(At(1999)) == GateState::kServing);
+  CHECK(gate.State(At(2000)) == GateState::kIsolated);
+  CHECK(gate.MayStart(At(2000)).error().code == ErrorCode::kIsolated);
+}
+
+TEST_CASE("a process that wakes after the lease takes no work until it heard") {
+  ConfigGate gate = Confirmed(ThreeEntries());
+  const auto before = gate.NextHeartbeat(At(100));
+  CHECK(gate.State(At(60000)) == GateState::kIsolated);
+  gate.ControlAnswered(Confirmed(before, 1), At(60001));
+  CHECK(gate.State(At(60001)) == GateState::kIsolated);
+  const auto after = gate.NextHeartbeat(At(60002));
+  gate.ControlAnswered(Confirmed(after, 1), At(60003));
+  CHECK(gate.State(At(60003)) == GateState::kServing);
+}
+
+TEST_CASE("only a confirmed leader of the newest term confirms") {
+  ConfigGate gate = Confirmed(ThreeEntries());
+  auto status = Confirmed(gate.NextHeartbeat(At(3000)), 1);
+  status.leader = false;
+  gate.ControlAnswered(status, At(3001));
+  CHECK(gate.State(At(3001)) == GateState::kIsolated);
+  status.leader = true;
+  status.term = 0;
+  gate.ControlAnswered(status, At(3002));
+  CHECK(gate.State(At(3002)) == GateState::kIsolated);
+}
+
+TEST_CASE(
+    "an entry below an accepted version waits for it, and never reverts") {
+  ConfigGate gate = Confirmed(ThreeEntries());
+  gate.ControlAnswered(Confirmed(gate.NextHeartbeat(At(100)), 3), At(101));
+  CHECK(gate.State(At(102)) == GateState::kBehind);
+  CHECK(gate.Apply(ConfigVersion{3}, At(103)));
+  CHECK(gate.State(At(103)) == GateState::kServing);
+  CHECK_FALSE(gate.Apply(ConfigVersion{2}, At(104)));
+  CHECK(gate.in_force() == ConfigVersion{3});
+}
+
+TEST_CASE("a cut failure domain keeps serving while a majority vouches") {
+  ConfigGate gate = Confirmed(ThreeEntries());
+  CHECK(gate.NeedsPeers(At(1500)));
+  Answer(gate, kPeerOne, 1500, {0, true, ConfigVersion{1}, ConfigVersion{1}});
+  CHECK(gate.State(At(3000)) == GateState::kServing);
+  CHECK(gate.State(At(3500)) == GateState::kIsolated);
+  Answer(gate, ProcessId("elsewhere"), 3600,
+         {0, true, ConfigVersion{1}, ConfigVersion{1}});
+  CHECK(gate.State(At(3700)) == GateState::kIsolated);
+  Answer(gate, kPeerTwo, 3800, {0, false, ConfigVersion{1}, {}});
+  CHECK(gate.State(At(3900)) == GateState::kIsolated);
+  Answer(gate, kPeerTwo, 4000, {0, true, ConfigVersion{2}, ConfigVersion{1}});
+  CHECK(gate.State(At(4100)) == GateState::kBehind);
+}
+
+TEST_CASE("an entry alone in its domain needs any other entry") {
+  ConfigGate gate = Confirmed({});
+  CHECK(gate.State(At(2500)) == GateState::kIsolated);
+  Answer(gate, ProcessId("elsewhere"), 2600,
+         {0, true, ConfigVersion{1}, ConfigVersion{1}});
+  CHECK(gate.State(At(2700)) == GateState::kServing);
+}
+
+TEST_CASE("a restarted entry needs both peers, after its former life is over") {
+  const protocol::PeerProbeAnswer vouch{0, true, ConfigVersion{1},
+                                        ConfigVersion{1}};
+  ConfigGate gate(ThreeEntries(), At(0));
+  gate.Apply(ConfigVersion{1}, At(1));
+  Answer(gate, kPeerOne, 100, vouch);
+  Answer(gate, kPeerTwo, 100, vouch);
+  CHECK(gate.State(At(200)) == GateState::kNoConfiguration);
+  CHECK_FALSE(gate.Answer({1}).admitted);
+  Answer(gate, kPeerOne, 5000, vouch);
+  CHECK(gate.State(At(5100)) == GateState::kNoConfiguration);
+  Answer(gate, kPeerTwo, 5200, vouch);
+  CHECK(gate.State(At(5300)) == GateState::kServing);
+  CHECK(gate.Answer({1}).admitted);
+}
+
+protocol::EntryStatus Status(const ProcessId& process, std::uint64_t version,
+                             std::uint64_t heartbeat,
+                             std::uint64_t incarnation = 1) {
+  return {process,   VmName(),   FailureDomain("zone"), ConfigVersion{version},
+          heartbeat, incarnation};
+}
+
+TEST_CASE("a version is accepted when every entry runs it") {
+  AcceptanceRule rule({}, At(0));
+  CHECK_FALSE(rule.Accepted(ConfigVersion{1}, At(0)));
+  rule.AddEntry(kPeerOne, FailureDomain("zone"));
+  rule.Heard(Status(kPeerTwo, 1, 1), At(10));
+  CHECK(rule.Check(ConfigVersion{1}, At(20))[0].behind ==
+        std::vector<ProcessId>{kPeerOne});
+  rule.Heard(Status(kPeerOne, 1, 1), At(30));
+  CHECK(rule.Accepted(ConfigVersion{1}, At(30)));
+  CHECK_FALSE(rule.Accepted(ConfigVersion{2}, At(30)));
+}
+
+TEST_CASE("with a silent entry a live majority must have settled") {
+  AcceptanceRule rule({}, At(0));
+  rule.AddEntry(ProcessId("entry-0"), FailureDomain("zone"));
+  for (int i = 0; i < 10; ++i) {
+    const int now = 500 * i;
+    rule.Heard(Status(kPeerOne, 1, i + 1), At(now));
+    rule.Heard(Status(kPeerTwo, i < 2 ? 0 : 1, i + 1), At(now));
+    CHECK(rule.Accepted(ConfigVersion{1}, At(now)) == (now >= 3500));
+  }
+  CHECK_FALSE(rule.Accepted(ConfigVersion{1}, At(9000)));
+}
+
+TEST_CASE("late heartbeats and a restart count as what they are") {
+  AcceptanceRule rule({}, At(0));
+  CHECK(rule.Heard(Status(kPeerOne, 1, 9), At(10)));
+  CHECK(rule.Heard(Status(kPeerOne, 0, 1, 2), At(20)));
+  CHECK_FALSE(rule.Heard(Status(kPeerOne, 1, 10), At(30)));
+  CHECK_FALSE(rule.Accepted(ConfigVersion{1}, At(30)));
+}
+
+}  // namespace
+}  // namespace rattanward::membership
