Limit a command's size and what one output sends to a member

A command over the largest message could be appended but never sent, and a member far behind got up to 4,096 entries at once, whatever their size. Now a command has at most 8 MiB and one output holds at most 4 AppendRequests for a member; the answers draw the next ones.

--- a/include/rattanward/consensus/message.h
+++ b/include/rattanward/consensus/message.h
@@ -12,7 +12,9 @@
 namespace rattanward::consensus {
 
 /// @brief Largest encoded message that DecodeMessage accepts, in bytes.
-inline constexpr std::size_t kMaxMessageBytes = 8U << 20U;
+inline constexpr std::size_t kMaxMessageBytes = 12U << 20U;
+/// @brief Largest payload that Propose() takes, in bytes; fits a message.
+inline constexpr std::size_t kMaxPayloadBytes = 8U << 20U;
 
 /// @brief Asks for a vote, or (pre_vote) whether one would be given.
 struct VoteRequest {
--- a/include/rattanward/consensus/node.h
+++ b/include/rattanward/consensus/node.h
@@ -152,7 +152,7 @@
   /// @brief Appends a command.
   /// @return Where the command stands. It is committed when an entry of this
   /// index and term comes out; another term there means that it never will.
-  /// Errors: kNotLeader.
+  /// Errors: kNotLeader; kFrameTooLarge over kMaxPayloadBytes.
   Result<LogPosition> Propose(std::string payload, TimePoint now);
 
   /// @brief Asks for a linearizable read; ends in reads or failed_reads.
--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -85,6 +85,11 @@
   if (role_ != Role::kLeader) {
     return MakeError(ErrorCode::kNotLeader, "this voter is not the leader");
   }
+  if (payload.size() > kMaxPayloadBytes) {
+    return MakeError(ErrorCode::kFrameTooLarge,
+                     "command of " + std::to_string(payload.size()) +
+                         " bytes; at most " + std::to_string(kMaxPayloadBytes));
+  }
   AppendLocal(EntryType::kCommand, std::move(payload));
   return log_.last();
 }
--- a/src/consensus/node_leader.cc
+++ b/src/consensus/node_leader.cc
@@ -5,6 +5,12 @@
 #include "rattanward/consensus/detail/node_impl.h"
 
 namespace rattanward::consensus {
+namespace {
+
+/// @brief Most AppendRequests to one member in one output.
+constexpr int kMaxAppendsAtOnce = 4;
+
+}  // namespace
 
 void Node::Impl::Replicate(const VoterId& to, Peer* peer) {
   if (!peer->transfer && !log_.TermAt(peer->next - 1).has_value()) {
@@ -13,8 +19,10 @@
   if (peer->transfer) {
     SendChunk(to, peer);
   } else if (!peer->probing) {
-    while (peer->next <= log_.last_index() &&
-           peer->next <= peer->match + options_.max_inflight_entries) {
+    for (int sent = 0;
+         sent < kMaxAppendsAtOnce && peer->next <= log_.last_index() &&
+         peer->next <= peer->match + options_.max_inflight_entries;
+         ++sent) {
       SendAppend(to, peer);
     }
   } else if (!peer->probe_sent || peer->heartbeat_due) {
--- a/tests/src/unit-consensus.cc
+++ b/tests/src/unit-consensus.cc
@@ -158,6 +158,9 @@
   for (int i = 0; i < 5; ++i) {
     REQUIRE(node.Propose("x", At(720)).has_value());
   }
+  CHECK(node.Propose(std::string(kMaxPayloadBytes + 1, 'x'), At(720))
+            .error()
+            .code == ErrorCode::kFrameTooLarge);
   const Output output = node.TakeOutput();
   CHECK(output.entries.size() == 5);
   CHECK(output.messages.size() == 2);
