--- a/tests/src/unit-consensus.cc
+++ b/tests/src/unit-consensus.cc
@@ -194,6 +194,19 @@
   CHECK(node.term() == 0);
 }
 
+TEST_CASE("a vote from a replaced disk does not count") {
+  Node node(kA, Options(), InitialState(Voters({kA, kB, kC})), At(0));
+  node.Tick(At(700));
+  const VoterId replaced("d");
+  node.Receive({replaced, kA, 0, VoteAnswer{true, 1, true}}, At(710));
+  CHECK(node.role() == Role::kPreCandidate);
+  node.Receive({kB, kA, 0, VoteAnswer{true, 1, true}}, At(710));
+  node.Receive({replaced, kA, 1, VoteAnswer{false, 1, true}}, At(720));
+  CHECK(node.role() == Role::kCandidate);
+  node.Receive({kB, kA, 1, VoteAnswer{false, 1, true}}, At(720));
+  CHECK(node.role() == Role::kLeader);
+}
+
 TEST_CASE("changes of voters come one at a time and only if they are safe") {
   using Kind = MembershipChange::Kind;
   Node node = LeaderA(InitialState(Voters({kA, kB, kC})), At(700));
