Carry the logical clock in messages between processes

Each envelope gets the sender's clock as its last field (an older sender leaves it 0), and the receiver moves its own clock up before it handles the message.

--- a/include/rattanward/adapter/message_transport.h
+++ b/include/rattanward/adapter/message_transport.h
@@ -11,6 +11,7 @@
 #include "rattanward/domain/result.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/port/event_sink.h"
+#include "rattanward/port/logical_clock.h"
 #include "rattanward/protocol/envelope.h"
 
 namespace rattanward::adapter {
@@ -40,6 +41,8 @@
   Duration max_backoff{std::chrono::milliseconds(1000)};
   /// Takes kPeerConnected, kPeerSilent and kPeerRefused; may be empty.
   port::EventSink events;
+  /// Stamped on each message sent and merged from each one taken; may be null.
+  std::shared_ptr<port::LogicalClock> clock;
 };
 
 /// @brief A message that a listener received, from a proven peer.
--- a/include/rattanward/protocol/envelope.h
+++ b/include/rattanward/protocol/envelope.h
@@ -18,6 +18,8 @@
   std::uint64_t request = 0;
   /// The encoded message; see codec.h.
   std::string body;
+  /// Logical clock of the sender; 0 if it keeps none.
+  std::uint64_t clock = 0;
 
   friend bool operator==(const Envelope&, const Envelope&) = default;
 };
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -36,7 +36,7 @@
 template <>
 struct FieldsOf<Envelope> {
   static auto Tie(auto& m) {
-    return std::tie(m.version, m.kind, m.request, m.body);
+    return std::tie(m.version, m.kind, m.request, m.body, m.clock);
   }
 };
 
--- a/src/adapter/event_log.cc
+++ b/src/adapter/event_log.cc
@@ -154,4 +154,9 @@
   return [log = std::move(log)](const Event& event) { log->Write(event); };
 }
 
+std::shared_ptr<port::LogicalClock> ClockOf(
+    const std::shared_ptr<EventLog>& log) {
+  return {log, &log->clock()};
+}
+
 }  // namespace rattanward::adapter
--- a/src/adapter/message_listener.cc
+++ b/src/adapter/message_listener.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "rattanward/adapter/detail/stamped_envelope.h"
 #include "rattanward/adapter/framed_connection.h"
 #include "rattanward/adapter/handshake.h"
 #include "rattanward/adapter/message_transport.h"
@@ -76,10 +77,10 @@
 
   /// Sends from any thread.
   void SendEnvelope(protocol::Envelope envelope) {
-    asio::dispatch(executor_,
-                   [self = shared_from_this(), envelope = std::move(envelope)] {
-                     self->frames_->Send(protocol::Encode(envelope));
-                   });
+    asio::dispatch(executor_, [self = shared_from_this(),
+                               envelope = std::move(envelope)] {
+      self->frames_->Send(EncodeStamped(envelope, self->options_->clock.get()));
+    });
   }
 
  private:
@@ -129,7 +130,7 @@
   }
 
   void TakeEnvelope(std::string_view frame) {
-    auto envelope = protocol::Decode<protocol::Envelope>(frame);
+    auto envelope = DecodeStamped(frame, options_->clock.get());
     if (!envelope) {
       Refuse(envelope.error().message);
       return;
--- a/src/adapter/peer_client.cc
+++ b/src/adapter/peer_client.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "rattanward/adapter/detail/stamped_envelope.h"
 #include "rattanward/adapter/framed_connection.h"
 #include "rattanward/adapter/handshake.h"
 #include "rattanward/adapter/message_transport.h"
@@ -52,7 +53,8 @@
   void Send(Envelope envelope) {
     if (established_) {
       envelope.request = 0;
-      frames_->Send(protocol::Encode(envelope));
+      frames_->Send(
+          detail::EncodeStamped(std::move(envelope), options_.clock.get()));
     }
   }
 
@@ -64,7 +66,8 @@
     }
     envelope.request = ++last_request_;
     if (pending_.size() >= options_.max_pending_calls ||
-        !frames_->Send(protocol::Encode(envelope))) {
+        !frames_->Send(
+            detail::EncodeStamped(std::move(envelope), options_.clock.get()))) {
       callback(MakeError(ErrorCode::kDisconnected,
                          "too much is queued for " + ToString(peer_)));
       return;
@@ -181,7 +184,7 @@
 
   void TakeEnvelope(std::string_view frame) {
     backoff_ = options_.min_backoff;
-    auto envelope = protocol::Decode<Envelope>(frame);
+    auto envelope = detail::DecodeStamped(frame, options_.clock.get());
     if (!envelope || envelope.value().version != protocol::kProtocolVersion) {
       Emit(EventId::kPeerRefused, "malformed message");
       Lost("malformed message");
--- a/tests/src/unit-transport.cc
+++ b/tests/src/unit-transport.cc
@@ -68,6 +68,25 @@
   CHECK(echo.inbound[0].envelope.body == "one-way");
 }
 
+TEST_CASE("a message moves its receiver's logical clock past the sender's") {
+  asio::io_context io;
+  TransportOptions listener = Options("control-1", "secret");
+  TransportOptions caller = Options("entry-1", "secret");
+  listener.clock = std::make_shared<port::LogicalClock>();
+  caller.clock = std::make_shared<port::LogicalClock>();
+  caller.clock->Merge(700);
+  EchoListener echo(io, listener);
+  PeerClient client(io, caller, echo.listener.endpoint());
+  client.Start();
+  REQUIRE(RunUntil(io, [&] { return client.connected(); }));
+  std::optional<Result<Envelope>> answer;
+  client.Call({1, MessageKind::kPropose, 0, "body"}, kCallTimeout,
+              [&](Result<Envelope> result) { answer = std::move(result); });
+  REQUIRE(RunUntil(io, [&] { return answer.has_value(); }));
+  CHECK(listener.clock->Now() >= 702);
+  CHECK(caller.clock->Now() >= listener.clock->Now());
+}
+
 TEST_CASE("a process with another secret is refused") {
   asio::io_context io;
   std::vector<Event> events;
