--- a/apps/rattanctl/main.cc
+++ b/apps/rattanctl/main.cc
@@ -14,6 +14,7 @@
 #include "exit_codes.h"
 #include "rattanward/adapter/command_line.h"
 #include "rattanward/adapter/config_text.h"
+#include "rattanward/timeline/command.h"
 #include "text_output.h"
 
 DEFINE_string(
@@ -51,7 +52,10 @@
     "  quarantine list | clear FINGERPRINT\n"
     "  vm forget NAME\n"
     "  status\n"
-    "  events watch";
+    "  events watch\n"
+    "  timeline [--request ID] [--account ID]\n"
+    "    [--upstream ID] [--version N]\n"
+    "    [--json | --html] LOG_FILE...";
 
 std::string FromEnvironment(const std::string& flag, const char* name) {
   const char* value = std::getenv(name);
@@ -392,6 +396,11 @@
 }  // namespace rattanward
 
 int main(int argc, char** argv) {
+  // Reads log files only, so it takes no addresses and no token.
+  if (argc > 1 && std::string_view(argv[1]) == "timeline") {
+    return rattanward::timeline::RunTimeline({argv + 2, argv + argc}, std::cout,
+                                             std::cerr);
+  }
   const rattanward::adapter::ProgramInfo info{"rattanctl", RATTANWARD_VERSION,
                                               rattanward::kUsage};
   if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
