--- a/apps/rattanward-control/main.cc
+++ b/apps/rattanward-control/main.cc
@@ -76,7 +76,8 @@
             {{"bytes", std::to_string(storage.cut_bytes())}}});
   }
   control::ControlDaemon daemon(io, inputs.settings, inputs.secret,
-                                std::move(storage), events);
+                                std::move(storage), events,
+                                adapter::ClockOf(inputs.log));
   rpc::ControlCalls calls(daemon, feed);
   rpc::OperatorServer server(calls, inputs.token);
   Status started = daemon.Start();
--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -48,11 +48,12 @@
 class Daemon {
  public:
   Daemon(adapter::EntrySettings settings, std::string announce_token,
-         const std::string& secret, std::shared_ptr<adapter::EventLog> log)
+         const std::string& secret,
+         const std::shared_ptr<adapter::EventLog>& log)
       : settings_(std::move(settings)),
-        events_(adapter::MakeEventSink(std::move(log))),
+        events_(adapter::MakeEventSink(log)),
         core_(Options(), events_),
-        control_link_(core_, settings_, secret, events_),
+        control_link_(core_, settings_, secret, events_, adapter::ClockOf(log)),
         upstream_front_(core_, std::move(announce_token)),
         recorder_(metrics_, events_),
         caller_front_(core_, recorder_,
--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -26,9 +26,11 @@
   /// @param secret The secret that our own processes share.
   /// @param storage The opened data folder.
   /// @param events Takes this process's events.
+  /// @param clock Logical clock of this process's log; may be null.
   ControlDaemon(asio::io_context& io, adapter::ControlSettings settings,
                 const std::string& secret, adapter::FileLogStorage storage,
-                port::EventSink events);
+                port::EventSink events,
+                std::shared_ptr<port::LogicalClock> clock = nullptr);
 
   /// @brief Binds the peer address and starts timers and connections.
   /// Errors: kDisconnected if the address can't be bound.
--- a/include/rattanward/entry/control_link.h
+++ b/include/rattanward/entry/control_link.h
@@ -19,7 +19,8 @@
   /// @param settings Control endpoints and identity.
   /// @param secret Shared secret of the deployment's processes.
   ControlLink(EntryCore& core, const adapter::EntrySettings& settings,
-              const std::string& secret, port::EventSink events);
+              const std::string& secret, port::EventSink events,
+              std::shared_ptr<port::LogicalClock> clock = nullptr);
 
   void Start();
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -24,11 +24,12 @@
 
 adapter::TransportOptions MakeTransport(
     const adapter::ControlSettings& settings, const std::string& secret,
-    const port::EventSink& events) {
+    const port::EventSink& events, std::shared_ptr<port::LogicalClock> clock) {
   adapter::TransportOptions options;
   options.self = settings.identity.process;
   options.secret = secret;
   options.events = events;
+  options.clock = std::move(clock);
   return options;
 }
 
@@ -38,11 +39,12 @@
                              adapter::ControlSettings settings,
                              const std::string& secret,
                              adapter::FileLogStorage storage,
-                             port::EventSink events)
+                             port::EventSink events,
+                             std::shared_ptr<port::LogicalClock> clock)
     : io_(io),
       settings_(std::move(settings)),
       events_(std::move(events)),
-      transport_(MakeTransport(settings_, secret, events_)),
+      transport_(MakeTransport(settings_, secret, events_, std::move(clock))),
       timers_(io),
       voters_(io, transport_, settings_.peer_listen),
       replica_(io, std::move(storage), MakeNodeOptions(), Hooks()),
--- a/src/entry/control_link.cc
+++ b/src/entry/control_link.cc
@@ -22,7 +22,8 @@
 
 ControlLink::ControlLink(EntryCore& core,
                          const adapter::EntrySettings& settings,
-                         const std::string& secret, port::EventSink events)
+                         const std::string& secret, port::EventSink events,
+                         std::shared_ptr<port::LogicalClock> clock)
     : core_(core), timers_(core.context()) {
   status_.process = settings.identity.process;
   status_.vm = settings.identity.vm;
@@ -31,6 +32,7 @@
   options.self = settings.identity.process;
   options.secret = secret;
   options.events = std::move(events);
+  options.clock = std::move(clock);
   for (const Endpoint& endpoint : settings.control_endpoints) {
     peers_.push_back(std::make_unique<adapter::PeerClient>(
         core.context(), options, endpoint,
