Log a committed configuration before telling the entries

In the time line of a local run, config-in-force at an entry stood above the leader's config-committed, because the record was written after the push.

--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -64,8 +64,8 @@
   };
   hooks.changed = [this] {
     ContactMembers();
+    NoteConfig();  // before the entries are told, so that its record is first
     entries_.LedgerChanged();
-    NoteConfig();
   };
   hooks.failed = [this](const Error& error) { Fail(error); };
   hooks.events = events_;
