--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -57,7 +57,7 @@
 
   Replica& replica() { return replica_; }
   const Replica& replica() const { return replica_; }
-  const EntryHub& entries() const { return entries_; }
+  EntryHub& entries() { return entries_; }
   VoterDirectory& voters() { return voters_; }
   const adapter::ControlSettings& settings() const { return settings_; }
   adapter::AsioTimerService& timers() { return timers_; }
