--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -12,6 +12,7 @@
 #include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
 #include "rattanward/entry/caller_front.h"
+#include "rattanward/entry/control_link.h"
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
@@ -47,10 +48,11 @@
 class Daemon {
  public:
   Daemon(adapter::EntrySettings settings, std::string announce_token,
-         std::shared_ptr<adapter::EventLog> log)
+         const std::string& secret, std::shared_ptr<adapter::EventLog> log)
       : settings_(std::move(settings)),
         events_(adapter::MakeEventSink(std::move(log))),
         core_(Options(), events_),
+        control_link_(core_, settings_, secret, events_),
         upstream_front_(core_, std::move(announce_token)),
         recorder_(metrics_, events_),
         caller_front_(core_, recorder_,
@@ -60,6 +62,7 @@
 
   int Run() {
     events_(Event{EventId::kProcessStarted, {}});
+    control_link_.Start();
     core_.Start();
     const Status announcements =
         upstream_front_.Start(settings_.announce_listen);
@@ -115,6 +118,7 @@
   adapter::EntrySettings settings_;
   port::EventSink events_;
   entry::EntryCore core_;
+  entry::ControlLink control_link_;
   entry::UpstreamFront upstream_front_;
   adapter::Metrics metrics_;
   entry::RequestRecorder recorder_;
@@ -128,17 +132,21 @@
     return kExitBadSettings;
   }
   const auto token = adapter::ReadSecret(settings.value().announce_token);
+  const auto secret = adapter::ReadSecret(settings.value().shared_secret);
   const auto log = adapter::EventLog::Open(settings.value().identity,
                                            settings.value().log_file);
-  if (!token || !log) {
-    std::cerr << (token ? log.error() : token.error()).message << "\n";
+  if (!token || !secret || !log) {
+    const Error& error = !token    ? token.error()
+                         : !secret ? secret.error()
+                                   : log.error();
+    std::cerr << error.message << "\n";
     return kExitBadSettings;
   }
   if (FLAGS_check) {
     std::cout << "settings are valid\n";
     return 0;
   }
-  Daemon daemon(settings.value(), token.value(), log.value());
+  Daemon daemon(settings.value(), token.value(), secret.value(), log.value());
   return daemon.Run();
 }
 
--- a/src/policy/account_limits.cc
+++ b/src/policy/account_limits.cc
@@ -90,25 +90,32 @@
   if (group_.entries.empty()) {
     return out;
   }
-  home_->Expire(now);
-  for (auto it = active_.begin(); it != active_.end();) {
-    Active& active = it->second;
-    const Limit* limit = LimitOf(it->first);
-    if (limit == nullptr || IsIdle(&active, now)) {
-      it = active.in_flight == 0 ? active_.erase(it) : std::next(it);
-      continue;
-    }
-    if (now - active.asked_at >= kAskPeriod) {
-      Ask(it->first, &active, *limit, now, &out);
+  Expire(now);
+  for (auto& [account, active] : active_) {
+    const Limit* limit = LimitOf(account);
+    if (limit != nullptr && now - active.asked_at >= kAskPeriod) {
+      Ask(account, &active, *limit, now, &out);
     }
-    ++it;
   }
   return out;
 }
 
-bool AccountLimits::IsIdle(Active* active, TimePoint now) {
-  return active->in_flight == 0 && active->refused == 0 &&
-         !active->home_holds && active->own_starts.Count(now) == 0;
+void AccountLimits::Expire(TimePoint now) {
+  if (home_) {
+    home_->Expire(now);
+  }
+  for (auto it = active_.begin(); it != active_.end();) {
+    const bool unlimited =
+        it->second.in_flight == 0 && LimitOf(it->first) == nullptr;
+    const bool idle = unlimited || IsIdle(&it->second, now);
+    it = idle ? active_.erase(it) : std::next(it);
+  }
+}
+
+bool AccountLimits::IsIdle(Active* active, TimePoint now) const {
+  return active->in_flight == 0 && !active->home_holds &&
+         (active->refused == 0 || group_.entries.empty()) &&
+         active->own_starts.Count(now) == 0;
 }
 
 void AccountLimits::Ask(const ClientAccountId& account, Active* active,
@@ -184,14 +191,17 @@
   return limit - Share(limit) * Entries();
 }
 
+bool AccountLimits::Leased(const Active& active, TimePoint now) {
+  return active.granted_at && now - *active.granted_at < kLease;
+}
+
 bool AccountLimits::PlaceFree(const Active& active, const Limit& limit,
                               TimePoint now) const {
   if (limit.in_flight == 0) {
     return true;
   }
-  const bool leased = active.granted_at && now - *active.granted_at < kLease;
   return active.in_flight <
-         Share(limit.in_flight) + (leased ? active.leased : 0);
+         Share(limit.in_flight) + (Leased(active, now) ? active.leased : 0);
 }
 
 bool AccountLimits::TakeStart(Active* active, const Limit& limit,
@@ -218,7 +228,9 @@
   const std::uint32_t used = Above(active->in_flight, share);
   std::uint32_t wanted = Above(demand + demand / kHeadroomDivisor, share);
   wanted = limit.in_flight == 0 ? 0 : wanted;
-  active->leased = std::max(used, std::min(active->leased, wanted));
+  // After the lease the home may have taken back what is not in use.
+  const std::uint32_t kept = Leased(*active, now) ? active->leased : 0;
+  active->leased = std::max(used, std::min(kept, wanted));
   active->asked_sequence = ++sequence_;
   active->asked_at = now;
   active->leased_starts = 0;
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -85,8 +85,10 @@
   }
   const RequestClass& declared = *FindClass(config_, request.request_class);
   bool admitted = false;
+  const std::size_t room_before = queue_.RoomInUse();
   const auto displaced =
       MakeAccountRoom(request, declared.tier, &admitted, now);
+  const bool in_exchange = queue_.RoomInUse() < room_before;
   if (!admitted) {
     Error error = MakeError(
         ErrorCode::kAccountLimit,
@@ -94,26 +96,21 @@
     error.retry_after = accounts_.RetryAfter(request.account, now);
     return {Refuse{request.id, error}};
   }
-  const Open& open = open_
-                         .emplace(request.id, Open{request,
-                                                   declared,
-                                                   TargetOf(request),
-                                                   0,
-                                                   {},
-                                                   Verdict::kNotRun,
-                                                   {},
-                                                   {},
-                                                   !displaced})
-                         .first->second;
-  Decisions out;
+  const Target target = TargetOf(request);
+  Open open{request, declared, target, 0, {}, Verdict::kNotRun, {}, {}, true};
+  open.counted = !displaced;
   Enqueue(open);
-  Pump(TargetOf(request), &out, now);
-  const bool kept = AdmitWaiting(request.id, &out, now);
+  open_.emplace(request.id, std::move(open));
+  Decisions out;
+  Pump(target, &out, now);
+  Decisions admission;
+  const bool kept = AdmitWaiting(request.id, in_exchange, &admission, now);
   if (displaced && kept) {
     SettleDisplaced(*displaced, request.id, &out, now);
   } else if (displaced) {
     queue_.Push(*displaced);
   }
+  out.insert(out.end(), admission.begin(), admission.end());
   return out;
 }
 
@@ -129,6 +126,7 @@
   if (!next_review_ || now >= *next_review_) {
     next_review_ = now + kReviewPeriod;
     quarantine_.Expire(now);
+    accounts_.Expire(now);
     for (const auto& [target, list] : upstreams_.ByTarget()) {
       ReviewProbation(list, now);
     }
@@ -186,21 +184,21 @@
 void StandardDispatcher::SettleDisplaced(const QueuedRequest& displaced,
                                          const RequestId& by, Decisions* out,
                                          TimePoint now) {
-  Error error = MakeError(ErrorCode::kDisplaced,
-                          "a higher tier of the account needed the place");
+  Error error = MakeError(ErrorCode::kAccountLimit,
+                          "a higher tier of the account took the place");
   error.retry_after = accounts_.RetryAfter(displaced.account, now);
   open_.at(displaced.id).counted = false;
   open_.at(by).counted = true;
   RefuseOpen(displaced.id, error, out);
 }
 
-bool StandardDispatcher::AdmitWaiting(const RequestId& id, Decisions* out,
-                                      TimePoint now) {
+bool StandardDispatcher::AdmitWaiting(const RequestId& id, bool in_exchange,
+                                      Decisions* out, TimePoint now) {
   if (!queue_.Contains(id)) {
     return open_.contains(id);
   }
   const Open& open = open_.at(id);
-  const Duration wait = PlaceWait(open.target, open.declared.tier, now);
+  const Duration wait = PlaceWait(open.target, open.declared, now);
   const Duration first_token = latency_.FirstTokenWait(
       open.declared.name, open.target, kAdmissionPermille, now);
   if (const auto error =
@@ -209,6 +207,9 @@
     RefuseOpen(id, *error, out);
     return false;
   }
+  if (in_exchange) {
+    return true;
+  }
   const auto shed = queue_.Shed(id);
   if (!shed) {
     return true;
@@ -331,7 +332,7 @@
           error->code == ErrorCode::kQuarantined
               ? std::nullopt
               : std::optional(RetryAfterBacklog(PlaceWait(
-                    queued.target, open_.at(queued.id).declared.tier, now)));
+                    queued.target, open_.at(queued.id).declared, now)));
       RefuseOpen(queued.id, *error, out);
     }
   }
@@ -364,22 +365,30 @@
   open_.erase(it);
 }
 
-Duration StandardDispatcher::PlaceWait(const Target& target, Tier tier,
+Duration StandardDispatcher::PlaceWait(const Target& target,
+                                       const RequestClass& declared,
                                        TimePoint now) const {
+  std::size_t own = 1;
   std::vector<WorkAhead> ahead;
-  for (const ClassBacklog& backlog : queue_.Ahead(target, tier)) {
-    const RequestClass* declared = FindClass(config_, backlog.request_class);
-    if (declared != nullptr) {
+  for (const ClassBacklog& backlog : queue_.Ahead(target, declared.tier)) {
+    const RequestClass* other = FindClass(config_, backlog.request_class);
+    own = backlog.request_class == declared.name ? backlog.waiting : own;
+    if (other != nullptr) {
       ahead.push_back(
           {backlog.waiting,
-           latency_.ServiceTime(*declared, target, kMedianPermille, now)});
+           latency_.ServiceTime(*other, target, kMedianPermille, now)});
     }
   }
   std::uint32_t places = 0;
   for (const UpstreamState* upstream : upstreams_.Serving(target)) {
-    places += PlacesFor(*upstream, tier);
+    places += PlacesFor(*upstream, declared.tier);
+  }
+  const Duration by_tier = ExpectedWait(ahead, places);
+  if (declared.floor_permille == 0) {
+    return by_tier;
   }
-  return ExpectedWait(ahead, places);
+  return std::min(
+      by_tier, ExpectedFloorWait(own, declared.floor_permille, ahead, places));
 }
 
 TimePoint StandardDispatcher::DeadlineOf(const Open& open) const {
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -231,4 +231,38 @@
   CHECK(slow_starts <= 8);
 }
 
+TEST_CASE("dispatcher: upstreams on probation serve when no other is left") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  TimePoint now;
+  d.UpstreamChanged(MakeEngine("fast", 1), now);
+  d.UpstreamChanged(MakeEngine("slow", 1), now);
+  for (int round = 0; round < 40; ++round) {
+    const std::string id = "r" + std::to_string(round);
+    const auto out = d.Submit(MakeRequest(id, "gate", now), now);
+    now += milliseconds(StartedOn(out.at(0)) == "slow" ? 900 : 30);
+    d.FirstToken(RequestId(id), now);
+    d.Finish(MakeResult(id, 1, AttemptEnd::kCompleted), now);
+    d.Tick(now);
+  }
+  d.UpstreamGone(UpstreamId("fast"), now);
+  CHECK(StartedOn(d.Submit(MakeRequest("last", "gate", now), now).at(0)) ==
+        "slow");
+}
+
+TEST_CASE("dispatcher: a floor admits a class behind a long backlog") {
+  Config config = TwoTiers();
+  config.classes[0].queue_limit = 100;
+  config.classes[0].expected_output_tokens = 25;
+  config.classes[0].deadline = std::chrono::minutes(10);
+  config.classes[1].expected_output_tokens = 25;
+  config.classes[1].floor_permille = 200;
+  Dispatcher d = MakeStandard(config);
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  for (int i = 0; i < 50; ++i) {
+    d.Submit(MakeRequest("r" + std::to_string(i), "gate"), now);
+  }
+  CHECK(d.Submit(MakeRequest("low", "stowage"), now).empty());
+}
+
 }  // namespace rattanward::policy
