--- /dev/null
+++ b/tests/src/unit-burst.cc
@@ -0,0 +1,171 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fakes/policy_values.h"
+
+namespace rattanward::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kStep(10);
+constexpr milliseconds kFirstToken(100);
+constexpr milliseconds kWholeAnswer(1000);
+constexpr seconds kBurst(30);
+constexpr int kEngines = 2;
+constexpr std::uint32_t kCapacity = 8;
+
+struct Count {
+  int sent = 0;
+  int in_target = 0;
+  int completed = 0;
+  int refused = 0;
+};
+
+struct Running {
+  RequestId id;
+  std::uint32_t attempt = 0;
+  TimePoint started;
+  bool answered = false;
+};
+
+// Engines that answer each request in the same time, on a clock of steps.
+class Burst {
+ public:
+  Burst(Profile profile, const std::vector<RequestClass>& classes)
+      : dispatcher_(fakes::MakeOptions(profile)), classes_(classes) {
+    Config config;
+    config.classes = classes;
+    dispatcher_.SetConfig(config, now_);
+    for (int i = 0; i < kEngines; ++i) {
+      dispatcher_.UpstreamChanged(
+          fakes::MakeEngine("e" + std::to_string(i), kCapacity), now_);
+    }
+  }
+
+  // Sends one request of the class in each period.
+  void Send(const std::string& name, Duration period) {
+    if (now_.time_since_epoch() % period != Duration(0)) {
+      return;
+    }
+    const std::string id = name + std::to_string(next_id_++);
+    arrivals_[RequestId(id)] = {name, now_};
+    ++counts_[name].sent;
+    Take(dispatcher_.Submit(fakes::MakeRequest(id, name, now_), now_));
+  }
+
+  void Step() {
+    now_ += kStep;
+    for (Running& running : running_) {
+      if (!running.answered && now_ - running.started >= kFirstToken) {
+        running.answered = true;
+        dispatcher_.FirstToken(running.id, now_);
+        Answered(running.id);
+      }
+    }
+    const auto ended = std::stable_partition(
+        running_.begin(), running_.end(), [this](const Running& running) {
+          return now_ - running.started < kWholeAnswer;
+        });
+    const std::vector<Running> done(ended, running_.end());
+    running_.erase(ended, running_.end());
+    for (const Running& running : done) {
+      ++counts_[arrivals_.at(running.id).first].completed;
+      Take(dispatcher_.Finish(
+          fakes::MakeResult(running.id.str(), running.attempt,
+                            AttemptEnd::kCompleted, Verdict::kRan),
+          now_));
+    }
+    Take(dispatcher_.Tick(now_));
+  }
+
+  TimePoint now() const { return now_; }
+  const Count& Of(const std::string& name) { return counts_[name]; }
+
+ private:
+  void Answered(const RequestId& id) {
+    const auto& [name, arrived] = arrivals_.at(id);
+    for (const RequestClass& c : classes_) {
+      if (c.name.str() == name && now_ - arrived <= c.first_token_target) {
+        ++counts_[name].in_target;
+      }
+    }
+  }
+
+  void Take(const std::vector<Decision>& decisions) {
+    for (const Decision& decision : decisions) {
+      if (const auto* start = std::get_if<StartAttempt>(&decision)) {
+        running_.push_back({start->request, start->attempt, now_, false});
+      } else {
+        const auto& refuse = std::get<Refuse>(decision);
+        ++counts_[arrivals_.at(refuse.request).first].refused;
+      }
+    }
+  }
+
+  TimePoint now_;
+  Dispatcher dispatcher_;
+  std::vector<RequestClass> classes_;
+  std::map<RequestId, std::pair<std::string, TimePoint>> arrivals_;
+  std::vector<Running> running_;
+  std::map<std::string, Count> counts_;
+  int next_id_ = 0;
+};
+
+std::vector<RequestClass> GateAndStowage() {
+  RequestClass gate = fakes::MakeClass("gate", 0, 50);
+  gate.first_token_target = milliseconds(700);
+  gate.deadline = seconds(3);
+  RequestClass stowage = fakes::MakeClass("stowage", 3, 100);
+  stowage.first_token_target = seconds(10);
+  stowage.deadline = seconds(60);
+  stowage.floor_permille = 50;
+  return {gate, stowage};
+}
+
+// Capacity is 16 requests a second.
+Burst RunBurst(Profile profile, Duration gate_period, Duration stowage_period) {
+  Burst burst(profile, GateAndStowage());
+  while (burst.now() < TimePoint(kBurst)) {
+    burst.Send("gate", gate_period);
+    burst.Send("stowage", stowage_period);
+    burst.Step();
+  }
+  return burst;
+}
+
+}  // namespace
+
+TEST_CASE("burst: a low tier at five times capacity leaves the gate in time") {
+  Burst burst = RunBurst(Profile::kStandard, milliseconds(100), kStep);
+  const Count gate = burst.Of("gate");
+  MESSAGE("gate " << gate.in_target << " of " << gate.sent << " in target");
+  CHECK(gate.refused == 0);
+  CHECK(gate.in_target >= gate.sent - 2);
+  CHECK(burst.Of("stowage").completed > 0);
+}
+
+TEST_CASE("burst: a gate rush leaves background work its floor") {
+  Burst burst =
+      RunBurst(Profile::kStandard, milliseconds(30), milliseconds(200));
+  const Count gate = burst.Of("gate");
+  const Count stowage = burst.Of("stowage");
+  MESSAGE("stowage " << stowage.completed << ", gate " << gate.completed);
+  // One of 20 dispatches, of 16 a second.
+  CHECK(stowage.completed >= 20);
+  CHECK(gate.completed + stowage.completed >= 16 * 28);
+}
+
+TEST_CASE("burst: the baseline lets the low tier hold up the gate") {
+  Burst burst = RunBurst(Profile::kBaseline, milliseconds(100), kStep);
+  const Count gate = burst.Of("gate");
+  MESSAGE("gate " << gate.in_target << " of " << gate.sent << " in target");
+  CHECK(gate.in_target < gate.sent / 2);
+}
+
+}  // namespace rattanward::policy
