--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -103,7 +103,23 @@
 template <>
 struct FieldsOf<PeerProbeAnswer> {
   static auto Tie(auto& m) {
-    return std::tie(m.sequence, m.admitted, m.in_force, m.required);
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
+                    m.failure_domain);
+  }
+};
+
+template <>
+struct FieldsOf<OperatorState> {
+  static auto Tie(auto& m) {
+    return std::tie(m.revision, m.drained, m.quarantined);
+  }
+};
+
+template <>
+struct FieldsOf<VoterHello> {
+  static auto Tie(auto& m) {
+    return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
+                    m.membership);
   }
 };
 
