--- a/include/rattanward/adapter/message_transport.h
+++ b/include/rattanward/adapter/message_transport.h
@@ -116,10 +116,13 @@
  public:
   using CallCallback = std::function<void(Result<protocol::Envelope>)>;
   using PushHandler = std::function<void(const protocol::Envelope&)>;
+  using ConnectedHandler = std::function<void(const ProcessId&)>;
 
   /// @param on_push Takes one-way messages of the peer; may be empty.
+  /// @param on_connected Takes the name of the peer after each handshake; may
+  /// be empty.
   PeerClient(asio::io_context& io, TransportOptions options, Endpoint peer,
-             PushHandler on_push = {});
+             PushHandler on_push = {}, ConnectedHandler on_connected = {});
   ~PeerClient();
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
--- a/include/rattanward/membership/gossip.h
+++ b/include/rattanward/membership/gossip.h
@@ -107,6 +107,10 @@
   std::vector<GossipEvent> Announce(const Announcement& announcement,
                                     TimePoint now);
 
+  /// @brief Adds a peer that gossip may be sent to; a known one stays as it
+  /// is. Its failure domain is learned from its beats.
+  void AddPeer(const ProcessId& peer);
+
   /// @brief Takes a suspicion of this entry's own dispatcher.
   void Suspect(const policy::Suspicion& suspicion, TimePoint now);
 
--- a/src/adapter/peer_client.cc
+++ b/src/adapter/peer_client.cc
@@ -4,8 +4,10 @@
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <map>
+#include <random>
 #include <utility>
 
+#include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/framed_connection.h"
 #include "rattanward/adapter/handshake.h"
 #include "rattanward/adapter/message_transport.h"
@@ -27,12 +29,13 @@
 class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, TransportOptions options, Endpoint peer,
-       PushHandler on_push)
+       PushHandler on_push, ConnectedHandler on_connected)
       : io_(io),
         timer_(io),
         options_(std::move(options)),
         peer_(std::move(peer)),
         on_push_(std::move(on_push)),
+        on_connected_(std::move(on_connected)),
         backoff_(options_.min_backoff) {}
 
   /// Runs fn on the io_context's thread.
@@ -176,11 +179,14 @@
     timer_.cancel();
     established_ = true;
     connected_ = true;
+    established_at_ = MonotonicNow();
     Emit(EventId::kPeerConnected, "outbound");
+    if (on_connected_) {
+      on_connected_(challenge.value().process);
+    }
   }
 
   void TakeEnvelope(std::string_view frame) {
-    backoff_ = options_.min_backoff;
     auto envelope = protocol::Decode<Envelope>(frame);
     if (!envelope || envelope.value().version != protocol::kProtocolVersion) {
       Emit(EventId::kPeerRefused, "malformed message");
@@ -210,6 +216,9 @@
   void Lost(const std::string& reason) {
     if (established_) {
       Emit(EventId::kPeerSilent, reason);
+      if (MonotonicNow() - established_at_ > options_.max_backoff) {
+        backoff_ = options_.min_backoff;
+      }
     }
     Disconnect();
     if (!stopped_) {
@@ -234,7 +243,7 @@
   }
 
   void ConnectLater() {
-    timer_.expires_after(backoff_);
+    timer_.expires_after(backoff_ + Jitter());
     backoff_ = std::min(2 * backoff_, options_.max_backoff);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code& e) {
       const auto self = weak.lock();
@@ -244,6 +253,12 @@
     });
   }
 
+  /// Spreads the attempts of many processes after a restart of their peer.
+  Duration Jitter() {
+    return Duration(std::uniform_int_distribution<Duration::rep>(
+        0, backoff_.count() / 2)(random_));
+  }
+
   void Emit(EventId id, const std::string& detail) const {
     if (options_.events) {
       options_.events(
@@ -257,7 +272,10 @@
   TransportOptions options_;
   Endpoint peer_;
   PushHandler on_push_;
+  ConnectedHandler on_connected_;
   Duration backoff_;
+  std::minstd_rand random_{std::random_device()()};
+  TimePoint established_at_;
   std::shared_ptr<detail::FramedConnection> frames_;
   protocol::Hello hello_;
   std::map<std::uint64_t, PendingCall> pending_;
@@ -271,9 +289,11 @@
 };
 
 PeerClient::PeerClient(asio::io_context& io, TransportOptions options,
-                       Endpoint peer, PushHandler on_push)
+                       Endpoint peer, PushHandler on_push,
+                       ConnectedHandler on_connected)
     : impl_(std::make_shared<Impl>(io, std::move(options), std::move(peer),
-                                   std::move(on_push))) {}
+                                   std::move(on_push),
+                                   std::move(on_connected))) {}
 
 PeerClient::~PeerClient() { Stop(); }
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -63,6 +63,15 @@
   return events;
 }
 
+void Gossip::AddPeer(const ProcessId& peer) {
+  const auto known = std::find_if(
+      options_.peers.begin(), options_.peers.end(),
+      [&](const GossipPeer& other) { return other.process == peer; });
+  if (known == options_.peers.end() && peer != options_.self) {
+    options_.peers.push_back({peer, FailureDomain()});
+  }
+}
+
 void Gossip::Suspect(const policy::Suspicion& suspicion, TimePoint now) {
   MergeSuspicion(suspicion, now);
 }
@@ -280,9 +289,12 @@
   std::vector<ProcessId> lost;
   for (const GossipPeer& peer : options_.peers) {
     const auto known = entries_.find(peer.process);
-    if (known != entries_.end() && known->second.lost) {
+    const bool heard = known != entries_.end();
+    const FailureDomain& domain =
+        heard ? known->second.beat.failure_domain : peer.failure_domain;
+    if (heard && known->second.lost) {
       lost.push_back(peer.process);
-    } else if (peer.failure_domain == options_.failure_domain) {
+    } else if (domain == options_.failure_domain) {
       local.push_back(peer.process);
     } else {
       remote.push_back(peer.process);
