--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -105,6 +105,20 @@
   friend bool operator==(const ProposeAnswer&, const ProposeAnswer&) = default;
 };
 
+/// @brief Between control VMs, as call and answer: who is at this endpoint.
+struct VoterHello {
+  VoterId id;
+  ProcessId process;
+  /// Connections of other control VMs and of entries.
+  Endpoint peer_endpoint;
+  /// Operator RPC.
+  Endpoint operator_endpoint;
+  /// Encoded consensus::Membership; empty while the data folder is blank.
+  std::string membership;
+
+  friend bool operator==(const VoterHello&, const VoterHello&) = default;
+};
+
 /// @brief Entry to entry, while control is not heard: which version do you run?
 struct PeerProbe {
   std::uint64_t sequence = 0;
@@ -129,18 +143,4 @@
                          const PeerProbeAnswer&) = default;
 };
 
-/// @brief Between control VMs, as call and answer: who is at this endpoint.
-struct VoterHello {
-  VoterId id;
-  ProcessId process;
-  /// Connections of other control VMs and of entries.
-  Endpoint peer_endpoint;
-  /// Operator RPC.
-  Endpoint operator_endpoint;
-  /// Encoded consensus::Membership; empty while the data folder is blank.
-  std::string membership;
-
-  friend bool operator==(const VoterHello&, const VoterHello&) = default;
-};
-
 }  // namespace rattanward::protocol
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -96,30 +96,30 @@
 };
 
 template <>
-struct FieldsOf<PeerProbe> {
-  static auto Tie(auto& m) { return std::tie(m.sequence); }
+struct FieldsOf<OperatorState> {
+  static auto Tie(auto& m) {
+    return std::tie(m.revision, m.drained, m.quarantined);
+  }
 };
 
 template <>
-struct FieldsOf<PeerProbeAnswer> {
+struct FieldsOf<VoterHello> {
   static auto Tie(auto& m) {
-    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
-                    m.failure_domain);
+    return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
+                    m.membership);
   }
 };
 
 template <>
-struct FieldsOf<OperatorState> {
-  static auto Tie(auto& m) {
-    return std::tie(m.revision, m.drained, m.quarantined);
-  }
+struct FieldsOf<PeerProbe> {
+  static auto Tie(auto& m) { return std::tie(m.sequence); }
 };
 
 template <>
-struct FieldsOf<VoterHello> {
+struct FieldsOf<PeerProbeAnswer> {
   static auto Tie(auto& m) {
-    return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
-                    m.membership);
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
+                    m.failure_domain);
   }
 };
 
--- a/src/adapter/control_client.cc
+++ b/src/adapter/control_client.cc
@@ -72,7 +72,7 @@
     }
   }
 
-  void Propose(std::shared_ptr<Proposal> proposal) {
+  void Propose(const std::shared_ptr<Proposal>& proposal) {
     if (stopped_ || clients_.empty() || MonotonicNow() >= proposal->deadline) {
       proposal->callback(MakeError(ErrorCode::kNoQuorum,
                                    "no control leader took the command"));
@@ -80,12 +80,13 @@
     }
     PeerClient& target = *clients_[leader_ % clients_.size()];
     const Duration left = proposal->deadline - MonotonicNow();
-    target.Call(MakeEnvelope(MessageKind::kPropose,
-                             Encode(protocol::Propose{proposal->command})),
-                left,
-                [self = shared_from_this(), proposal](Result<Envelope> answer) {
-                  self->TakeProposeAnswer(proposal, answer);
-                });
+    target.Call(
+        MakeEnvelope(MessageKind::kPropose,
+                     Encode(protocol::Propose{proposal->command})),
+        left,
+        [self = shared_from_this(), proposal](const Result<Envelope>& answer) {
+          self->TakeProposeAnswer(proposal, answer);
+        });
   }
 
  private:
