--- a/tests/src/unit-transport.cc
+++ b/tests/src/unit-transport.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/silent_proxy.h"
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/protocol/message_fields.h"
@@ -192,6 +193,42 @@
   CHECK(RunUntil(io, [&] { return client.connected(); }));
 }
 
+/// Swallows bytes of an open connection, and waits until both ends have
+/// noticed and a new connection works.
+void CheckSilenceIsNoticed(fakes::Swallowed swallowed) {
+  asio::io_context io;
+  std::vector<Event> events;
+  EchoListener echo(io, Options("control-1", "secret"));
+  fakes::SilentProxy proxy(io, {"127.0.0.1", 0}, echo.listener.endpoint());
+  TransportOptions options = Options("entry-1", "secret");
+  options.events = [&](const Event& event) { events.push_back(event); };
+  PeerClient client(io, options, proxy.endpoint());
+  client.Start();
+  REQUIRE(RunUntil(io, [&] { return client.connected(); }));
+  proxy.Silence(swallowed);
+  std::optional<Result<Envelope>> lost;
+  client.Call({1, MessageKind::kPropose, 0, "swallowed"}, kTestLimit,
+              [&](Result<Envelope> result) { lost = std::move(result); });
+  REQUIRE(RunUntil(io, [&] { return lost.has_value(); }));
+  CHECK(lost->error().code == ErrorCode::kDisconnected);
+  CHECK(lost->error().verdict == Verdict::kMayHaveRun);
+  REQUIRE(RunUntil(io, [&] { return client.connected(); }));
+  std::optional<Result<Envelope>> answer;
+  client.Call({1, MessageKind::kPropose, 0, "again"}, kCallTimeout,
+              [&](Result<Envelope> result) { answer = std::move(result); });
+  REQUIRE(RunUntil(io, [&] { return answer.has_value(); }));
+  CHECK(answer->value().body == "again");
+  REQUIRE(events.size() == 3);
+  CHECK(events[1].id == EventId::kPeerSilent);
+  CHECK(events[2].id == EventId::kPeerConnected);
+}
+
+TEST_CASE("a connection that went silent is replaced, whichever way is lost") {
+  CheckSilenceIsNoticed({true, true});
+  CheckSilenceIsNoticed({false, true});
+  CheckSilenceIsNoticed({true, false});
+}
+
 TEST_CASE(
     "the timer service calls once, again and again, and not when stopped") {
   asio::io_context io;
