--- a/include/rattanward/membership/config_gate.h
+++ b/include/rattanward/membership/config_gate.h
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <vector>
 
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/result.h"
@@ -28,8 +27,10 @@
 /// @brief Settings of the gate of one entry.
 struct ConfigGateOptions {
   LeaseTimes times;
-  /// The other entries of this entry's failure domain.
-  std::vector<ProcessId> domain_peers;
+  FailureDomain failure_domain;
+  /// Entries that belong to this failure domain, this one included. Changed
+  /// by one at a time, so that any two majorities still meet.
+  std::size_t domain_entries = 1;
 };
 
 /// @brief Whether an entry may take new work, and why not.
@@ -105,6 +106,7 @@
     std::map<std::uint64_t, TimePoint> sent_;
   };
   struct PeerRecord {
+    FailureDomain failure_domain;
     bool admitted = false;
     /// When the newest probe was sent that the peer answered.
     TimePoint probed;
@@ -113,7 +115,7 @@
   bool ControlLease(TimePoint now) const;
   bool PeerLease(TimePoint now) const;
   std::size_t Vouching(TimePoint now, TimePoint probed_after) const;
-  bool IsDomainPeer(const ProcessId& peer) const;
+  std::size_t Majority() const { return options_.domain_entries / 2 + 1; }
   void UpdateAdmission(TimePoint now);
 
   ConfigGateOptions options_;
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -137,6 +137,7 @@
   ConfigVersion in_force;
   /// Version below which it takes no new work.
   ConfigVersion required;
+  FailureDomain failure_domain;
 
   friend bool operator==(const PeerProbeAnswer&,
                          const PeerProbeAnswer&) = default;
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -118,7 +118,8 @@
 template <>
 struct FieldsOf<PeerProbeAnswer> {
   static auto Tie(auto& m) {
-    return std::tie(m.sequence, m.admitted, m.in_force, m.required);
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
+                    m.failure_domain);
   }
 };
 
