--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -84,7 +84,8 @@
                                 TimePoint now);
   void FinishFailed(Open* open, const AttemptResult& result, Decisions* out,
                     TimePoint now);
-  void RefuseOpen(const RequestId& id, Error error, Decisions* out);
+  /// Takes the id by value: the open request that holds it is erased.
+  void RefuseOpen(RequestId id, Error error, Decisions* out);
   void Close(const RequestId& id);
 
   /// Expected wait of a new request of the class: by its tier, or by its
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -83,10 +83,11 @@
   ContactMembers();
   timers_.Every(kTick, [this](TimePoint) {
     TryBootstrap();
+    entries_.UpdateLeadership();
     replica_.Tick();
   });
   timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(Hello()); });
-  timers_.Every(kHubPeriod, [this](TimePoint) { entries_.Tick(); });
+  timers_.Every(kHubPeriod, [this](TimePoint) { entries_.ForgetSilent(); });
   timers_.Every(kTimeMarkPeriod, [this](TimePoint) {
     replica_.Propose(ledger::TimeMark{}, [](const Result<ledger::Outcome>&) {});
   });
--- a/src/control/entry_hub.cc
+++ b/src/control/entry_hub.cc
@@ -1,5 +1,6 @@
 #include "rattanward/control/entry_hub.h"
 
+#include <algorithm>
 #include <type_traits>
 #include <variant>
 
@@ -13,6 +14,8 @@
 
 /// An entry silent for this long is forgotten, if its domain lives on.
 constexpr Duration kForgetAfter{std::chrono::hours(1)};
+/// An entry heard this recently is shown as live.
+constexpr Duration kLiveWithin{std::chrono::seconds(2)};
 
 /// Commands that an entry may propose; operators' commands need their token.
 bool EntryMayPropose(const ledger::Command& command) {
@@ -79,34 +82,39 @@
 }
 
 void EntryHub::NoteLive(const protocol::EntryStatus& status) {
-  if (!replica_.HoldsLease()) {
+  UpdateLeadership();
+  if (!rule_) {
     relay_(status);
     return;
   }
+  const TimePoint now = MonotonicNow();
+  if (rule_->Heard(status, now)) {
+    last_[status.process] = {status.in_force, now};
+  }
   const auto& entries = replica_.ledger().entries();
   const auto known = entries.find(status.process);
   const ledger::EntryRecord record{status.process, status.vm,
                                    status.failure_domain};
   if (known != entries.end() && known->second == record) {
-    tracker_.Heard(status, MonotonicNow());
     return;
   }
-  if (registering_.insert(status.process).second) {
+  if (changing_.insert(status.process).second) {
     replica_.Propose(
         ledger::EntryRegister{status.process, status.vm, status.failure_domain},
         [this, process = status.process](const Result<ledger::Outcome>&) {
-          registering_.erase(process);
+          changing_.erase(process);
         });
   }
 }
 
 protocol::ControlStatus EntryHub::StatusNow(std::uint64_t heartbeat) const {
   protocol::ControlStatus status;
-  status.leader = replica_.HoldsLease();
+  status.leader = rule_.has_value() && replica_.ConfirmedLeader();
   status.term = replica_.node().term();
   status.leader_endpoint = LeaderEndpoint();
   status.committed = replica_.ledger().config_version();
   status.heartbeat = heartbeat;
+  status.accepted = accepted_;
   return status;
 }
 
@@ -180,14 +188,44 @@
   }
 }
 
+void EntryHub::UpdateLeadership() {
+  const bool leads = replica_.ConfirmedLeader();
+  if (leads == rule_.has_value()) {
+    return;
+  }
+  last_.clear();
+  if (!leads) {
+    rule_.reset();
+    return;
+  }
+  rule_.emplace(membership::LeaseTimes(), MonotonicNow());
+  // An earlier leader may have said so of any version that is committed.
+  accepted_ = replica_.ledger().config_version();
+  AddRegistered();
+}
+
+void EntryHub::AddRegistered() {
+  for (const auto& [process, record] : replica_.ledger().entries()) {
+    rule_->AddEntry(process, record.failure_domain);
+  }
+}
+
 void EntryHub::LedgerChanged() {
-  const TimePoint now = MonotonicNow();
-  const bool leads = replica_.node().role() == consensus::Role::kLeader;
-  tracker_.SetEntries(replica_.ledger().entries(), now);
-  if (leads && !led_) {
-    tracker_.Reset(now);
+  UpdateLeadership();
+  if (rule_) {
+    const auto& entries = replica_.ledger().entries();
+    for (const ProcessId& process : registered_) {
+      if (entries.count(process) == 0) {
+        rule_->Retire(process);
+        last_.erase(process);
+      }
+    }
+    AddRegistered();
+  }
+  registered_.clear();
+  for (const auto& [process, record] : replica_.ledger().entries()) {
+    registered_.insert(process);
   }
-  led_ = leads;
   if (drained_ != replica_.ledger().drained() ||
       quarantined_ != replica_.ledger().quarantined()) {
     drained_ = replica_.ledger().drained();
@@ -201,33 +239,74 @@
   }
 }
 
-void EntryHub::Tick() {
-  if (!replica_.HoldsLease()) {
+void EntryHub::ForgetSilent() {
+  UpdateLeadership();
+  if (!rule_) {
     return;
   }
   const TimePoint now = MonotonicNow();
-  for (const ProcessId& process : tracker_.SilentFor(kForgetAfter, now)) {
-    const auto record = replica_.ledger().entries().find(process);
-    if (record == replica_.ledger().entries().end()) {
+  for (const auto& [process, record] : replica_.ledger().entries()) {
+    const auto [last, first_seen] =
+        last_.try_emplace(process, LastStatus{ConfigVersion{}, now});
+    if (first_seen || now - last->second.heard < kForgetAfter ||
+        !DomainLives(record.failure_domain) ||
+        !changing_.insert(process).second) {
       continue;
     }
-    for (const ledger::DomainInForce& domain :
-         tracker_.Report(ConfigVersion{}, now).domains) {
-      if (domain.failure_domain == record->second.failure_domain &&
-          !domain.pending && registering_.insert(process).second) {
-        const CommandId id("forget-" + process.str() + "-" +
-                           std::to_string(replica_.applied()));
-        replica_.Propose(ledger::EntryForget{id, process, VmName()},
-                         [this, process](const Result<ledger::Outcome>&) {
-                           registering_.erase(process);
-                         });
-      }
+    const CommandId id("forget-" + process.str() + "-" +
+                       std::to_string(replica_.applied()));
+    replica_.Propose(ledger::EntryForget{id, process, VmName()},
+                     [this, gone = process](const Result<ledger::Outcome>&) {
+                       changing_.erase(gone);
+                     });
+  }
+}
+
+bool EntryHub::DomainLives(const FailureDomain& domain) {
+  for (const DomainInForce& state : InForce(ConfigVersion{}).domains) {
+    if (state.failure_domain == domain) {
+      return 2 * state.live > state.entries;
     }
   }
+  return false;
 }
 
-ledger::InForceReport EntryHub::InForce(ConfigVersion version) const {
-  return tracker_.Report(version, MonotonicNow());
+InForceReport EntryHub::InForce(ConfigVersion version) {
+  UpdateLeadership();
+  InForceReport report;
+  if (!rule_) {
+    return report;
+  }
+  std::map<FailureDomain, std::uint32_t> registered;
+  for (const auto& [process, record] : replica_.ledger().entries()) {
+    ++registered[record.failure_domain];
+  }
+  const TimePoint now = MonotonicNow();
+  for (const auto& domain : rule_->Check(version, now)) {
+    DomainInForce state;
+    state.failure_domain = domain.failure_domain;
+    state.entries = registered[domain.failure_domain];
+    const auto silent = static_cast<std::uint32_t>(domain.silent.size());
+    const auto behind = static_cast<std::uint32_t>(domain.behind.size());
+    state.live = state.entries - std::min(state.entries, silent);
+    state.in_force = state.live - std::min(state.live, behind);
+    state.pending = !domain.in_force;
+    report.domains.push_back(state);
+  }
+  report.accepted = rule_->Accepted(version, now);
+  if (report.accepted) {
+    accepted_ = std::max(accepted_, version);
+  }
+  return report;
+}
+
+EntryView EntryHub::View(const ProcessId& process) const {
+  const auto last = last_.find(process);
+  if (last == last_.end()) {
+    return {};
+  }
+  return {last->second.in_force,
+          MonotonicNow() - last->second.heard < kLiveWithin};
 }
 
 }  // namespace rattanward::control
--- a/src/membership/config_gate.cc
+++ b/src/membership/config_gate.cc
@@ -58,6 +58,7 @@
   const auto [found, added] = peers_.emplace(peer, PeerRecord{});
   PeerRecord& record = found->second;
   if (added || *sent >= record.probed) {
+    record.failure_domain = answer.failure_domain;
     record.admitted = answer.admitted;
     record.probed = *sent;
   }
@@ -66,7 +67,8 @@
 
 protocol::PeerProbeAnswer ConfigGate::Answer(
     const protocol::PeerProbe& probe) const {
-  return {probe.sequence, admitted_, in_force_, required_};
+  return {probe.sequence, admitted_, in_force_, required_,
+          options_.failure_domain};
 }
 
 GateState ConfigGate::State(TimePoint now) const {
@@ -105,31 +107,26 @@
 /// A majority of the failure domain, this entry counted. An entry that is
 /// alone in its domain needs any other entry instead.
 bool ConfigGate::PeerLease(TimePoint now) const {
-  const std::size_t majority = (options_.domain_peers.size() + 1) / 2 + 1;
-  if (options_.domain_peers.empty()) {
+  if (options_.domain_entries <= 1) {
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
       return now - peer.second.probed < options_.times.lease;
     });
   }
-  return Vouching(now, started_) + 1 >= majority;
+  return Vouching(now, started_) + 1 >= Majority();
 }
 
 /// Peers of the domain that vouch for their version within the lease.
 std::size_t ConfigGate::Vouching(TimePoint now, TimePoint probed_after) const {
   const auto count =
       std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
-        return peer.second.admitted && IsDomainPeer(peer.first) &&
+        return peer.second.admitted &&
+               peer.second.failure_domain == options_.failure_domain &&
                peer.second.probed >= probed_after &&
                now - peer.second.probed < options_.times.lease;
       });
   return static_cast<std::size_t>(count);
 }
 
-bool ConfigGate::IsDomainPeer(const ProcessId& peer) const {
-  const auto& peers = options_.domain_peers;
-  return std::find(peers.begin(), peers.end(), peer) != peers.end();
-}
-
 /// A restarted entry has forgotten what it confirmed before, so it does not
 /// count itself, and waits until control has given up its former life.
 void ConfigGate::UpdateAdmission(TimePoint now) {
@@ -139,8 +136,7 @@
   const LeaseTimes& times = options_.times;
   const TimePoint settled =
       started_ + times.lease + times.margin + times.max_delay;
-  const std::size_t majority = (options_.domain_peers.size() + 1) / 2 + 1;
-  admitted_ = ControlLease(now) || Vouching(now, settled) >= majority;
+  admitted_ = ControlLease(now) || Vouching(now, settled) >= Majority();
 }
 
 std::uint64_t ConfigGate::SendTimes::Next(TimePoint now) {
