--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -12,7 +12,8 @@
 #include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
 #include "rattanward/entry/caller_front.h"
-#include "rattanward/entry/control_link.h"
+#include "rattanward/entry/claim_desk.h"
+#include "rattanward/entry/cluster_link.h"
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
@@ -30,6 +31,8 @@
 constexpr auto kSignalPoll = std::chrono::milliseconds(20);
 /// In-flight answers end whole; a caller that never reads is cut after this.
 constexpr auto kDrainLimit = std::chrono::minutes(10);
+/// Longest wait for claims to be settled, as when there is no quorum.
+constexpr auto kClaimFlushLimit = std::chrono::seconds(3);
 
 volatile std::sig_atomic_t g_terminate = 0;
 
@@ -48,32 +51,36 @@
 class Daemon {
  public:
   Daemon(adapter::EntrySettings settings, std::string announce_token,
-         const std::string& secret, std::shared_ptr<adapter::EventLog> log)
+         const std::string& secret,
+         const std::shared_ptr<adapter::EventLog>& log)
       : settings_(std::move(settings)),
-        events_(adapter::MakeEventSink(std::move(log))),
-        core_(Options(), events_),
-        control_link_(core_, settings_, secret, events_),
-        upstream_front_(core_, std::move(announce_token)),
+        boot_(BootId()),
+        events_(adapter::MakeEventSink(log)),
+        core_(DispatcherOptions(), entry::GateOptions(settings_), events_),
+        cluster_(core_, settings_, secret, log),
+        claims_(core_, cluster_.control(), settings_.identity.process, boot_),
+        upstream_front_(
+            [this](const Announcement& announcement) {
+              cluster_.Announce(announcement);
+            },
+            std::move(announce_token)),
         recorder_(metrics_, events_),
-        caller_front_(core_, recorder_,
-                      settings_.identity.process.str() + "-" + BootId(),
-                      settings_.max_open_requests + kSpareThreads, nullptr,
-                      [this] { return MetricsText(); }) {}
+        caller_front_(
+            core_, recorder_, settings_.identity.process.str() + "-" + boot_,
+            settings_.max_open_requests + kSpareThreads,
+            [this](const auto& request, const auto& config) {
+              return Guard(request, config);
+            },
+            [this] { return MetricsText(); }) {}
 
   int Run() {
     events_(Event{EventId::kProcessStarted, {}});
-    control_link_.Start();
-    core_.Start();
-    const Status announcements =
-        upstream_front_.Start(settings_.announce_listen);
-    const auto callers = caller_front_.Start(settings_.http_listen);
-    if (!announcements || !callers) {
-      std::cerr
-          << "rattanwardd: "
-          << (announcements ? callers.error() : announcements.error()).message
-          << "\n";
+    const Status listening = Listen();
+    if (!listening) {
+      std::cerr << "rattanwardd: " << listening.error().message << "\n";
       return kExitCannotListen;
     }
+    events_(Event{EventId::kProcessReady, {}});
     while (g_terminate == 0) {
       std::this_thread::sleep_for(kSignalPoll);
     }
@@ -82,18 +89,45 @@
   }
 
  private:
-  policy::DispatcherOptions Options() const {
+  policy::DispatcherOptions DispatcherOptions() const {
     policy::DispatcherOptions options;
     options.profile = settings_.profile;
     options.failure_domain = settings_.identity.failure_domain;
     options.seed = std::random_device()();
-    options.entries =
-        static_cast<std::uint32_t>(settings_.peer_endpoints.size()) + 1;
+    options.entries = static_cast<std::uint32_t>(settings_.peers.size()) + 1;
     return options;
   }
 
+  Status Listen() {
+    if (const Status peers = cluster_.Start(); !peers) {
+      return peers.error();
+    }
+    claims_.Start();
+    core_.Start();
+    if (const Status upstreams =
+            upstream_front_.Start(settings_.announce_listen);
+        !upstreams) {
+      return upstreams.error();
+    }
+    if (const auto callers = caller_front_.Start(settings_.http_listen);
+        !callers) {
+      return callers.error();
+    }
+    return outcome::success();
+  }
+
+  std::shared_ptr<entry::RunGuard> Guard(const entry::CheckedRequest& request,
+                                         const entry::ConfigSnapshot& config) {
+    const Limits& limits = config.config().limits;
+    const ledger::ClaimRequest claim{
+        {request.plan.info.account, request.idempotency_key},
+        std::to_string(request.plan.info.fingerprint),
+        limits.claim_window};
+    return claims_.Guard(claim, limits.max_stored_answer_bytes);
+  }
+
   std::string MetricsText() {
-    const entry::EntryStatusView view = core_.Status();
+    const entry::EntryStatusView view = core_.View();
     metrics_.SetConfigVersion(view.version);
     metrics_.SetOpenRequests(static_cast<std::uint32_t>(view.open_requests));
     return adapter::ToScrapeText(metrics_.Snapshot());
@@ -104,21 +138,29 @@
     caller_front_.FailReadiness();
     std::this_thread::sleep_for(settings_.shutdown_grace);
     core_.RefuseNewWork();
-    const auto limit = std::chrono::steady_clock::now() + kDrainLimit;
-    while (caller_front_.InFlight() != 0 &&
-           std::chrono::steady_clock::now() < limit) {
-      std::this_thread::sleep_for(kSignalPoll);
-    }
+    WaitFor(kDrainLimit, [this] { return caller_front_.InFlight() == 0; });
+    WaitFor(kClaimFlushLimit, [this] { return claims_.open() == 0; });
     caller_front_.Stop();
     upstream_front_.Stop();
+    cluster_.Stop();
     core_.Stop();
     events_(Event{EventId::kProcessStopped, {}});
   }
 
+  template <class Done>
+  static void WaitFor(Duration longest, const Done& done) {
+    const auto limit = std::chrono::steady_clock::now() + longest;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+      std::this_thread::sleep_for(kSignalPoll);
+    }
+  }
+
   adapter::EntrySettings settings_;
+  std::string boot_;
   port::EventSink events_;
   entry::EntryCore core_;
-  entry::ControlLink control_link_;
+  entry::ClusterLink cluster_;
+  entry::ClaimDesk claims_;
   entry::UpstreamFront upstream_front_;
   adapter::Metrics metrics_;
   entry::RequestRecorder recorder_;
--- a/include/rattanward/adapter/gossip_runner.h
+++ b/include/rattanward/adapter/gossip_runner.h
@@ -62,6 +62,10 @@
   /// @brief Tells the other entries of a suspicion of this one.
   void Suspect(const policy::Suspicion& suspicion);
 
+  /// @brief Calls another entry; fails at once if it is not connected.
+  void CallPeer(const ProcessId& peer, protocol::Envelope envelope,
+                Duration timeout, PeerClient::CallCallback callback);
+
   /// @brief Uses the upstream expiry of a newer configuration.
   void SetUpstreamExpiry(Duration expiry) { gossip_.SetUpstreamExpiry(expiry); }
 
--- a/include/rattanward/adapter/settings.h
+++ b/include/rattanward/adapter/settings.h
@@ -32,6 +32,16 @@
   friend bool operator==(const SecretSource&, const SecretSource&) = default;
 };
 
+/// @brief Another entry of the deployment, as an entry's settings name it.
+struct PeerEntry {
+  ProcessId process;
+  FailureDomain failure_domain;
+  /// Its peer_listen.
+  Endpoint endpoint;
+
+  friend bool operator==(const PeerEntry&, const PeerEntry&) = default;
+};
+
 /// @brief Settings of one entry daemon.
 struct EntrySettings {
   ProcessIdentity identity;
@@ -42,7 +52,8 @@
   /// Connections of peer entries and control VMs.
   Endpoint peer_listen;
   std::vector<Endpoint> control_endpoints;
-  std::vector<Endpoint> peer_endpoints;
+  /// Every other entry.
+  std::vector<PeerEntry> peers;
   /// Proved by each of our own processes in the handshake.
   SecretSource shared_secret;
   /// Shown by announcing upstreams.
--- a/include/rattanward/entry/caller_front.h
+++ b/include/rattanward/entry/caller_front.h
@@ -14,7 +14,7 @@
 
 /// @brief Makes the guard of a request that may run at most once.
 using GuardFactory = std::function<std::shared_ptr<RunGuard>(
-    const CheckedRequest& request, const std::string& body)>;
+    const CheckedRequest& request, const ConfigSnapshot& config)>;
 
 /// @brief HTTP side towards callers.
 class CallerFront {
@@ -55,7 +55,7 @@
   void ListModels(const httplib::Request& request, httplib::Response& response);
   void Serve(const httplib::Request& request, httplib::Response& response,
              bool completion);
-  void Answer(CheckedRequest checked, const httplib::Request& request,
+  void Answer(CheckedRequest checked, const ConfigSnapshot& snapshot,
               httplib::Response& response);
   void AnswerFromChannel(const std::shared_ptr<AnswerChannel>& channel,
                          const std::shared_ptr<OpenRequest>& open,
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/adapter/shared_config_gate.h"
 #include "rattanward/entry/config_snapshot.h"
 #include "rattanward/entry/decision_mailbox.h"
 #include "rattanward/policy/dispatcher.h"
@@ -27,15 +29,17 @@
                          const EntryStatusView&) = default;
 };
 
-/// @brief Control thread of an entry: owns the dispatcher and what it needs.
-/// @note Every public method may be called from any thread; the work is done
-/// on the control thread, which never blocks.
+/// @brief Control thread of an entry: owns the dispatcher and its time line.
+/// @note Methods may be called from any thread unless they say otherwise; the
+/// work is done on the control thread, which never blocks.
 class EntryCore {
  public:
   /// @brief Makes the core; Start() runs it.
   /// @param options Profile, failure domain and seed of the dispatcher.
+  /// @param gate Which lease times and peers decide over new work.
   /// @param events Takes numbered events.
-  EntryCore(policy::DispatcherOptions options, port::EventSink events);
+  EntryCore(const policy::DispatcherOptions& options,
+            membership::ConfigGateOptions gate, port::EventSink events);
   ~EntryCore();
   EntryCore(const EntryCore&) = delete;
   EntryCore& operator=(const EntryCore&) = delete;
@@ -43,15 +47,6 @@
   void Start();
   void Stop();
 
-  /// @brief Puts a newer configuration in force; an older one is ignored.
-  void SetConfig(ConfigVersion version, const Config& config);
-
-  /// @brief The configuration in force; null before the first.
-  std::shared_ptr<const ConfigSnapshot> Snapshot() const;
-
-  /// @brief Takes an upstream's announcement.
-  void Announce(const Announcement& announcement);
-
   /// @brief Hands a request in; decisions arrive in the mailbox.
   void Submit(const policy::RequestInfo& request,
               std::shared_ptr<DecisionMailbox> mailbox);
@@ -59,40 +54,45 @@
   /// @brief Reports an attempt; unless it was the last, a decision follows.
   void Finish(const policy::AttemptResult& result);
 
+  /// @brief The configuration in force; null before the first.
+  std::shared_ptr<const ConfigSnapshot> Snapshot() const;
+
+  /// @brief Whether new work may start at this moment.
+  /// Errors: kNoConfiguration, kIsolated, kShuttingDown; all not run.
+  Status MayStart() const;
+
   /// @brief Makes new requests be refused, as a shutdown begins.
   void RefuseNewWork() { refusing_ = true; }
-  bool refusing() const { return refusing_; }
-  EntryStatusView Status() const;
+  EntryStatusView View() const;
+
+  /// @brief Puts a newer configuration in force; an older one is ignored.
+  /// @note On the control thread only, like all that follows.
+  void SetConfig(ConfigVersion version, const Config& config);
+  void UpstreamChanged(const Announcement& announcement);
+  void UpstreamGone(const UpstreamId& upstream);
+  policy::Dispatcher& dispatcher() { return dispatcher_; }
 
+  adapter::SharedConfigGate& gate() { return gate_; }
   /// @brief The context whose one thread runs the control state.
   asio::io_context& context() { return context_; }
   /// @brief Moment on the control thread's monotonic time line.
-  static TimePoint Now();
+  static TimePoint Now() { return adapter::MonotonicNow(); }
 
  private:
-  using Decisions = std::vector<policy::Decision>;
-
-  void Deliver(const Decisions& decisions);
-  void ScheduleTick();
-  void Tick();
-  void ApplyAnnouncement(const Announcement& announcement);
-  void ExpireUpstreams();
-
-  struct KnownUpstream {
-    Announcement announcement;
-    TimePoint heard;
-  };
+  void Deliver(const std::vector<policy::Decision>& decisions);
 
   policy::Dispatcher dispatcher_;
+  adapter::SharedConfigGate gate_;
   port::EventSink events_;
   asio::io_context context_;
+  adapter::AsioTimerService timers_;
   std::thread thread_;
   std::unordered_map<RequestId, std::shared_ptr<DecisionMailbox>> mailboxes_;
-  std::unordered_map<UpstreamId, KnownUpstream> upstreams_;
   std::atomic<std::shared_ptr<const ConfigSnapshot>> snapshot_;
   std::atomic<std::size_t> open_requests_{0};
   std::atomic<std::size_t> upstream_count_{0};
   std::atomic<bool> refusing_{false};
+  std::unordered_map<UpstreamId, bool> draining_;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -9,6 +9,7 @@
 #include "rattanward/entry/decision_mailbox.h"
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
+#include "rattanward/entry/run_guard.h"
 #include "rattanward/entry/upstream_attempt.h"
 
 namespace rattanward::entry {
@@ -20,20 +21,6 @@
   kService,
 };
 
-/// @brief Guards a request that must not run twice; see ledger claims.
-/// @note A null guard stands for an idempotent request.
-class RunGuard {
- public:
-  virtual ~RunGuard() = default;
-  /// @brief Called before the first byte of an attempt goes upstream.
-  /// @return Success, or the final error (verdict included) for the caller.
-  virtual Status BeforeSend() = 0;
-  /// @brief Called when it is sure that the request never ran.
-  virtual void NeverRan() = 0;
-  /// @brief Called when the whole answer is there, before the caller sees it.
-  virtual void Finished(const WholeAnswer& answer) = 0;
-};
-
 /// @brief One caller's request from the first decision to its final answer.
 struct ExchangePlan {
   policy::RequestInfo info;
@@ -42,6 +29,7 @@
   Duration silence{0};
   /// First-token target of the request's class.
   Duration first_token_target{0};
+  /// Null for an idempotent request.
   std::shared_ptr<RunGuard> guard;
 };
 
--- a/include/rattanward/entry/upstream_front.h
+++ b/include/rattanward/entry/upstream_front.h
@@ -2,11 +2,12 @@
 
 #include <httplib.h>
 
+#include <functional>
 #include <string>
 #include <thread>
 
 #include "rattanward/domain/result.h"
-#include "rattanward/entry/entry_core.h"
+#include "rattanward/domain/upstream.h"
 
 namespace rattanward::entry {
 
@@ -16,9 +17,10 @@
 class UpstreamFront {
  public:
   /// @brief Prepares the route.
-  /// @param core Takes the announcements.
+  /// @param sink Takes the announcements; called on the server's threads.
   /// @param token Token that upstreams send as a bearer key.
-  UpstreamFront(EntryCore& core, std::string token);
+  UpstreamFront(std::function<void(const Announcement&)> sink,
+                std::string token);
   ~UpstreamFront();
   UpstreamFront(const UpstreamFront&) = delete;
   UpstreamFront& operator=(const UpstreamFront&) = delete;
@@ -32,7 +34,7 @@
  private:
   void Take(const httplib::Request& request, httplib::Response& response);
 
-  EntryCore& core_;
+  std::function<void(const Announcement&)> sink_;
   std::string token_;
   httplib::Server server_;
   std::thread thread_;
--- a/include/rattanward/ledger/claim_holder.h
+++ b/include/rattanward/ledger/claim_holder.h
@@ -105,6 +105,10 @@
   /// StartSending().
   void Abandon(const AttemptId& attempt, TimePoint now);
 
+  /// @brief Frees the claim of an attempt of which it is sure that it never
+  /// ran: not sent, no connection, or a refusal that is declared as not run.
+  void NeverRan(const AttemptId& attempt, TimePoint now);
+
   /// @brief Stores how a sent attempt ended.
   void Finish(const AttemptId& attempt, StoredOutcome outcome, TimePoint now);
 
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -22,6 +22,8 @@
   kGossip = 30,
   kPeerProbe = 31,
   kPeerProbeAnswer = 32,
+  kPortionRequest = 33,
+  kPortionGrant = 34,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "rattanward/domain/upstream.h"
+#include "rattanward/policy/account_portions.h"
 #include "rattanward/protocol/codec.h"
 #include "rattanward/protocol/control_messages.h"
 #include "rattanward/protocol/envelope.h"
@@ -143,6 +144,22 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::PortionRequest> {
+  static auto Tie(auto& m) {
+    return std::tie(m.account, m.entry, m.incarnation, m.sequence, m.held,
+                    m.wanted, m.wanted_starts);
+  }
+};
+
+template <>
+struct FieldsOf<policy::PortionGrant> {
+  static auto Tie(auto& m) {
+    return std::tie(m.account, m.entry, m.incarnation, m.sequence, m.places,
+                    m.starts);
+  }
+};
+
 template <>
 struct FieldsOf<GossipMessage> {
   static auto Tie(auto& m) {
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -25,12 +25,8 @@
   PID[$name]=$!
 }
 
-deployment_list() {  # FIRST_PORT [SKIP_INDEX]: the three endpoints as TOML
-  local i out=""
-  for i in 0 1 2; do
-    [ "${2:-}" = "$i" ] || out+="\"127.0.0.1:$(($1 + i))\", "
-  done
-  echo "[${out%, }]"
+deployment_list() {  # FIRST_PORT: the three endpoints as TOML
+  echo "[\"127.0.0.1:$1\", \"127.0.0.1:$(($1 + 1))\", \"127.0.0.1:$(($1 + 2))\"]"
 }
 
 deployment_entry_settings() {  # INDEX
@@ -42,13 +38,22 @@
 announce_listen = "127.0.0.1:$((BASE + 20 + $1))"
 peer_listen = "127.0.0.1:$((BASE + 30 + $1))"
 control_endpoints = $(deployment_list $((BASE + 40)))
-peer_endpoints = $(deployment_list $((BASE + 30)) "$1")
 shared_secret = "$SHARED_SECRET"
 announce_token = "$ANNOUNCE_TOKEN"
 log_file = "entry-$1.log"
 shutdown_grace_ms = ${SHUTDOWN_GRACE_MS:-300}
 profile = "${PROFILE:-standard}"
 TOML
+  local i
+  for i in 0 1 2; do
+    [ "$i" = "$1" ] || cat >>"$DIR/entry-$1.toml" <<TOML
+
+[[peers]]
+process = "entry-$i"
+failure_domain = "${DOMAINS[$i]}"
+endpoint = "127.0.0.1:$((BASE + 30 + i))"
+TOML
+  done
 }
 
 deployment_control_settings() {  # INDEX
--- a/src/adapter/gossip_runner.cc
+++ b/src/adapter/gossip_runner.cc
@@ -54,6 +54,17 @@
   }
 }
 
+void GossipRunner::CallPeer(const ProcessId& peer, Envelope envelope,
+                            Duration timeout,
+                            PeerClient::CallCallback callback) {
+  const auto it = connected_.find(peer);
+  if (it == connected_.end()) {
+    callback(MakeError(ErrorCode::kDisconnected, peer.str() + " is not there"));
+    return;
+  }
+  it->second->Call(std::move(envelope), timeout, std::move(callback));
+}
+
 bool GossipRunner::Take(const InboundMessage& message,
                         const ReplyHandle& reply) {
   const Envelope& envelope = message.envelope;
--- a/src/adapter/settings.cc
+++ b/src/adapter/settings.cc
@@ -65,6 +65,24 @@
     return endpoints;
   }
 
+  /// Reads the [[peers]] tables of an entry.
+  std::vector<PeerEntry> Peers() {
+    std::vector<PeerEntry> peers;
+    std::set<std::string> seen;
+    for (TomlTable& table : root_.Tables("peers")) {
+      PeerEntry peer{
+          ProcessId(table.Text("process", kNameRule)),
+          FailureDomain(table.Text("failure_domain", kNameRule)),
+          Check("endpoint", table.Text("endpoint", kEndpointRule), false)};
+      if (!seen.insert(peer.process.str()).second) {
+        table.Fail(ErrorCode::kSettingConflict, "process",
+                   peer.process.str() + " twice", "each process once");
+      }
+      peers.push_back(std::move(peer));
+    }
+    return peers;
+  }
+
   std::string Path(std::string_view key) {
     return Resolve(root_.Text(key, kPathRule));
   }
@@ -138,7 +156,7 @@
     root.Fail(ErrorCode::kSettingMissing, "control_endpoints", "no endpoint",
               "a list of at least one control VM's endpoint");
   }
-  out.peer_endpoints = reader.Remotes("peer_endpoints");
+  out.peers = reader.Peers();
   out.shared_secret = reader.Secret("shared_secret");
   out.announce_token = reader.Secret("announce_token");
   out.log_file = reader.LogFile();
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -156,7 +156,7 @@
   });
   server_.Get("/health/ready",
               [this](const auto&, httplib::Response& response) {
-                const EntryStatusView view = core_.Status();
+                const EntryStatusView view = core_.View();
                 const bool ready = view.ready && ready_;
                 const Json json = {{"ready", ready},
                                    {"version", view.version.value},
@@ -198,19 +198,12 @@
     response.set_header("X-Request-Id", caller_id);
   }
   const auto refuse = [&](const Error& error) { WriteError(error, response); };
-  constexpr auto kComeBack = std::chrono::seconds(1);
-  if (core_.refusing()) {
-    Error error = MakeError(ErrorCode::kShuttingDown, "this entry is stopping");
-    error.retry_after = kComeBack;
-    response.set_header("Connection", "close");
-    return refuse(error);
-  }
   const auto snapshot = core_.Snapshot();
-  if (!snapshot) {
-    Error error = MakeError(ErrorCode::kNoConfiguration,
-                            "no configuration is in force here yet");
-    error.retry_after = kComeBack;
-    return refuse(error);
+  if (const Status open = core_.MayStart(); !open || !snapshot) {
+    response.set_header("Connection", "close");
+    return refuse(open ? MakeError(ErrorCode::kNoConfiguration,
+                                   "no configuration is in force here yet")
+                       : open.error());
   }
   const auto account = Authenticate(*snapshot, request);
   if (!account) {
@@ -231,18 +224,17 @@
     return refuse(checked.error());
   }
   response.set_header("X-Rattanward-Request", id.str());
-  Answer(std::move(checked).value(), request, response);
+  Answer(std::move(checked).value(), *snapshot, response);
 }
 
-void CallerFront::Answer(CheckedRequest checked,
-                         const httplib::Request& request,
+void CallerFront::Answer(CheckedRequest checked, const ConfigSnapshot& snapshot,
                          httplib::Response& response) {
   const auto open = std::make_shared<OpenRequest>(in_flight_);
   const auto mailbox = std::make_shared<DecisionMailbox>();
   const auto channel = std::make_shared<AnswerChannel>();
   checked.plan.info.arrived = EntryCore::Now();
   if (!checked.idempotency_key.empty() && guards_) {
-    checked.plan.guard = guards_(checked, request.body);
+    checked.plan.guard = guards_(checked, snapshot);
   }
   recorder_.Arrived(checked.plan.info);
   core_.Submit(checked.plan.info, mailbox);
--- /dev/null
+++ b/src/entry/cluster_link.cc
@@ -0,0 +1,253 @@
+#include "rattanward/entry/cluster_link.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "rattanward/adapter/config_text.h"
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::entry {
+namespace {
+
+using protocol::MessageKind;
+
+/// Period in which suspicions and portion requests are handed on.
+constexpr auto kFlushPeriod = std::chrono::milliseconds(20);
+constexpr auto kPortionTimeout = std::chrono::milliseconds(500);
+
+std::uint64_t WallMicroseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Duration>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+adapter::TransportOptions Transport(
+    const adapter::EntrySettings& settings, const std::string& secret,
+    const std::shared_ptr<adapter::EventLog>& log) {
+  adapter::TransportOptions options;
+  options.self = settings.identity.process;
+  options.secret = secret;
+  options.events = adapter::MakeEventSink(log);
+  options.clock = adapter::ClockOf(log);
+  return options;
+}
+
+adapter::ControlClientOptions ControlOptions(
+    const adapter::EntrySettings& settings, adapter::TransportOptions transport,
+    std::uint64_t incarnation) {
+  adapter::ControlClientOptions options;
+  options.transport = std::move(transport);
+  options.control = settings.control_endpoints;
+  options.process = settings.identity.process;
+  options.vm = settings.identity.vm;
+  options.failure_domain = settings.identity.failure_domain;
+  options.incarnation = incarnation;
+  return options;
+}
+
+adapter::GossipRunnerOptions GossipOptions(
+    const adapter::EntrySettings& settings, adapter::TransportOptions transport,
+    std::uint64_t incarnation) {
+  adapter::GossipRunnerOptions options;
+  options.transport = std::move(transport);
+  options.gossip.self = settings.identity.process;
+  options.gossip.failure_domain = settings.identity.failure_domain;
+  options.gossip.incarnation = incarnation;
+  options.gossip.seed = incarnation;
+  for (const adapter::PeerEntry& peer : settings.peers) {
+    options.peers.push_back(peer.endpoint);
+    options.gossip.peers.push_back({peer.process, peer.failure_domain});
+  }
+  return options;
+}
+
+policy::EntryGroup Group(const adapter::EntrySettings& settings,
+                         std::uint64_t incarnation) {
+  policy::EntryGroup group;
+  group.self = settings.identity.process;
+  group.incarnation = incarnation;
+  group.entries.push_back(group.self);
+  for (const adapter::PeerEntry& peer : settings.peers) {
+    group.entries.push_back(peer.process);
+  }
+  return group;
+}
+
+}  // namespace
+
+membership::ConfigGateOptions GateOptions(
+    const adapter::EntrySettings& settings) {
+  membership::ConfigGateOptions options;
+  for (const adapter::PeerEntry& peer : settings.peers) {
+    if (peer.failure_domain == settings.identity.failure_domain) {
+      options.domain_peers.push_back(peer.process);
+    }
+  }
+  return options;
+}
+
+ClusterLink::ClusterLink(EntryCore& core,
+                         const adapter::EntrySettings& settings,
+                         const std::string& secret,
+                         const std::shared_ptr<adapter::EventLog>& log)
+    : core_(core),
+      events_(adapter::MakeEventSink(log)),
+      listen_(settings.peer_listen),
+      group_(Group(settings, WallMicroseconds())),
+      timers_(core.context()),
+      control_(core.context(),
+               ControlOptions(settings, Transport(settings, secret, log),
+                              group_.incarnation),
+               core.gate(),
+               {[this](const auto& push) { TakeConfig(push); },
+                [this](const auto& state) { TakeOperatorState(state); }}),
+      gossip_(core.context(),
+              GossipOptions(settings, Transport(settings, secret, log),
+                            group_.incarnation),
+              core.gate(),
+              {[this](const auto& event) { TakeGossip(event); },
+               [this](const auto& push) { TakeConfig(push); },
+               [this] { return config_; }}),
+      listener_(core.context(), Transport(settings, secret, log),
+                [this](const auto& message, const auto& reply) {
+                  TakeMessage(message, reply);
+                }) {}
+
+Status ClusterLink::Start() {
+  if (const Status listening = listener_.Listen(listen_); !listening) {
+    return listening.error();
+  }
+  core_.dispatcher().SetEntryGroup(group_, EntryCore::Now());
+  control_.Start();
+  gossip_.Start();
+  timers_.Every(kFlushPeriod, [this](TimePoint now) { Flush(now); });
+  return outcome::success();
+}
+
+void ClusterLink::Stop() {
+  asio::post(core_.context(), [this] {
+    timers_.Stop();
+    gossip_.Stop();
+    control_.Stop();
+    listener_.Stop();
+  });
+}
+
+void ClusterLink::Announce(const Announcement& announcement) {
+  asio::post(core_.context(),
+             [this, announcement] { gossip_.Announce(announcement); });
+}
+
+void ClusterLink::TakeConfig(const protocol::ConfigPush& push) {
+  if (push.version <= config_.version) {
+    return;
+  }
+  const auto config = adapter::ParseConfigText(push.text, "configuration");
+  if (!config) {
+    events_(Event{EventId::kSettingsRejected,
+                  {{"version", std::to_string(push.version.value)},
+                   {"reason", config.error().message}}});
+    return;
+  }
+  config_ = push;
+  core_.SetConfig(push.version, config.value());
+  gossip_.SetUpstreamExpiry(config.value().limits.upstream_expiry);
+}
+
+void ClusterLink::TakeOperatorState(const protocol::OperatorState& state) {
+  if (state.revision < operator_state_.revision) {
+    return;
+  }
+  const protocol::OperatorState before = std::exchange(operator_state_, state);
+  const TimePoint now = EntryCore::Now();
+  for (const std::uint64_t fingerprint : before.quarantined) {
+    const auto& kept = state.quarantined;
+    if (std::find(kept.begin(), kept.end(), fingerprint) == kept.end()) {
+      core_.dispatcher().ReleaseSuspicion(fingerprint);
+    }
+  }
+  for (const std::uint64_t fingerprint : state.quarantined) {
+    core_.dispatcher().MergeSuspicion({fingerprint, {}, true}, now);
+  }
+  for (const auto& [instance, announcement] : upstreams_) {
+    const auto contains = [&id = instance](const auto& list) {
+      return std::find(list.begin(), list.end(), id) != list.end();
+    };
+    if (contains(before.drained) != contains(state.drained)) {
+      TakeUpstream(announcement);
+    }
+  }
+}
+
+void ClusterLink::TakeGossip(const membership::GossipEvent& event) {
+  if (const auto* changed = std::get_if<membership::UpstreamChanged>(&event)) {
+    upstreams_[changed->announcement.instance] = changed->announcement;
+    TakeUpstream(changed->announcement);
+  } else if (const auto* gone = std::get_if<membership::UpstreamGone>(&event)) {
+    upstreams_.erase(gone->upstream);
+    core_.UpstreamGone(gone->upstream);
+  } else if (const auto* heard =
+                 std::get_if<membership::SuspicionHeard>(&event)) {
+    core_.dispatcher().MergeSuspicion(heard->suspicion, EntryCore::Now());
+  } else if (const auto* found = std::get_if<membership::EntryFound>(&event)) {
+    events_(Event{EventId::kEntryPeerFound,
+                  {{"peer", found->entry.process.str()}}});
+  } else if (const auto* lost = std::get_if<membership::EntryLost>(&event)) {
+    events_(Event{EventId::kEntryPeerLost, {{"peer", lost->process.str()}}});
+  }
+}
+
+void ClusterLink::TakeUpstream(const Announcement& announcement) {
+  Announcement effective = announcement;
+  const auto& drained = operator_state_.drained;
+  effective.draining =
+      effective.draining || std::find(drained.begin(), drained.end(),
+                                      effective.instance) != drained.end();
+  core_.UpstreamChanged(effective);
+}
+
+void ClusterLink::TakeMessage(const adapter::InboundMessage& message,
+                              const adapter::ReplyHandle& reply) {
+  if (message.envelope.kind != MessageKind::kPortionRequest) {
+    gossip_.Take(message, reply);
+    return;
+  }
+  const auto request =
+      protocol::Decode<policy::PortionRequest>(message.envelope.body);
+  if (!request) {
+    return;
+  }
+  const auto grant =
+      core_.dispatcher().AnswerPortion(request.value(), EntryCore::Now());
+  if (grant) {
+    reply.Reply(MessageKind::kPortionGrant, protocol::Encode(*grant));
+  }
+}
+
+void ClusterLink::Flush(TimePoint now) {
+  for (const policy::Suspicion& suspicion :
+       core_.dispatcher().TakeSuspicions()) {
+    gossip_.Suspect(suspicion);
+  }
+  for (const auto& due : core_.dispatcher().TakePortionRequests(now)) {
+    protocol::Envelope envelope;
+    envelope.kind = MessageKind::kPortionRequest;
+    envelope.body = protocol::Encode(due.request);
+    gossip_.CallPeer(
+        due.home, std::move(envelope), kPortionTimeout,
+        [this](const Result<protocol::Envelope>& answer) {
+          if (!answer || answer.value().kind != MessageKind::kPortionGrant) {
+            return;
+          }
+          const auto grant =
+              protocol::Decode<policy::PortionGrant>(answer.value().body);
+          if (grant) {
+            core_.dispatcher().TakePortionGrant(grant.value());
+          }
+        });
+  }
+}
+
+}  // namespace rattanward::entry
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -2,13 +2,13 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <utility>
 
 namespace rattanward::entry {
 namespace {
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(5);
+constexpr auto kComeBack = std::chrono::seconds(1);
 
 const RequestId& RequestOf(const policy::Decision& decision) {
   return std::visit(
@@ -18,13 +18,18 @@
 
 }  // namespace
 
-EntryCore::EntryCore(policy::DispatcherOptions options, port::EventSink events)
-    : dispatcher_(std::move(options)), events_(std::move(events)) {}
+EntryCore::EntryCore(const policy::DispatcherOptions& options,
+                     membership::ConfigGateOptions gate, port::EventSink events)
+    : dispatcher_(options),
+      gate_(std::move(gate)),
+      events_(std::move(events)),
+      timers_(context_) {}
 
 EntryCore::~EntryCore() { Stop(); }
 
 void EntryCore::Start() {
-  ScheduleTick();
+  timers_.Every(kTickPeriod,
+                [this](TimePoint now) { Deliver(dispatcher_.Tick(now)); });
   thread_ = std::thread([this] {
     const auto guard = asio::make_work_guard(context_);
     context_.run();
@@ -38,31 +43,34 @@
   }
 }
 
-TimePoint EntryCore::Now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 void EntryCore::SetConfig(ConfigVersion version, const Config& config) {
-  asio::post(context_, [this, version, config] {
-    const auto current = snapshot_.load();
-    if (current && current->version() >= version) {
-      return;
-    }
-    snapshot_.store(std::make_shared<const ConfigSnapshot>(version, config));
-    Deliver(dispatcher_.SetConfig(config, Now()));
-    events_(Event{EventId::kConfigInForce,
-                  {{"version", std::to_string(version.value)}}});
-  });
+  const auto current = snapshot_.load();
+  if (current && current->version() >= version) {
+    return;
+  }
+  Deliver(dispatcher_.SetConfig(config, Now()));
+  snapshot_.store(std::make_shared<const ConfigSnapshot>(version, config));
+  gate_.Apply(version);
+  events_(Event{EventId::kConfigInForce,
+                {{"version", std::to_string(version.value)}}});
 }
 
 std::shared_ptr<const ConfigSnapshot> EntryCore::Snapshot() const {
   return snapshot_.load();
 }
 
-void EntryCore::Announce(const Announcement& announcement) {
-  asio::post(context_,
-             [this, announcement] { ApplyAnnouncement(announcement); });
+Status EntryCore::MayStart() const {
+  Error error;
+  if (refusing_) {
+    error = MakeError(ErrorCode::kShuttingDown, "this entry is stopping");
+  } else if (const Status open = gate_.MayStart(); !open) {
+    error = open.error();
+  } else {
+    return outcome::success();
+  }
+  error.verdict = Verdict::kNotRun;
+  error.retry_after = kComeBack;
+  return error;
 }
 
 void EntryCore::Submit(const policy::RequestInfo& request,
@@ -90,17 +98,39 @@
   });
 }
 
-EntryStatusView EntryCore::Status() const {
+EntryStatusView EntryCore::View() const {
   const auto snapshot = Snapshot();
   EntryStatusView view;
   view.version = snapshot ? snapshot->version() : ConfigVersion{};
   view.open_requests = open_requests_;
   view.upstreams = upstream_count_;
-  view.ready = snapshot != nullptr && !refusing_;
+  view.ready = snapshot != nullptr && MayStart();
   return view;
 }
 
-void EntryCore::Deliver(const Decisions& decisions) {
+void EntryCore::UpstreamChanged(const Announcement& announcement) {
+  const auto [it, added] =
+      draining_.emplace(announcement.instance, announcement.draining);
+  const bool drains = announcement.draining && (added || !it->second);
+  it->second = announcement.draining;
+  upstream_count_ = draining_.size();
+  if (added || drains) {
+    events_(
+        Event{drains ? EventId::kUpstreamDraining : EventId::kUpstreamAnnounced,
+              {{"upstream", announcement.instance.str()},
+               {"failure_domain", announcement.failure_domain.str()}}});
+  }
+  Deliver(dispatcher_.UpstreamChanged(announcement, Now()));
+}
+
+void EntryCore::UpstreamGone(const UpstreamId& upstream) {
+  draining_.erase(upstream);
+  upstream_count_ = draining_.size();
+  events_(Event{EventId::kUpstreamExpired, {{"upstream", upstream.str()}}});
+  Deliver(dispatcher_.UpstreamGone(upstream, Now()));
+}
+
+void EntryCore::Deliver(const std::vector<policy::Decision>& decisions) {
   for (const policy::Decision& decision : decisions) {
     const auto it = mailboxes_.find(RequestOf(decision));
     if (it == mailboxes_.end()) {
@@ -115,46 +145,4 @@
   }
 }
 
-void EntryCore::ScheduleTick() {
-  const auto timer = std::make_shared<asio::steady_timer>(context_);
-  timer->expires_after(kTickPeriod);
-  timer->async_wait([this, timer](const std::error_code& error) {
-    if (!error) {
-      Tick();
-      ScheduleTick();
-    }
-  });
-}
-
-void EntryCore::Tick() {
-  ExpireUpstreams();
-  Deliver(dispatcher_.Tick(Now()));
-}
-
-void EntryCore::ApplyAnnouncement(const Announcement& announcement) {
-  KnownUpstream& known = upstreams_[announcement.instance];
-  if (announcement.sequence <= known.announcement.sequence) {
-    return;
-  }
-  known = KnownUpstream{announcement, Now()};
-  upstream_count_ = upstreams_.size();
-  Deliver(dispatcher_.UpstreamChanged(announcement, Now()));
-}
-
-void EntryCore::ExpireUpstreams() {
-  const auto snapshot = Snapshot();
-  const Duration expiry = snapshot ? snapshot->config().limits.upstream_expiry
-                                   : Limits{}.upstream_expiry;
-  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
-    if (Now() - it->second.heard <= expiry) {
-      ++it;
-      continue;
-    }
-    const UpstreamId gone = it->first;
-    it = upstreams_.erase(it);
-    upstream_count_ = upstreams_.size();
-    Deliver(dispatcher_.UpstreamGone(gone, Now()));
-  }
-}
-
 }  // namespace rattanward::entry
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace rattanward::entry {
@@ -71,10 +72,8 @@
   /// Runs one attempt; the report is the caller's to hand to the core.
   AttemptResult Attempt(const StartAttempt& start) {
     recorder_.Dispatched(plan_.info, start);
-    if (plan_.guard) {
-      if (const Status claimed = plan_.guard->BeforeSend(); !claimed) {
-        return Abandon(start, claimed.error());
-      }
+    if (const auto error = BarBeforeSend()) {
+      return Abandon(start, *error);
     }
     tokens_ = 0;
     AttemptResult result = plan_.shape == AnswerShape::kService
@@ -96,13 +95,24 @@
     summary_.outcome =
         left ? adapter::Outcome::kCallerLeft : adapter::Outcome::kAnswered;
     summary_.output_tokens = last.output_tokens;
+    if (left && plan_.guard && last.end == AttemptEnd::kCallerLeft) {
+      plan_.guard->Ended(summary_.verdict, nullptr);
+    }
     recorder_.Ended(plan_.info, summary_, plan_.first_token_target);
   }
 
-  /// The request ended with an error.
+  /// The request ended without an answer of its own.
   void Fail(const Error& error) {
-    if (plan_.guard && summary_.verdict == Verdict::kNotRun) {
-      plan_.guard->NeverRan();
+    if (plan_.guard) {
+      plan_.guard->Ended(summary_.verdict, nullptr);
+    }
+    if (stored_) {
+      // The same key has run before: its caller gets that answer.
+      summary_.verdict = Verdict::kRan;
+      NoteFirstTokenTime();
+      recorder_.Ended(plan_.info, summary_, plan_.first_token_target);
+      channel_->Push(*stored_);
+      return;
     }
     summary_.outcome = adapter::Outcome::kFailed;
     summary_.error = error;
@@ -111,6 +121,28 @@
   }
 
  private:
+  /// Why this attempt must not be sent; asked right before the first byte, so
+  /// that a process that was frozen since the decision notices it.
+  std::optional<Error> BarBeforeSend() {
+    if (const Status open = core_.MayStart();
+        !open && open.error().code != ErrorCode::kShuttingDown) {
+      return open.error();
+    }
+    if (!plan_.guard) {
+      return std::nullopt;
+    }
+    SendPermission permission = plan_.guard->BeforeSend();
+    if (std::holds_alternative<MaySend>(permission)) {
+      return std::nullopt;
+    }
+    if (auto* answer = std::get_if<WholeAnswer>(&permission)) {
+      stored_ = std::move(*answer);
+      return MakeError(ErrorCode::kAlreadyRan, "the request has run before",
+                       Verdict::kRan);
+    }
+    return std::get<Error>(permission);
+  }
+
   AttemptResult Abandon(const StartAttempt& start, const Error& error) {
     AttemptResult result;
     result.request = plan_.info.id;
@@ -164,9 +196,15 @@
     return result;
   }
 
-  void NoteFirstToken() {
+  void NoteFirstTokenTime() {
     if (!summary_.first_token) {
       summary_.first_token = EntryCore::Now();
+    }
+  }
+
+  void NoteFirstToken() {
+    if (!summary_.first_token) {
+      NoteFirstTokenTime();
       core_.FirstToken(plan_.info.id);
     }
   }
@@ -188,7 +226,7 @@
 
   void Deliver(const WholeAnswer& answer) {
     if (plan_.guard) {
-      plan_.guard->Finished(answer);
+      plan_.guard->Ended(Verdict::kRan, &answer);
     }
     channel_->Push(answer);
   }
@@ -198,6 +236,7 @@
   const ExchangePlan& plan_;
   std::shared_ptr<AnswerChannel> channel_;
   RequestSummary summary_;
+  std::optional<WholeAnswer> stored_;
   std::uint32_t tokens_ = 0;
   bool begun_ = false;
 };
--- a/src/entry/upstream_front.cc
+++ b/src/entry/upstream_front.cc
@@ -4,6 +4,7 @@
 
 #include "rattanward/adapter/announcement_json.h"
 #include "rattanward/adapter/elastic_task_queue.h"
+#include "rattanward/entry/config_snapshot.h"
 #include "rattanward/entry/http_answers.h"
 
 namespace rattanward::entry {
@@ -15,8 +16,9 @@
 
 }  // namespace
 
-UpstreamFront::UpstreamFront(EntryCore& core, std::string token)
-    : core_(core), token_(std::move(token)) {
+UpstreamFront::UpstreamFront(std::function<void(const Announcement&)> sink,
+                             std::string token)
+    : sink_(std::move(sink)), token_(std::move(token)) {
   server_.new_task_queue = [] {
     return new adapter::ElasticTaskQueue(kMaxThreads);
   };
@@ -62,7 +64,7 @@
     WriteError(announcement.error(), response);
     return;
   }
-  core_.Announce(announcement.value());
+  sink_(announcement.value());
   response.set_content("{}", "application/json");
 }
 
--- a/src/ledger/claim_holder.cc
+++ b/src/ledger/claim_holder.cc
@@ -163,6 +163,14 @@
   }
 }
 
+void ClaimHolder::NeverRan(const AttemptId& id, TimePoint now) {
+  const auto it = attempts_.find(id);
+  if (it != attempts_.end() && (it->second.phase == Phase::kGranted ||
+                                it->second.phase == Phase::kSent)) {
+    Release(it->second, now);
+  }
+}
+
 void ClaimHolder::Finish(const AttemptId& id, StoredOutcome outcome,
                          TimePoint now) {
   const auto it = attempts_.find(id);
