--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,7 +1,7 @@
 # Functions that start and stop a local deployment on loopback. To be sourced.
 # Only scripts start processes; every process is stopped by its id.
 #
-#   deployment_start DIR BASE_PORT   3 entries, 3 control processes, one of each
+#   deployment_start DIR [BASE_PORT] 3 entries, 3 control processes, one of each
 #                                    in the failure domains a, b and c
 #   deployment_engine NAME FLAGS...  one more stand-in engine
 #   deployment_service NAME FLAGS... one more stand-in service
@@ -80,8 +80,20 @@
   deployment_spawn "control-$1" "$BIN/rattanward-control" --settings "$DIR/control-$1.toml"
 }
 
-deployment_start() {  # DIR BASE_PORT
-  DIR=$1 BASE=$2
+deployment_free_base() {  # a base with a hundred ports that nobody listens on
+  local base port try
+  for try in $(seq 50); do
+    base=$((10000 + (RANDOM % 200) * 100))
+    for port in $(seq $((base + 10)) $((base + 59))); do
+      (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue 2
+    done
+    echo "$base"; return 0
+  done
+  return 1
+}
+
+deployment_start() {  # DIR [BASE_PORT]
+  DIR=$1 BASE=${2:-$(deployment_free_base)}
   rm -rf "$DIR" && mkdir -p "$DIR"
   DIR=$(cd "$DIR" && pwd)
   ANNOUNCE="127.0.0.1:$((BASE + 20)),127.0.0.1:$((BASE + 21)),127.0.0.1:$((BASE + 22))"
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -1,5 +1,5 @@
 # Shared by the process tests: a deployment that is stopped at exit, and checks.
-# To be sourced from the root of the checkout, after BASE_PORT is set.
+# To be sourced from the root of the checkout.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 . scripts/deployment.sh
--- a/tests/process/test-entry-at-most-once.sh
+++ b/tests/process/test-entry-at-most-once.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A call that may run at most once, sent at once through all three entries.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18700
+deployment_start "$WORK/run"
 deployment_service service-0 --failure_domain a --delay_ms 150 || abort "no service"
 deployment_service service-1 --failure_domain b --delay_ms 150 || abort "no service"
 start_ready 2
--- a/tests/process/test-entry-bad-input.sh
+++ b/tests/process/test-entry-bad-input.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Bad input gets a numbered error, runs nowhere, and costs others nothing.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18900
+deployment_start "$WORK/run"
 deployment_engine engine-0 --failure_domain a || abort "no engine"
 start_ready 1
 post() {  # EXPECTED_CODE BODY [CURL_FLAGS...]
--- a/tests/process/test-entry-burst.sh
+++ b/tests/process/test-entry-burst.sh
@@ -2,7 +2,7 @@
 # A burst of one low class, five times the capacity, with the top tier mixed in:
 # no top-tier request is refused, and the low class moves.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18800
+deployment_start "$WORK/run"
 deployment_engine engine-0 --failure_domain a --capacity 6 || abort "no engine"
 deployment_engine engine-1 --failure_domain b --capacity 6 || abort "no engine"
 start_ready 2
--- a/tests/process/test-entry-loss.sh
+++ b/tests/process/test-entry-loss.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # An entry killed in mid-request; graceful shutdown under open streams.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18500
+deployment_start "$WORK/run"
 deployment_engine engine-0 --failure_domain a --token_ms 20 || abort "no engine"
 start_ready 1
 
--- a/tests/process/test-entry-poison.sh
+++ b/tests/process/test-entry-poison.sh
@@ -2,7 +2,7 @@
 # One request that crashes each engine that runs it, sent again through every
 # entry: at most two engines die, and the caller gets a final answer.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18600
+deployment_start "$WORK/run"
 for i in 0 1 2 3 4; do
   deployment_engine "engine-$i" --failure_domain "${DOMAINS[$((i % 3))]}" --poison DEADLY || abort "no engine"
 done
--- a/tests/process/test-entry-upstream-faults.sh
+++ b/tests/process/test-entry-upstream-faults.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Engines that die, freeze, drain or whose connections go silent.
 . "$(dirname "$0")/common.sh"
-deployment_start "$WORK/run" 18400
+deployment_start "$WORK/run"
 deployment_engine engine-0 --failure_domain a --token_ms 20 || abort "no engine"
 deployment_engine engine-1 --failure_domain b --token_ms 20 || abort "no engine"
 start_ready 2
