Let a voter stand for election until its removal is committed

Cause: a leader wrote its own removal and crashed before sending it. It came back as no voter by its own log, so it did not stand; the others lacked that entry, so it gave them no vote; two voters of three never elected a leader. Change: a node stands while it is a voter in the newest committed membership or in any later one.

Ruled out: sending before the sync, which the fuzz refutes; forbidding a leader to remove itself, since the operator would have to know who leads.

--- a/include/rattanward/consensus/detail/log.h
+++ b/include/rattanward/consensus/detail/log.h
@@ -43,6 +43,9 @@
   /// @brief The newest membership and the index that it stands at.
   const Membership& membership() const;
   LogIndex membership_index() const;
+  /// @brief Whether a member is a voter in the membership of a committed entry
+  /// or in any later one.
+  bool IsVoterSince(LogIndex committed, const VoterId& id) const;
 
   const std::shared_ptr<const Snapshot>& snapshot() const { return snapshot_; }
 
--- a/src/consensus/log.cc
+++ b/src/consensus/log.cc
@@ -93,4 +93,16 @@
 
 LogIndex Log::membership_index() const { return memberships_.back().index; }
 
+bool Log::IsVoterSince(LogIndex committed, const VoterId& id) const {
+  for (auto at = memberships_.rbegin(); at != memberships_.rend(); ++at) {
+    if (IsVoter(at->membership, id)) {
+      return true;
+    }
+    if (at->index <= committed) {
+      return false;
+    }
+  }
+  return false;
+}
+
 }  // namespace rattanward::consensus::detail
--- a/src/consensus/node.cc
+++ b/src/consensus/node.cc
@@ -38,7 +38,7 @@
     if (now_ - last_round_ >= options_.heartbeat) {
       StartRound();
     }
-  } else if (now_ >= election_deadline_ && IsVoter(log_.membership(), id_)) {
+  } else if (now_ >= election_deadline_ && log_.IsVoterSince(commit_, id_)) {
     StartPreVote();
   }
 }
--- a/tests/fakes/consensus_cluster.h
+++ b/tests/fakes/consensus_cluster.h
@@ -107,6 +107,14 @@
     });
   }
 
+  /// @brief Asks for a change of the member on a VM, sensible or not.
+  void Change(Slot slot, consensus::MembershipChange::Kind kind) {
+    ForLeaders([&](Vm& vm) {
+      std::ignore = vm.node->Change(
+          {kind, vms_[slot].disk.id(), EndpointOf(slot)}, vm.clock);
+    });
+  }
+
   void Compact(Slot slot) {
     if (Running(slot) && !Frozen(slot)) {
       node(slot).Compact(vms_[slot].applied, vms_[slot].state);
--- a/tests/src/unit-consensus.cc
+++ b/tests/src/unit-consensus.cc
@@ -233,6 +233,25 @@
         ErrorCode::kLastVoter);
 }
 
+TEST_CASE("a voter whose own removal is not committed can still be elected") {
+  PersistedState state = InitialState(Voters({kA, kB}));
+  state.entries = {
+      {2, 1, EntryType::kMembership, EncodeMembership(Voters({kB}))}};
+  state.hard_state.term = 1;
+  Node node(kA, Options(), state, At(0));
+  node.Tick(At(700));
+  CHECK(node.role() == Role::kPreCandidate);
+  node.Receive({kB, kA, 1, VoteAnswer{true, 2, true}}, At(710));
+  node.Receive({kB, kA, 2, VoteAnswer{false, 2, true}}, At(710));
+  CHECK(node.role() == Role::kLeader);
+  node.TakeOutput();
+  node.Receive({kB, kA, 2, AppendAnswer{true, 3, 1}}, At(720));
+  CHECK(node.TakeOutput().committed.size() == 2);
+  CHECK(node.role() == Role::kFollower);
+  node.Tick(At(2000));
+  CHECK(node.role() == Role::kFollower);
+}
+
 TEST_CASE("after a repair a second VM may be lost, then be repaired too") {
   ConsensusCluster cluster = Elected();
   for (Slot lost = 0; lost < kVms; ++lost) {
