--- a/include/rattanward/control/replica.h
+++ b/include/rattanward/control/replica.h
@@ -69,6 +69,10 @@
   /// @brief Whether a quorum confirmed this leader within its lease.
   bool HoldsLease() const;
 
+  /// @brief Whether, besides, the ledger holds all that earlier leaders
+  /// committed.
+  bool ConfirmedLeader() const;
+
   const consensus::Node& node() const { return *node_; }
   const ledger::StateMachine& ledger() const { return ledger_; }
   const VoterId& id() const { return storage_.id(); }
@@ -104,6 +108,8 @@
   std::unique_ptr<consensus::Node> node_;
   ledger::StateMachine ledger_;
   consensus::LogIndex applied_ = 0;
+  /// Term of the newest entry applied.
+  consensus::Term applied_term_ = 0;
   std::map<consensus::LogIndex, Pending> pending_;
   std::map<consensus::ReadId, PendingRead> reads_;
   std::map<consensus::ReadId, consensus::LogIndex> confirmed_;
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -61,7 +61,10 @@
                                                Tier tier, bool* admitted,
                                                TimePoint now);
   void Enqueue(const Open& open);
-  bool AdmitWaiting(const RequestId& id, Decisions* out, TimePoint now);
+  /// Whether a request that found no upstream is kept; in_exchange says that
+  /// another one has left the queue's room to it.
+  bool AdmitWaiting(const RequestId& id, bool in_exchange, Decisions* out,
+                    TimePoint now);
   void SettleDisplaced(const QueuedRequest& displaced, const RequestId& by,
                        Decisions* out, TimePoint now);
 
@@ -81,10 +84,14 @@
                                 TimePoint now);
   void FinishFailed(Open* open, const AttemptResult& result, Decisions* out,
                     TimePoint now);
-  void RefuseOpen(const RequestId& id, Error error, Decisions* out);
+  /// Takes the id by value: the open request that holds it is erased.
+  void RefuseOpen(RequestId id, Error error, Decisions* out);
   void Close(const RequestId& id);
 
-  Duration PlaceWait(const Target& target, Tier tier, TimePoint now) const;
+  /// Expected wait of a new request of the class: by its tier, or by its
+  /// floor if that is sooner.
+  Duration PlaceWait(const Target& target, const RequestClass& declared,
+                     TimePoint now) const;
   TimePoint DeadlineOf(const Open& open) const;
   bool IsSuspect(std::uint64_t fingerprint) const;
 
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -36,7 +36,7 @@
 template <>
 struct FieldsOf<Envelope> {
   static auto Tie(auto& m) {
-    return std::tie(m.version, m.kind, m.request, m.body);
+    return std::tie(m.version, m.kind, m.request, m.body, m.clock);
   }
 };
 
@@ -110,6 +110,19 @@
   }
 };
 
+template <>
+struct FieldsOf<PeerProbe> {
+  static auto Tie(auto& m) { return std::tie(m.sequence); }
+};
+
+template <>
+struct FieldsOf<PeerProbeAnswer> {
+  static auto Tie(auto& m) {
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
+                    m.failure_domain);
+  }
+};
+
 template <>
 struct FieldsOf<UpstreamBeat> {
   static auto Tie(auto& m) { return std::tie(m.instance, m.sequence, m.load); }
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -114,6 +114,10 @@
 
 bool Replica::HoldsLease() const { return node_->HoldsLease(MonotonicNow()); }
 
+bool Replica::ConfirmedLeader() const {
+  return HoldsLease() && applied_term_ == node_->term();
+}
+
 void Replica::ScheduleFlush() {
   if (flush_scheduled_ || failed_) {
     return;
@@ -186,6 +190,7 @@
 
 void Replica::RestoreLedger(const consensus::Snapshot& snapshot) {
   applied_ = snapshot.last.index;
+  applied_term_ = snapshot.last.term;
   if (snapshot.state.empty()) {
     ledger_ = ledger::StateMachine();
     return;
@@ -201,6 +206,7 @@
 
 void Replica::Apply(const consensus::Entry& entry) {
   applied_ = entry.index;
+  applied_term_ = entry.term;
   if (entry.type != consensus::EntryType::kCommand) {
     Answer(entry, MakeError(ErrorCode::kNotLeader, "the leader changed"));
     return;
--- a/src/rpc/control_calls.cc
+++ b/src/rpc/control_calls.cc
@@ -21,12 +21,12 @@
                             std::chrono::milliseconds(wait_ms), kMaxWait);
 }
 
-void FillInForce(const control::ControlDaemon& daemon, ConfigVersion version,
+void FillInForce(control::ControlDaemon& daemon, ConfigVersion version,
                  v1::ConfigStateReply& reply) {
   reply.set_version(version.value);
-  const ledger::InForceReport report = daemon.entries().InForce(version);
+  const control::InForceReport report = daemon.entries().InForce(version);
   reply.set_accepted(version.value != 0 && report.accepted);
-  for (const ledger::DomainInForce& domain : report.domains) {
+  for (const control::DomainInForce& domain : report.domains) {
     v1::DomainState& state = *reply.add_domains();
     state.set_failure_domain(domain.failure_domain.str());
     state.set_entries(domain.entries);
@@ -219,15 +219,14 @@
     reply.set_applied_index(replica.applied());
     reply.set_config_version(replica.ledger().config_version().value);
     reply.set_claims(replica.ledger().claims().size());
-    const ledger::InForceTracker& tracker = daemon_.entries().tracker();
-    const TimePoint now = adapter::MonotonicNow();
     for (const auto& [process, record] : replica.ledger().entries()) {
       v1::EntryState& entry = *reply.add_entries();
       entry.set_process(process.str());
       entry.set_vm(record.vm.str());
       entry.set_failure_domain(record.failure_domain.str());
-      entry.set_in_force(tracker.Version(process).value);
-      entry.set_live(tracker.IsLive(process, now));
+      const control::EntryView view = daemon_.entries().View(process);
+      entry.set_in_force(view.in_force.value);
+      entry.set_live(view.live);
     }
   });
 }
