Tell probation as events; keep the top tier off probes

Change: a probing upstream gets a top-tier request only if no other tier came to probe it for as long as its ban; reviews compute a domain's limit once; probation begun and ended are events.

--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "rattanward/domain/config.h"
 #include "rattanward/domain/error.h"
+#include "rattanward/domain/event.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/request_class.h"
 #include "rattanward/domain/time.h"
@@ -172,6 +173,10 @@
   /// @return Whether it was known here.
   bool ReleaseSuspicion(std::uint64_t fingerprint);
 
+  /// @brief Events of the decisions since the last call: probation begun and
+  /// ended.
+  std::vector<Event> TakeEvents();
+
   /// @brief Names the entries that share the account limits.
   /// @note Until it is called, DispatcherOptions::entries shares them evenly.
   void SetEntryGroup(const EntryGroup& group, TimePoint now);
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "rattanward/domain/event.h"
 #include "rattanward/policy/account_limits.h"
 #include "rattanward/policy/chooser.h"
 #include "rattanward/policy/class_queue.h"
@@ -35,6 +37,9 @@
   std::vector<Decision> Tick(TimePoint now);
   std::size_t OpenRequests() const { return open_.size(); }
 
+  /// @brief Events since the last call.
+  std::vector<Event> TakeEvents() { return std::exchange(events_, {}); }
+
   Quarantine& quarantine() { return quarantine_; }
   AccountLimits& accounts() { return accounts_; }
 
@@ -56,6 +61,7 @@
   };
   using Decisions = std::vector<Decision>;
 
+  void TellProbation(const UpstreamTable::List& list);
   std::optional<Error> CheckRequest(const RequestInfo& request) const;
   std::optional<QueuedRequest> MakeAccountRoom(const RequestInfo& request,
                                                Tier tier, bool* admitted,
@@ -108,6 +114,7 @@
   /// Attempts that run, by fingerprint.
   std::unordered_map<std::uint64_t, std::uint32_t> running_;
   std::optional<TimePoint> next_review_;
+  std::vector<Event> events_;
 };
 
 }  // namespace rattanward::policy
--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -60,6 +60,8 @@
   TimePoint avoid_until;
   QuantileWindow first_token_us;
   ProbationState probation;
+  /// Whether the last event told of it said that it is on probation.
+  bool told_probation = false;
 
   /// @brief Requests that run there, as far as is known.
   std::uint32_t Load() const {
--- a/src/policy/chooser.cc
+++ b/src/policy/chooser.cc
@@ -22,14 +22,17 @@
          std::max(1U, upstream.announcement.capacity);
 }
 
-bool Trusted(const UpstreamState& upstream) {
-  switch (upstream.probation.phase) {
+bool Trusted(const UpstreamState& upstream, const ChoiceQuery& query) {
+  const ProbationState& state = upstream.probation;
+  switch (state.phase) {
     case ProbationState::Phase::kHealthy:
       return true;
     case ProbationState::Phase::kBanned:
       return false;
     case ProbationState::Phase::kProbing:
-      return upstream.running.empty();
+      // The top tier probes only if nothing else came to do it.
+      return upstream.running.empty() &&
+             (query.tier.value > 0 || query.now >= state.until + state.length);
   }
   return false;
 }
@@ -71,7 +74,7 @@
 
 bool HasPlace(const UpstreamState& upstream, const ChoiceQuery& query) {
   const std::uint32_t capacity = upstream.announcement.capacity;
-  const bool trusted = query.ignore_probation || Trusted(upstream);
+  const bool trusted = query.ignore_probation || Trusted(upstream, query);
   if (!trusted || !Usable(upstream, query) ||
       upstream.running.size() >= capacity ||
       (query.allowed && !query.allowed(upstream))) {
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -112,6 +112,11 @@
   return standard != nullptr && standard->quarantine().Release(fingerprint);
 }
 
+std::vector<Event> Dispatcher::TakeEvents() {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<Event>() : standard->TakeEvents();
+}
+
 void Dispatcher::SetEntryGroup(const EntryGroup& group, TimePoint now) {
   if (StandardDispatcher* standard = impl_->Standard()) {
     standard->accounts().SetGroup(group, now);
--- a/src/policy/probation.cc
+++ b/src/policy/probation.cc
@@ -52,8 +52,42 @@
   std::vector<Duration> medians;
   std::size_t upstreams = 0;
   std::size_t on_probation = 0;
+  /// First-token time above which an upstream is an outlier.
+  std::optional<Duration> limit;
 };
 
+void EndBan(ProbationState* state, TimePoint now) {
+  if (state->phase == Phase::kBanned && now >= state->until) {
+    state->phase = Phase::kProbing;
+  }
+}
+
+void AddTo(DomainView* view, const UpstreamState& upstream, TimePoint now) {
+  const bool healthy = upstream.probation.phase == Phase::kHealthy;
+  ++view->upstreams;
+  view->on_probation += healthy ? 0 : 1;
+  const auto median = MedianWait(upstream, now);
+  if (median && healthy) {
+    view->medians.push_back(*median);
+  }
+}
+
+bool IsOutlier(const UpstreamState& upstream, const DomainView& view,
+               TimePoint now) {
+  const Duration oldest = OldestUnanswered(upstream, now);
+  switch (upstream.probation.phase) {
+    case Phase::kBanned:
+      return false;
+    case Phase::kProbing:
+      return oldest > *view.limit;
+    case Phase::kHealthy:
+      break;
+  }
+  const Duration median = MedianWait(upstream, now).value_or(Duration(0));
+  const bool room = 2 * (view.on_probation + 1) <= view.upstreams;
+  return room && std::max(median, oldest) > *view.limit;
+}
+
 /// Lower median, so that of two upstreams the faster one is the measure.
 Duration LowerMedian(std::vector<Duration>* values) {
   const auto middle =
@@ -81,38 +115,19 @@
 void ReviewProbation(const UpstreamTable::List& list, TimePoint now) {
   std::map<FailureDomain, DomainView> domains;
   for (UpstreamState* upstream : list) {
-    ProbationState& state = upstream->probation;
-    if (state.phase == Phase::kBanned && now >= state.until) {
-      state.phase = Phase::kProbing;
-    }
-    DomainView& view = domains[upstream->announcement.failure_domain];
-    ++view.upstreams;
-    view.on_probation += state.phase == Phase::kHealthy ? 0 : 1;
-    const auto median = MedianWait(*upstream, now);
-    if (median && state.phase == Phase::kHealthy) {
-      view.medians.push_back(*median);
+    EndBan(&upstream->probation, now);
+    AddTo(&domains[upstream->announcement.failure_domain], *upstream, now);
+  }
+  for (auto& [name, view] : domains) {
+    if (!view.medians.empty() && view.upstreams >= kMinPeers) {
+      view.limit = kOutlierFactor * LowerMedian(&view.medians) + kOutlierSlack;
     }
   }
   for (UpstreamState* upstream : list) {
     DomainView& view = domains[upstream->announcement.failure_domain];
-    if (upstream->probation.phase == Phase::kBanned || view.medians.empty() ||
-        view.upstreams < kMinPeers) {
-      continue;
-    }
-    const Duration limit =
-        kOutlierFactor * LowerMedian(&view.medians) + kOutlierSlack;
-    const Duration wait =
-        std::max(MedianWait(*upstream, now).value_or(Duration(0)),
-                 OldestUnanswered(*upstream, now));
-    const bool healthy = upstream->probation.phase == Phase::kHealthy;
-    const bool room = 2 * (view.on_probation + 1) <= view.upstreams;
-    if (wait <= limit || (healthy && !room)) {
-      continue;
-    }
-    const bool probe_late = OldestUnanswered(*upstream, now) > limit;
-    if (healthy || probe_late) {
-      view.on_probation += healthy ? 1 : 0;
-      upstream->probation.limit = limit;
+    if (view.limit && IsOutlier(*upstream, view, now)) {
+      view.on_probation += upstream->probation.phase == Phase::kHealthy ? 1 : 0;
+      upstream->probation.limit = *view.limit;
       Ban(&upstream->probation, now);
     }
   }
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -129,6 +129,7 @@
     accounts_.Expire(now);
     for (const auto& [target, list] : upstreams_.ByTarget()) {
       ReviewProbation(list, now);
+      TellProbation(list);
     }
   }
   Decisions out;
@@ -140,6 +141,20 @@
   return out;
 }
 
+void StandardDispatcher::TellProbation(const UpstreamTable::List& list) {
+  for (UpstreamState* upstream : list) {
+    const bool on_probation =
+        upstream->probation.phase != ProbationState::Phase::kHealthy;
+    if (on_probation == upstream->told_probation) {
+      continue;
+    }
+    upstream->told_probation = on_probation;
+    events_.push_back({on_probation ? EventId::kUpstreamProbation
+                                    : EventId::kUpstreamRestored,
+                       {{"upstream", upstream->announcement.instance.str()}}});
+  }
+}
+
 std::optional<Error> StandardDispatcher::CheckRequest(
     const RequestInfo& request) const {
   if (config_.classes.empty()) {
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -229,6 +229,8 @@
   }
   CHECK(slow_starts >= 5);
   CHECK(slow_starts <= 8);
+  CHECK(d.TakeEvents().at(0).id == EventId::kUpstreamProbation);
+  CHECK(d.TakeEvents().empty());
 }
 
 TEST_CASE("dispatcher: upstreams on probation serve when no other is left") {
