--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -22,6 +22,8 @@
   kGossip = 30,
   kPeerProbe = 31,
   kPeerProbeAnswer = 32,
+  kPortionRequest = 33,
+  kPortionGrant = 34,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
@@ -137,6 +139,7 @@
   ConfigVersion in_force;
   /// Version below which it takes no new work.
   ConfigVersion required;
+  FailureDomain failure_domain;
 
   friend bool operator==(const PeerProbeAnswer&,
                          const PeerProbeAnswer&) = default;
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "rattanward/domain/upstream.h"
+#include "rattanward/policy/account_portions.h"
 #include "rattanward/protocol/codec.h"
 #include "rattanward/protocol/control_messages.h"
 #include "rattanward/protocol/envelope.h"
@@ -118,7 +119,8 @@
 template <>
 struct FieldsOf<PeerProbeAnswer> {
   static auto Tie(auto& m) {
-    return std::tie(m.sequence, m.admitted, m.in_force, m.required);
+    return std::tie(m.sequence, m.admitted, m.in_force, m.required,
+                    m.failure_domain);
   }
 };
 
@@ -142,6 +144,22 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::PortionRequest> {
+  static auto Tie(auto& m) {
+    return std::tie(m.account, m.entry, m.incarnation, m.sequence, m.held,
+                    m.wanted, m.wanted_starts);
+  }
+};
+
+template <>
+struct FieldsOf<policy::PortionGrant> {
+  static auto Tie(auto& m) {
+    return std::tie(m.account, m.entry, m.incarnation, m.sequence, m.places,
+                    m.starts);
+  }
+};
+
 template <>
 struct FieldsOf<GossipMessage> {
   static auto Tie(auto& m) {
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -366,11 +366,11 @@
   }
 }
 
-void StandardDispatcher::RefuseOpen(const RequestId& id, Error error,
+void StandardDispatcher::RefuseOpen(RequestId id, Error error,
                                     Decisions* out) {
   error.verdict = Strongest(error.verdict, open_.at(id).verdict);
   Close(id);
-  out->push_back(Refuse{id, std::move(error)});
+  out->push_back(Refuse{std::move(id), std::move(error)});
 }
 
 void StandardDispatcher::Close(const RequestId& id) {
