--- a/apps/rattanward-fake-engine/batch.cc
+++ b/apps/rattanward-fake-engine/batch.cc
@@ -77,9 +77,13 @@
     if (token > 0) {
       alive = Sleep(stream, behaviour_.token_ms);
     }
-    const std::lock_guard<std::mutex> lock(stream->mutex);
-    ++stream->produced;
-    stream->changed.notify_all();
+    {
+      const std::lock_guard<std::mutex> lock(stream->mutex);
+      ++stream->produced;
+      stream->changed.notify_all();
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++counts_.tokens;
   }
   ReleaseSlot();
   EndStream(stream, alive);
@@ -134,7 +138,6 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     (completed ? counts_.completed : counts_.cancelled) += 1;
-    counts_.tokens += stream->produced;
   }
   const std::lock_guard<std::mutex> lock(stream->mutex);
   stream->done = completed;
--- a/src/timeline/render.cc
+++ b/src/timeline/render.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 
 namespace rattanward::timeline {
@@ -84,13 +85,15 @@
     const std::size_t rows = std::min(records.size(), kMaxRows);
     records_.assign(records.begin(),
                     records.begin() + static_cast<std::ptrdiff_t>(rows));
-    std::map<std::pair<FailureDomain, ProcessId>, int> order;
+    // Lanes of one failure domain stand side by side.
+    std::map<std::string, std::set<std::string>> domains;
     for (const Record& record : records_) {
-      order.emplace(std::pair(record.failure_domain, record.process), 0);
+      domains[record.failure_domain.str()].insert(record.process.str());
     }
-    for (const auto& [key, unused] : order) {
-      const int lane = static_cast<int>(lanes_.size());
-      lanes_.emplace(key.second, lane);
+    for (const auto& [domain, processes] : domains) {
+      for (const std::string& process : processes) {
+        lanes_.emplace(process, static_cast<int>(lanes_.size()));
+      }
     }
   }
 
@@ -114,7 +117,9 @@
   static int Y(std::size_t row) {
     return kTopPixels + static_cast<int>(row) * kRowPixels;
   }
-  int X(const Record& record) const { return LaneX(lanes_.at(record.process)); }
+  int X(const Record& record) const {
+    return LaneX(lanes_.at(record.process.str()));
+  }
   static int LaneX(int lane) {
     return kLeftPixels + lane * kLanePixels + kLanePixels / 2;
   }
@@ -125,8 +130,7 @@
       out << "<line x1=\"" << x << "\" y1=\"" << kTopPixels - kRowPixels
           << "\" x2=\"" << x << "\" y2=\"" << height
           << "\" stroke=\"#dddddd\"/><text x=\"" << x << "\" y=\"" << kRowPixels
-          << "\" text-anchor=\"middle\">" << EscapeHtml(process.str())
-          << "</text>\n";
+          << "\" text-anchor=\"middle\">" << EscapeHtml(process) << "</text>\n";
     }
   }
 
@@ -163,7 +167,7 @@
   }
 
   std::vector<Record> records_;
-  std::map<ProcessId, int> lanes_;
+  std::map<std::string, int> lanes_;
 };
 
 }  // namespace
