--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,7 +1,7 @@
 # Functions that start and stop a local deployment on loopback. To be sourced.
 # Only scripts start processes; every process is stopped by its id.
 #
-#   deployment_start DIR BASE_PORT   3 entries, 3 control processes, one of each
+#   deployment_start DIR [BASE_PORT] 3 entries, 3 control processes, one of each
 #                                    in the failure domains a, b and c
 #   deployment_engine NAME FLAGS...  one more stand-in engine
 #   deployment_service NAME FLAGS... one more stand-in service
@@ -25,12 +25,8 @@
   PID[$name]=$!
 }
 
-deployment_list() {  # FIRST_PORT [SKIP_INDEX]: the three endpoints as TOML
-  local i out=""
-  for i in 0 1 2; do
-    [ "${2:-}" = "$i" ] || out+="\"127.0.0.1:$(($1 + i))\", "
-  done
-  echo "[${out%, }]"
+deployment_list() {  # FIRST_PORT: the three endpoints as TOML
+  echo "[\"127.0.0.1:$1\", \"127.0.0.1:$(($1 + 1))\", \"127.0.0.1:$(($1 + 2))\"]"
 }
 
 deployment_entry_settings() {  # INDEX
@@ -42,13 +38,22 @@
 announce_listen = "127.0.0.1:$((BASE + 20 + $1))"
 peer_listen = "127.0.0.1:$((BASE + 30 + $1))"
 control_endpoints = $(deployment_list $((BASE + 40)))
-peer_endpoints = $(deployment_list $((BASE + 30)) "$1")
 shared_secret = "$SHARED_SECRET"
 announce_token = "$ANNOUNCE_TOKEN"
 log_file = "entry-$1.log"
 shutdown_grace_ms = ${SHUTDOWN_GRACE_MS:-300}
 profile = "${PROFILE:-standard}"
 TOML
+  local i
+  for i in 0 1 2; do
+    [ "$i" = "$1" ] || cat >>"$DIR/entry-$1.toml" <<TOML
+
+[[peers]]
+process = "entry-$i"
+failure_domain = "${DOMAINS[$i]}"
+endpoint = "127.0.0.1:$((BASE + 30 + i))"
+TOML
+  done
 }
 
 deployment_control_settings() {  # INDEX
@@ -75,8 +80,20 @@
   deployment_spawn "control-$1" "$BIN/rattanward-control" --settings "$DIR/control-$1.toml"
 }
 
-deployment_start() {  # DIR BASE_PORT
-  DIR=$1 BASE=$2
+deployment_free_base() {  # a base with a hundred ports that nobody listens on
+  local base port try
+  for try in $(seq 50); do
+    base=$((10000 + (RANDOM % 200) * 100))
+    for port in $(seq $((base + 10)) $((base + 59))); do
+      (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue 2
+    done
+    echo "$base"; return 0
+  done
+  return 1
+}
+
+deployment_start() {  # DIR [BASE_PORT]
+  DIR=$1 BASE=${2:-$(deployment_free_base)}
   rm -rf "$DIR" && mkdir -p "$DIR"
   DIR=$(cd "$DIR" && pwd)
   ANNOUNCE="127.0.0.1:$((BASE + 20)),127.0.0.1:$((BASE + 21)),127.0.0.1:$((BASE + 22))"
