--- a/include/rattanward/policy/quarantine.h
+++ b/include/rattanward/policy/quarantine.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "rattanward/domain/error.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/policy/dispatcher.h"
@@ -15,6 +16,9 @@
 /// @brief Whether a request may be what makes upstreams crash.
 enum class Standing : std::uint8_t { kClear, kSuspect, kQuarantined };
 
+/// @brief The final answer to a request in quarantine.
+Error QuarantinedError();
+
 /// @brief Requests that ran on upstreams that died, by fingerprint.
 /// @note docs/design/retries-and-quarantine.md states the rules.
 class Quarantine {
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "rattanward/domain/result.h"
+
 namespace rattanward::policy {
 namespace {
 
@@ -18,6 +20,11 @@
 
 }  // namespace
 
+Error QuarantinedError() {
+  return MakeError(ErrorCode::kQuarantined,
+                   "upstreams died while they ran this request", Verdict::kRan);
+}
+
 Standing Quarantine::StandingOf(std::uint64_t fingerprint) const {
   const auto it = entries_.find(fingerprint);
   if (it == entries_.end()) {
--- /dev/null
+++ b/src/policy/standard_dispatcher_admit.cc
@@ -0,0 +1,158 @@
+#include <utility>
+
+#include "rattanward/domain/result.h"
+#include "rattanward/policy/admission.h"
+#include "rattanward/policy/standard_dispatcher.h"
+
+namespace rattanward::policy {
+namespace {
+
+/// Share of first tokens that admission expects to come within its estimate.
+constexpr std::uint32_t kAdmissionPermille = 750;
+constexpr std::uint32_t kMedianPermille = 500;
+
+}  // namespace
+
+std::vector<Decision> StandardDispatcher::Submit(const RequestInfo& request,
+                                                 TimePoint now) {
+  if (const auto error = CheckRequest(request)) {
+    return {Refuse{request.id, *error}};
+  }
+  const RequestClass& declared = *FindClass(config_, request.request_class);
+  bool admitted = false;
+  const std::size_t room_before = queue_.RoomInUse();
+  const auto displaced =
+      MakeAccountRoom(request, declared.tier, &admitted, now);
+  const bool in_exchange = queue_.RoomInUse() < room_before;
+  if (!admitted) {
+    Error error = MakeError(
+        ErrorCode::kAccountLimit,
+        "client account '" + request.account.str() + "' is at its limit");
+    error.retry_after = accounts_.RetryAfter(request.account, now);
+    return {Refuse{request.id, error}};
+  }
+  const Target target = TargetOf(request);
+  Open open{request, declared, target, 0, {}, Verdict::kNotRun, {}, {}, true};
+  open.counted = !displaced;
+  Enqueue(open);
+  open_.emplace(request.id, std::move(open));
+  Decisions out;
+  Pump(target, &out, now);
+  Decisions admission;
+  const bool kept = AdmitWaiting(request.id, in_exchange, &admission, now);
+  if (displaced && kept) {
+    SettleDisplaced(*displaced, request.id, &out, now);
+  } else if (displaced) {
+    queue_.Push(*displaced);
+  }
+  out.insert(out.end(), admission.begin(), admission.end());
+  return out;
+}
+
+std::optional<Error> StandardDispatcher::CheckRequest(
+    const RequestInfo& request) const {
+  if (config_.classes.empty()) {
+    return MakeError(ErrorCode::kNoConfiguration,
+                     "this entry has no configuration yet");
+  }
+  if (FindClass(config_, request.request_class) == nullptr) {
+    return MakeError(
+        ErrorCode::kUnknownClass,
+        "request class '" + request.request_class.str() + "' is not declared");
+  }
+  if (open_.contains(request.id)) {
+    return MakeError(ErrorCode::kAlreadyRunning,
+                     "request id '" + request.id.str() + "' is open here");
+  }
+  if (quarantine_.StandingOf(request.fingerprint) == Standing::kQuarantined) {
+    return QuarantinedError();
+  }
+  const Target target = TargetOf(request);
+  if (!upstreams_.HasService(target)) {
+    return NoUpstreamError(target);
+  }
+  return std::nullopt;
+}
+
+std::optional<QueuedRequest> StandardDispatcher::MakeAccountRoom(
+    const RequestInfo& request, Tier tier, bool* admitted, TimePoint now) {
+  *admitted = accounts_.TryStart(request.account, now) == AccountRefusal::kNone;
+  if (*admitted) {
+    return std::nullopt;
+  }
+  auto displaced = queue_.DisplaceOfAccount(request.account, tier);
+  *admitted = displaced.has_value();
+  return displaced;
+}
+
+void StandardDispatcher::SettleDisplaced(const QueuedRequest& displaced,
+                                         const RequestId& by, Decisions* out,
+                                         TimePoint now) {
+  Error error = MakeError(ErrorCode::kAccountLimit,
+                          "a higher tier of the account took the place");
+  error.retry_after = accounts_.RetryAfter(displaced.account, now);
+  open_.at(displaced.id).counted = false;
+  open_.at(by).counted = true;
+  RefuseOpen(displaced.id, error, out);
+}
+
+bool StandardDispatcher::AdmitWaiting(const RequestId& id, bool in_exchange,
+                                      Decisions* out, TimePoint now) {
+  if (!queue_.Contains(id)) {
+    return open_.contains(id);
+  }
+  const Open& open = open_.at(id);
+  const Duration wait = PlaceWait(open.target, open.declared, now);
+  const Duration first_token = latency_.FirstTokenWait(
+      open.declared.name, open.target, kAdmissionPermille, now);
+  if (const auto error =
+          CheckDeadline({now, DeadlineOf(open), wait, first_token})) {
+    queue_.Remove(id);
+    RefuseOpen(id, *error, out);
+    return false;
+  }
+  if (in_exchange) {
+    return true;
+  }
+  const auto shed = queue_.Shed(id, LateAt(open.target, now));
+  if (!shed) {
+    return true;
+  }
+  const bool own_class = shed->request_class == open.declared.name;
+  Error error =
+      MakeError(own_class ? ErrorCode::kQueueFull : ErrorCode::kDisplaced,
+                own_class ? "the queue of the request class is full"
+                          : "a higher tier needed the room");
+  error.retry_after = RetryAfterBacklog(wait);
+  RefuseOpen(shed->id, error, out);
+  return shed->id != id;
+}
+
+Duration StandardDispatcher::PlaceWait(const Target& target,
+                                       const RequestClass& declared,
+                                       TimePoint now) const {
+  std::size_t own = 1;
+  std::vector<WorkAhead> ahead;
+  for (const ClassBacklog& backlog :
+       queue_.Ahead(target, declared.name, LateAt(target, now))) {
+    const RequestClass* other = FindClass(config_, backlog.request_class);
+    own = backlog.request_class == declared.name ? backlog.waiting : own;
+    if (other != nullptr) {
+      ahead.push_back(
+          {backlog.waiting,
+           latency_.ServiceTime(*other, target, kMedianPermille, now)});
+    }
+  }
+  std::uint32_t places = 0;
+  for (const UpstreamState* upstream : upstreams_.Serving(target)) {
+    places += PlacesFor(*upstream, declared.tier);
+  }
+  const Duration by_tier = ExpectedWait(ahead, places);
+  if (declared.floor_permille == 0) {
+    return by_tier;
+  }
+  return std::min(
+      by_tier, ExpectedFloorWait(own, declared.floor_permille, ahead, places));
+}
+
+}  // namespace rattanward::policy
