--- a/src/entry/cluster_link.cc
+++ b/src/entry/cluster_link.cc
@@ -80,9 +80,10 @@
 membership::ConfigGateOptions GateOptions(
     const adapter::EntrySettings& settings) {
   membership::ConfigGateOptions options;
+  options.failure_domain = settings.identity.failure_domain;
   for (const adapter::PeerEntry& peer : settings.peers) {
     if (peer.failure_domain == settings.identity.failure_domain) {
-      options.domain_peers.push_back(peer.process);
+      ++options.domain_entries;
     }
   }
   return options;
