Take an operator's drain of an announcement already known

Cause: an operator's drain or undrain changes the last announcement without a new sequence, and the table dropped it as not newer, so new work went on until the upstream announced itself again. Change: an announcement of the same sequence that differs is taken. Shown failing first: unit-dispatcher, 'an operator's drain changes the last announcement'; after: 16 cases pass, fuzz-dispatcher and fuzz-quarantine pass.

--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -76,8 +76,10 @@
  public:
   using List = std::vector<UpstreamState*>;
 
-  /// @brief Takes an announcement; one that is not newer changes nothing.
-  /// @return Whether it was newer than what was known.
+  /// @brief Takes an announcement; an older or equal one changes nothing.
+  /// @return Whether it was taken.
+  /// @note One of the same sequence that differs is taken: an operator's drain
+  /// changes the last announcement.
   bool Announce(const Announcement& announcement, TimePoint now);
 
   /// @brief Takes an upstream out; it is forgotten once nothing runs there.
--- a/src/policy/upstream_table.cc
+++ b/src/policy/upstream_table.cc
@@ -21,7 +21,8 @@
 bool UpstreamTable::Announce(const Announcement& announcement, TimePoint now) {
   std::unique_ptr<UpstreamState>& state = states_[announcement.instance];
   const bool known = state != nullptr;
-  if (known && announcement.sequence <= state->announcement.sequence) {
+  if (known && (announcement.sequence < state->announcement.sequence ||
+                announcement == state->announcement)) {
     return false;
   }
   if (!known) {
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -112,6 +112,20 @@
   CHECK(d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now).empty());
 }
 
+TEST_CASE("dispatcher: an operator's drain changes the last announcement") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  Announcement engine = MakeEngine("e1", 1);
+  d.UpstreamChanged(engine, now);
+  engine.draining = true;
+  d.UpstreamChanged(engine, now);
+  CHECK(RefusedWith(d.Submit(MakeRequest("r1", "gate"), now).at(0)) ==
+        ErrorCode::kNoUpstream);
+  engine.draining = false;
+  d.UpstreamChanged(engine, now);
+  CHECK(StartedOn(d.Submit(MakeRequest("r2", "gate"), now).at(0)) == "e1");
+}
+
 TEST_CASE("dispatcher: an idempotent request is tried on another upstream") {
   Dispatcher d = MakeStandard(TwoTiers());
   const TimePoint now;
