--- a/include/rattanward/membership/gossip.h
+++ b/include/rattanward/membership/gossip.h
@@ -34,7 +34,7 @@
   std::size_t local_fanout = 2;
   std::size_t remote_fanout = 1;
   /// Largest encoded size of one message, in bytes.
-  std::size_t max_message_bytes = 1024;
+  std::size_t max_message_bytes = 2048;
   /// Rounds in which a change is sent before it joins the rotation.
   std::uint32_t hot_rounds = 5;
   /// An entry whose beat does not advance for this long is lost.
--- a/tests/src/unit-membership.cc
+++ b/tests/src/unit-membership.cc
@@ -114,7 +114,9 @@
 
 TEST_CASE(
     "a message stays within its limit with 600 upstreams and 340 entries") {
-  Gossip gossip(Options(340));
+  GossipOptions options = Options(340);
+  options.max_message_bytes = 1024;
+  Gossip gossip(options);
   for (int i = 0; i < 600; ++i) {
     gossip.Announce(Upstream("u" + std::to_string(i), 1,
                              static_cast<std::uint16_t>(1000 + i)),
