--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "rattanward/domain/event.h"
 #include "rattanward/policy/account_limits.h"
 #include "rattanward/policy/chooser.h"
 #include "rattanward/policy/class_queue.h"
@@ -35,6 +37,9 @@
   std::vector<Decision> Tick(TimePoint now);
   std::size_t OpenRequests() const { return open_.size(); }
 
+  /// @brief Events since the last call.
+  std::vector<Event> TakeEvents() { return std::exchange(events_, {}); }
+
   Quarantine& quarantine() { return quarantine_; }
   AccountLimits& accounts() { return accounts_; }
 
@@ -56,6 +61,7 @@
   };
   using Decisions = std::vector<Decision>;
 
+  void TellProbation(const UpstreamTable::List& list);
   std::optional<Error> CheckRequest(const RequestInfo& request) const;
   std::optional<QueuedRequest> MakeAccountRoom(const RequestInfo& request,
                                                Tier tier, bool* admitted,
@@ -84,13 +90,16 @@
                                 TimePoint now);
   void FinishFailed(Open* open, const AttemptResult& result, Decisions* out,
                     TimePoint now);
-  void RefuseOpen(const RequestId& id, Error error, Decisions* out);
+  /// Takes the id by value: the open request that holds it is erased.
+  void RefuseOpen(RequestId id, Error error, Decisions* out);
   void Close(const RequestId& id);
 
   /// Expected wait of a new request of the class: by its tier, or by its
   /// floor if that is sooner.
   Duration PlaceWait(const Target& target, const RequestClass& declared,
                      TimePoint now) const;
+  /// Which requests' first tokens can't come within their target any more.
+  ClassQueue::Cutoff LateAt(const Target& target, TimePoint now) const;
   TimePoint DeadlineOf(const Open& open) const;
   bool IsSuspect(std::uint64_t fingerprint) const;
 
@@ -106,6 +115,7 @@
   /// Attempts that run, by fingerprint.
   std::unordered_map<std::uint64_t, std::uint32_t> running_;
   std::optional<TimePoint> next_review_;
+  std::vector<Event> events_;
 };
 
 }  // namespace rattanward::policy
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <utility>
 
 namespace rattanward::entry {
@@ -15,7 +16,11 @@
 constexpr auto kWriteTimeout = std::chrono::seconds(2);
 constexpr auto kStatusTimeout = std::chrono::milliseconds(700);
 constexpr auto kServiceTimeout = std::chrono::seconds(30);
-/// Questions in a row that may go unanswered, or find no progress.
+/// Pause before a stream is resumed again that made no progress.
+constexpr auto kResumePause = std::chrono::milliseconds(50);
+/// Periods of silence without progress after which an attempt ends.
+constexpr int kQuietPeriods = 2;
+/// Questions in a row that may go unanswered.
 constexpr int kMaxQuietChecks = 2;
 constexpr std::size_t kMaxWholeAnswerBytes = 8U << 20U;
 constexpr int kFirstErrorStatus = 400;
@@ -66,7 +71,7 @@
 
 policy::AttemptResult UpstreamAttempt::RunStream(const StreamSink& sink) {
   ConnectionEnd end = SendStream(sink);
-  int quiet_checks = 0;
+  auto last_progress = std::chrono::steady_clock::now();
   while (end == ConnectionEnd::kBroken && !channel_->left()) {
     const std::uint64_t wanted = assembler_.next();
     const std::uint64_t produced = produced_;
@@ -74,13 +79,16 @@
       break;
     }
     end = ResumeStream(sink);
-    const bool progress = assembler_.next() > wanted || produced_ > produced;
-    quiet_checks = progress ? 0 : quiet_checks + 1;
-    if (quiet_checks >= kMaxQuietChecks && end == ConnectionEnd::kBroken) {
+    const auto now = std::chrono::steady_clock::now();
+    if (assembler_.next() > wanted || produced_ > produced) {
+      last_progress = now;
+    } else if (now - last_progress > kQuietPeriods * silence_) {
       End(AttemptEnd::kSilent, ErrorCode::kUpstreamSilent, Verdict::kMayHaveRun,
           "the upstream makes no progress");
       CancelUpstream();
       break;
+    } else if (end == ConnectionEnd::kBroken) {
+      std::this_thread::sleep_for(kResumePause);
     }
   }
   if (end == ConnectionEnd::kDone) {
