--- a/include/rattanward/adapter/control_client.h
+++ b/include/rattanward/adapter/control_client.h
@@ -17,6 +17,7 @@
 
 /// @brief Settings of an entry's connections to control.
 struct ControlClientOptions {
+  /// Its event sink also takes kEntryIsolated and kEntryRejoined.
   TransportOptions transport;
   /// Every control VM.
   std::vector<Endpoint> control;
--- a/src/adapter/control_client.cc
+++ b/src/adapter/control_client.cc
@@ -98,6 +98,7 @@
       status.in_force = gate.in_force();
       status.heartbeat = gate.NextHeartbeat(MonotonicNow());
     });
+    NoteIsolation(gate_.State() == membership::GateState::kIsolated);
     for (std::size_t i = 0; i < clients_.size(); ++i) {
       clients_[i]->Call(
           MakeEnvelope(MessageKind::kEntryStatus, Encode(status)),
@@ -119,6 +120,16 @@
         });
   }
 
+  /// Logs when the entry begins and ends to refuse new work.
+  void NoteIsolation(bool isolated) {
+    if (isolated != isolated_ && options_.transport.events) {
+      options_.transport.events(
+          Event{isolated ? EventId::kEntryIsolated : EventId::kEntryRejoined,
+                {{"version", std::to_string(gate_.in_force().value)}}});
+    }
+    isolated_ = isolated;
+  }
+
   void TakeControlStatus(std::size_t client, const Envelope& envelope) {
     const auto status =
         protocol::Decode<protocol::ControlStatus>(envelope.body);
@@ -132,6 +143,7 @@
       gate.ControlAnswered(status.value(), MonotonicNow());
       return gate.in_force();
     });
+    NoteIsolation(gate_.State() == membership::GateState::kIsolated);
     if (status.value().committed > in_force && !fetching_) {
       Fetch(client, in_force);
     }
@@ -228,6 +240,7 @@
   /// Client that was last seen or named as the leader, modulo their number.
   std::size_t leader_ = 0;
   bool fetching_ = false;
+  bool isolated_ = false;
   bool stopped_ = false;
 };
 
--- a/tests/src/unit-entry_membership.cc
+++ b/tests/src/unit-entry_membership.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -118,6 +120,11 @@
     control_.Start();
   }
 
+  bool Logged(EventId id) const {
+    return std::any_of(log.begin(), log.end(),
+                       [&](const Event& event) { return event.id == id; });
+  }
+
   Endpoint endpoint() const { return listener_.endpoint(); }
   ControlClient& control() { return control_; }
 
@@ -134,12 +141,14 @@
   SharedConfigGate gate;
   protocol::ConfigPush config;
   std::vector<membership::GossipEvent> events;
+  std::vector<Event> log;
   std::unique_ptr<GossipRunner> gossip;
 
  private:
-  ControlClientOptions Options(std::vector<Endpoint> control) const {
+  ControlClientOptions Options(std::vector<Endpoint> control) {
     ControlClientOptions options;
     options.transport = Transport(name_);
+    options.transport.events = [this](const Event& e) { log.push_back(e); };
     options.control = std::move(control);
     options.process = ProcessId(name_);
     options.failure_domain = FailureDomain("zone");
@@ -163,6 +172,10 @@
   control.leader = false;
   CHECK(
       RunUntil(io, [&] { return entry.gate.State() == GateState::kIsolated; }));
+  CHECK(RunUntil(io, [&] { return entry.Logged(EventId::kEntryIsolated); }));
+  control.leader = true;
+  CHECK(RunUntil(io, [&] { return entry.gate.MayStart().has_value(); }));
+  CHECK(RunUntil(io, [&] { return entry.Logged(EventId::kEntryRejoined); }));
 }
 
 /// Calls Propose on another thread while the io_context runs.
