Pause an upstream only when it can't be reached or seems to have died

Cause: any failed attempt kept new work off its upstream for a second, so a caller whose request always gets an error answer could keep others from it. Shown failing first: unit-dispatcher, 'an error answer does not keep others off an upstream'; after: 17 cases pass, as do unit-burst, unit-policy-parts, fuzz-dispatcher and fuzz-quarantine.

--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -161,6 +161,8 @@
   std::vector<Decision> Tick(TimePoint now);
 
   /// @brief Suspicions that are new here since the last call, to be told.
+  /// @note Call it after each Finish and UpstreamGone, and tell the other
+  /// entries before the callers are answered: a caller sends again at once.
   std::vector<Suspicion> TakeSuspicions();
 
   /// @brief Merges a suspicion that another entry told.
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -31,6 +31,17 @@
   }
 }
 
+// Time for which the upstream gets no new work; none after an error of its own
+// making, or one request that always fails could keep others from it.
+Duration PauseAfter(const AttemptResult& result) {
+  if (result.end == AttemptEnd::kRefused) {
+    return kAvoidAfterRefusal;
+  }
+  const bool unreachable =
+      result.end == AttemptEnd::kConnectFailed || SignOfDeath(result);
+  return unreachable ? kAvoidAfterFailure : Duration(0);
+}
+
 bool MayBeRetried(AttemptEnd end) {
   return end == AttemptEnd::kRefused || end == AttemptEnd::kConnectFailed ||
          end == AttemptEnd::kBroken || end == AttemptEnd::kSilent;
@@ -98,11 +109,9 @@
     NoteDeath(open.upstream, now);
   }
   UpstreamState* upstream = upstreams_.Find(open.upstream);
-  if (upstream != nullptr && MayBeRetried(result.end)) {
-    const Duration pause = result.end == AttemptEnd::kRefused
-                               ? kAvoidAfterRefusal
-                               : kAvoidAfterFailure;
-    upstream->avoid_until = std::max(upstream->avoid_until, now + pause);
+  if (upstream != nullptr) {
+    upstream->avoid_until =
+        std::max(upstream->avoid_until, now + PauseAfter(result));
   }
   const RunningAttempt ended =
       upstreams_.Ended(open.upstream, open.info.id, now);
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -112,6 +112,21 @@
   CHECK(d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now).empty());
 }
 
+TEST_CASE("dispatcher: an error answer does not keep others off an upstream") {
+  Dispatcher d = MakeStandard(TwoTiers());
+  const TimePoint now;
+  d.UpstreamChanged(MakeEngine("e1", 1), now);
+  d.Submit(MakeRequest("bad", "gate"), now);
+  d.Submit(MakeRequest("good", "gate"), now);
+  AttemptResult failed =
+      MakeResult("bad", 1, AttemptEnd::kBroken, Verdict::kMayHaveRun);
+  failed.error.code = ErrorCode::kUpstreamFailed;
+  failed.answer_begun = true;
+  const auto out = d.Finish(failed, now);
+  CHECK(std::get<StartAttempt>(out.at(1)).request == RequestId("good"));
+  CHECK(d.TakeSuspicions().empty());
+}
+
 TEST_CASE("dispatcher: an operator's drain changes the last announcement") {
   Dispatcher d = MakeStandard(TwoTiers());
   const TimePoint now;
