--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 ROUNDS ?= 200
 KEEP ?= 0
 
-.PHONY: run test build fuzz bench capacity lint format
+.PHONY: run test build sanitize fuzz bench capacity lint format
 
 build:
 	bash scripts/packages
@@ -14,6 +14,10 @@
 test: build
 	bash scripts/test
 
+sanitize:
+	bash scripts/packages
+	bash scripts/sanitize
+
 fuzz: build
 	SEED=$(SEED) ROUNDS=$(ROUNDS) bash scripts/fuzz
 
