Tell other entries of a suspicion before its request is refused

Cause: a suspicion went out with the next gossip round, up to 250 ms after the caller had its answer, so a resend at another entry could kill one more engine. Ruled out: the quarantine itself, which its fuzz test covers under the condition that suspicions go before answers. Change: when an upstream's death raises a suspicion, each other entry is called, and the decisions that follow are delivered when all have answered or after 50 ms. Conclusion: the bound holds while entries reach each other; with entries cut apart it is two deaths for each entry, as docs/design/retries-and-quarantine.md says.

--- a/include/rattanward/entry/cluster_link.h
+++ b/include/rattanward/entry/cluster_link.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "rattanward/adapter/control_client.h"
 #include "rattanward/adapter/event_log.h"
@@ -45,7 +46,9 @@
   void TakeUpstream(const Announcement& announcement);
   void TakeMessage(const adapter::InboundMessage& message,
                    const adapter::ReplyHandle& reply);
-  void Flush(TimePoint now);
+  void TellSuspicions(const std::vector<policy::Suspicion>& suspicions,
+                      const std::function<void()>& told);
+  void RequestPortions(TimePoint now);
 
   EntryCore& core_;
   port::EventSink events_;
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -29,6 +29,11 @@
                          const EntryStatusView&) = default;
 };
 
+/// @brief Tells the other entries of suspicions, then calls back, once.
+using SuspicionTeller =
+    std::function<void(const std::vector<policy::Suspicion>& suspicions,
+                       std::function<void()> told)>;
+
 /// @brief Control thread of an entry: owns the dispatcher and its time line.
 /// @note Methods may be called from any thread unless they say otherwise; the
 /// work is done on the control thread, which never blocks.
@@ -44,6 +49,13 @@
   EntryCore(const EntryCore&) = delete;
   EntryCore& operator=(const EntryCore&) = delete;
 
+  /// @brief Sets who tells the other entries of suspicions; before Start().
+  /// @note A refusal that follows from an upstream's death is delivered after
+  /// they were told, so that the request, sent again, is known everywhere.
+  void set_suspicion_teller(SuspicionTeller teller) {
+    tell_ = std::move(teller);
+  }
+
   void Start();
   void Stop();
 
@@ -79,11 +91,16 @@
   static TimePoint Now() { return adapter::MonotonicNow(); }
 
  private:
-  void Deliver(const std::vector<policy::Decision>& decisions);
+  using Decisions = std::vector<policy::Decision>;
+
+  void Deliver(const Decisions& decisions);
+  void DeliverAfterTelling(Decisions decisions);
+  void Tick(TimePoint now);
 
   policy::Dispatcher dispatcher_;
   adapter::SharedConfigGate gate_;
   port::EventSink events_;
+  SuspicionTeller tell_;
   asio::io_context context_;
   adapter::AsioTimerService timers_;
   std::thread thread_;
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -24,6 +24,7 @@
   kPeerProbeAnswer = 32,
   kPortionRequest = 33,
   kPortionGrant = 34,
+  kSuspicions = 35,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
--- a/include/rattanward/protocol/gossip_messages.h
+++ b/include/rattanward/protocol/gossip_messages.h
@@ -47,4 +47,13 @@
   friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
 };
 
+/// @brief Entry to each other entry, at once when an upstream has died; the
+/// answer, without content, says that the suspicions are heeded.
+struct SuspicionsTold {
+  std::vector<policy::Suspicion> suspicions;
+
+  friend bool operator==(const SuspicionsTold&,
+                         const SuspicionsTold&) = default;
+};
+
 }  // namespace rattanward::protocol
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -160,6 +160,11 @@
   }
 };
 
+template <>
+struct FieldsOf<SuspicionsTold> {
+  static auto Tie(auto& m) { return std::tie(m.suspicions); }
+};
+
 template <>
 struct FieldsOf<GossipMessage> {
   static auto Tie(auto& m) {
--- a/src/entry/cluster_link.cc
+++ b/src/entry/cluster_link.cc
@@ -12,8 +12,10 @@
 
 using protocol::MessageKind;
 
-/// Period in which suspicions and portion requests are handed on.
-constexpr auto kFlushPeriod = std::chrono::milliseconds(20);
+/// Period in which portion requests are handed on.
+constexpr auto kPortionPeriod = std::chrono::milliseconds(20);
+/// Longest wait for the other entries to confirm that they know a suspicion.
+constexpr auto kTellTimeout = std::chrono::milliseconds(50);
 constexpr auto kPortionTimeout = std::chrono::milliseconds(500);
 
 std::uint64_t WallMicroseconds() {
@@ -120,10 +122,14 @@
   if (const Status listening = listener_.Listen(listen_); !listening) {
     return listening.error();
   }
+  core_.set_suspicion_teller([this](const auto& suspicions, auto told) {
+    TellSuspicions(suspicions, told);
+  });
   core_.dispatcher().SetEntryGroup(group_, EntryCore::Now());
   control_.Start();
   gossip_.Start();
-  timers_.Every(kFlushPeriod, [this](TimePoint now) { Flush(now); });
+  timers_.Every(kPortionPeriod,
+                [this](TimePoint now) { RequestPortions(now); });
   return outcome::success();
 }
 
@@ -211,6 +217,17 @@
 
 void ClusterLink::TakeMessage(const adapter::InboundMessage& message,
                               const adapter::ReplyHandle& reply) {
+  if (message.envelope.kind == MessageKind::kSuspicions) {
+    const auto told =
+        protocol::Decode<protocol::SuspicionsTold>(message.envelope.body);
+    if (told) {
+      for (const policy::Suspicion& suspicion : told.value().suspicions) {
+        core_.dispatcher().MergeSuspicion(suspicion, EntryCore::Now());
+      }
+      reply.Reply(MessageKind::kSuspicions, std::string());
+    }
+    return;
+  }
   if (message.envelope.kind != MessageKind::kPortionRequest) {
     gossip_.Take(message, reply);
     return;
@@ -227,11 +244,26 @@
   }
 }
 
-void ClusterLink::Flush(TimePoint now) {
-  for (const policy::Suspicion& suspicion :
-       core_.dispatcher().TakeSuspicions()) {
+void ClusterLink::TellSuspicions(
+    const std::vector<policy::Suspicion>& suspicions,
+    const std::function<void()>& told) {
+  for (const policy::Suspicion& suspicion : suspicions) {
     gossip_.Suspect(suspicion);
   }
+  // Runs `told` when the last copy goes: each call's callback holds one.
+  const std::shared_ptr<void> last(nullptr, [told](void*) { told(); });
+  protocol::Envelope envelope;
+  envelope.kind = MessageKind::kSuspicions;
+  envelope.body = protocol::Encode(protocol::SuspicionsTold{suspicions});
+  for (const ProcessId& peer : group_.entries) {
+    if (peer != group_.self) {
+      gossip_.CallPeer(peer, envelope, kTellTimeout,
+                       [last](const Result<protocol::Envelope>&) {});
+    }
+  }
+}
+
+void ClusterLink::RequestPortions(TimePoint now) {
   for (const auto& due : core_.dispatcher().TakePortionRequests(now)) {
     protocol::Envelope envelope;
     envelope.kind = MessageKind::kPortionRequest;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -28,8 +28,7 @@
 EntryCore::~EntryCore() { Stop(); }
 
 void EntryCore::Start() {
-  timers_.Every(kTickPeriod,
-                [this](TimePoint now) { Deliver(dispatcher_.Tick(now)); });
+  timers_.Every(kTickPeriod, [this](TimePoint now) { Tick(now); });
   thread_ = std::thread([this] {
     const auto guard = asio::make_work_guard(context_);
     context_.run();
@@ -94,7 +93,7 @@
     if (last && mailboxes_.erase(result.request) != 0) {
       --open_requests_;
     }
-    Deliver(dispatcher_.Finish(result, Now()));
+    DeliverAfterTelling(dispatcher_.Finish(result, Now()));
   });
 }
 
@@ -127,10 +126,28 @@
   draining_.erase(upstream);
   upstream_count_ = draining_.size();
   events_(Event{EventId::kUpstreamExpired, {{"upstream", upstream.str()}}});
-  Deliver(dispatcher_.UpstreamGone(upstream, Now()));
+  DeliverAfterTelling(dispatcher_.UpstreamGone(upstream, Now()));
 }
 
-void EntryCore::Deliver(const std::vector<policy::Decision>& decisions) {
+void EntryCore::Tick(TimePoint now) {
+  Deliver(dispatcher_.Tick(now));
+  for (const Event& event : dispatcher_.TakeEvents()) {
+    events_(event);
+  }
+}
+
+void EntryCore::DeliverAfterTelling(Decisions decisions) {
+  const std::vector<policy::Suspicion> suspicions =
+      dispatcher_.TakeSuspicions();
+  if (suspicions.empty() || !tell_) {
+    Deliver(decisions);
+    return;
+  }
+  tell_(suspicions,
+        [this, decisions = std::move(decisions)] { Deliver(decisions); });
+}
+
+void EntryCore::Deliver(const Decisions& decisions) {
   for (const policy::Decision& decision : decisions) {
     const auto it = mailboxes_.find(RequestOf(decision));
     if (it == mailboxes_.end()) {
--- a/tests/process/test-entry-poison.sh
+++ b/tests/process/test-entry-poison.sh
@@ -10,7 +10,6 @@
 for round in 1 2 3; do
   for entry in 0 1 2; do
     chat $entry "$PORT_KEY" summary false 3 "a DEADLY prompt" -w '\n%{http_code}\n' | tail -n 1 >>"$WORK/statuses"
-    sleep 0.3
   done
 done
 dead=0
