--- a/include/rattanward/entry/claim_desk.h
+++ b/include/rattanward/entry/claim_desk.h
@@ -43,7 +43,7 @@
   using Decisions = std::vector<std::pair<AttemptId, ledger::ClaimDecision>>;
 
   void Begin(const ledger::ClaimRequest& claim, std::shared_ptr<Waiter> waiter,
-             std::shared_ptr<AttemptId> attempt);
+             const std::shared_ptr<AttemptId>& attempt);
   void Flush(TimePoint now);
   void AbandonFormerClaims();
   void Deliver(const Decisions& decisions);
--- a/include/rattanward/membership/upstream_directory.h
+++ b/include/rattanward/membership/upstream_directory.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -71,6 +72,8 @@
 
   /// @brief Expires upstreams that were not heard from.
   /// @return The changes that follow, oldest first.
+  /// @note Time in which this process did not run counts for no upstream: a
+  /// process that was frozen would else expire all of them when it wakes.
   std::vector<DirectoryChange> Tick(TimePoint now);
 
   /// @brief Uses the expiry time of a newer configuration.
@@ -107,8 +110,11 @@
   bool Refresh(Record& record, std::uint64_t sequence, const LoadReport& load,
                TimePoint now, std::vector<DirectoryChange>& changes);
 
+  void ForgiveGap(TimePoint now);
+
   DirectoryOptions options_;
   std::map<UpstreamId, Record> records_;
+  std::optional<TimePoint> last_tick_;
 };
 
 }  // namespace rattanward::membership
--- a/src/entry/claim_desk.cc
+++ b/src/entry/claim_desk.cc
@@ -140,7 +140,7 @@
 
 void ClaimDesk::Begin(const ledger::ClaimRequest& claim,
                       std::shared_ptr<Waiter> waiter,
-                      std::shared_ptr<AttemptId> attempt) {
+                      const std::shared_ptr<AttemptId>& attempt) {
   const auto id = holder_.Begin(claim, EntryCore::Now());
   if (!id) {
     waiter->set_value(ledger::ClaimDenied{id.error()});
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -121,19 +121,18 @@
   }
 
  private:
-  /// Why this attempt must not be sent; asked right before the first byte, so
-  /// that a process that was frozen since the decision notices it.
+  /// Why this attempt must not be sent.
   std::optional<Error> BarBeforeSend() {
-    if (const Status open = core_.MayStart();
-        !open && open.error().code != ErrorCode::kShuttingDown) {
-      return open.error();
+    if (const auto closed = GateError()) {
+      return closed;
     }
     if (!plan_.guard) {
       return std::nullopt;
     }
     SendPermission permission = plan_.guard->BeforeSend();
     if (std::holds_alternative<MaySend>(permission)) {
-      return std::nullopt;
+      // Taking the claim took time; an unsent claim is released at the end.
+      return GateError();
     }
     if (auto* answer = std::get_if<WholeAnswer>(&permission)) {
       stored_ = std::move(*answer);
@@ -143,6 +142,16 @@
     return std::get<Error>(permission);
   }
 
+  /// Asked right before the first byte, so that a process that was frozen
+  /// since the decision notices it. A shutdown lets taken requests end.
+  std::optional<Error> GateError() const {
+    const Status open = core_.MayStart();
+    if (open || open.error().code == ErrorCode::kShuttingDown) {
+      return std::nullopt;
+    }
+    return open.error();
+  }
+
   AttemptResult Abandon(const StartAttempt& start, const Error& error) {
     AttemptResult result;
     result.request = plan_.info.id;
--- a/src/entry/upstream_front.cc
+++ b/src/entry/upstream_front.cc
@@ -6,12 +6,15 @@
 #include "rattanward/adapter/elastic_task_queue.h"
 #include "rattanward/entry/config_snapshot.h"
 #include "rattanward/entry/http_answers.h"
+#include "rattanward/membership/gossip.h"
 
 namespace rattanward::entry {
 namespace {
 
 constexpr std::size_t kMaxThreads = 64;
 constexpr std::size_t kMaxBodyBytes = 64U << 10U;
+/// Leaves room for the sender's own beat in a gossip message.
+constexpr std::size_t kMaxAnnouncementBytes = 1536;
 constexpr std::time_t kKeepAliveSeconds = 1;
 
 }  // namespace
@@ -64,6 +67,12 @@
     WriteError(announcement.error(), response);
     return;
   }
+  if (membership::EncodedBytes(announcement.value()) > kMaxAnnouncementBytes) {
+    WriteError(MakeError(ErrorCode::kBodyTooLarge,
+                         "the announcement is too large to be gossiped"),
+               response);
+    return;
+  }
   sink_(announcement.value());
   response.set_content("{}", "application/json");
 }
--- a/src/membership/upstream_directory.cc
+++ b/src/membership/upstream_directory.cc
@@ -1,5 +1,8 @@
 #include "rattanward/membership/upstream_directory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace rattanward::membership {
 namespace {
 
@@ -48,7 +51,19 @@
   return changes;
 }
 
+void UpstreamDirectory::ForgiveGap(TimePoint now) {
+  const TimePoint before = std::exchange(last_tick_, now).value_or(now);
+  const Duration gap = now - before;
+  if (gap <= options_.expiry / 2) {
+    return;
+  }
+  for (auto& [instance, record] : records_) {
+    record.heard = std::min(record.heard + gap, now);
+  }
+}
+
 std::vector<DirectoryChange> UpstreamDirectory::Tick(TimePoint now) {
+  ForgiveGap(now);
   std::vector<DirectoryChange> changes;
   for (auto it = records_.begin(); it != records_.end();) {
     Record& record = it->second;
--- a/tests/src/unit-membership.cc
+++ b/tests/src/unit-membership.cc
@@ -66,6 +66,16 @@
   CHECK(directory.Find(UpstreamId("u1")) != nullptr);
 }
 
+TEST_CASE("time in which the process was frozen expires no upstream") {
+  UpstreamDirectory directory({});
+  directory.Announce(Upstream("u1", 5), At(0));
+  CHECK(directory.Tick(At(250)).empty());
+  CHECK(directory.Tick(At(20250)).empty());
+  CHECK(directory.Tick(At(21500)).empty());
+  CHECK(directory.Tick(At(22750)).empty());
+  CHECK(directory.Tick(At(23001)).size() == 1);
+}
+
 TEST_CASE("a new instance on an endpoint ends the old one at once") {
   UpstreamDirectory directory({});
   directory.Announce(Upstream("old", 50), At(0));
