Charge floors by work instead of by dispatches

Change: a floor is a share of work, the declared output tokens; the expected wait by a floor follows from its share of the places.

--- a/include/rattanward/policy/admission.h
+++ b/include/rattanward/policy/admission.h
@@ -28,11 +28,9 @@
 /// @brief Expected wait of a class for a place by its floor alone.
 /// @param own Requests of the class that wait, the new one included.
 /// @param floor_permille The class's floor; must not be 0.
-/// @param ahead Requests that go first by tier, the class's own included.
 /// @param places Requests that this entry can have running at once.
-/// @return The time of the dispatches in which the floor serves `own` requests.
-Duration ExpectedFloorWait(std::size_t own, std::uint32_t floor_permille,
-                           const std::vector<WorkAhead>& ahead,
+/// @return The time in which the floor's share of the places does the work.
+Duration ExpectedFloorWait(const WorkAhead& own, std::uint32_t floor_permille,
                            std::uint32_t places);
 
 /// @brief When to try again after a refusal for lack of room.
--- a/include/rattanward/policy/class_queue.h
+++ b/include/rattanward/policy/class_queue.h
@@ -118,11 +118,14 @@
     Duration first_token_target{0};
     std::uint32_t floor_permille = 0;
     std::size_t queue_limit = 0;
+    /// Declared work of one request, in output tokens; 1 at least.
+    std::uint64_t work = 1;
   };
   struct Line {
     std::deque<QueuedRequest> requests;
-    /// Floor earned by dispatches that passed this class over, in permille.
-    std::uint32_t credit_permille = 0;
+    /// Floor earned by dispatches that passed this class over, in thousandths
+    /// of a token.
+    std::uint64_t credit = 0;
     /// Order in which floors became due; 0 means not due.
     std::uint64_t due_since = 0;
   };
--- a/src/entry/claim_desk.cc
+++ b/src/entry/claim_desk.cc
@@ -60,7 +60,7 @@
                [&desk = desk_, claim = claim_, waiter, attempt = attempt_] {
                  desk.Begin(claim, waiter, attempt);
                });
-    const SendPermission permission = Permission(waiter->get_future().get());
+    SendPermission permission = Permission(waiter->get_future().get());
     if (!std::holds_alternative<MaySend>(permission)) {
       attempt_.reset();
       return permission;
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -123,7 +123,7 @@
  private:
   /// Why this attempt must not be sent.
   std::optional<Error> BarBeforeSend() {
-    if (const auto closed = GateError()) {
+    if (auto closed = GateError()) {
       return closed;
     }
     if (!plan_.guard) {
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -27,19 +27,10 @@
   return work / std::max<std::int64_t>(places, 1);
 }
 
-Duration ExpectedFloorWait(std::size_t own, std::uint32_t floor_permille,
-                           const std::vector<WorkAhead>& ahead,
+Duration ExpectedFloorWait(const WorkAhead& own, std::uint32_t floor_permille,
                            std::uint32_t places) {
   constexpr std::int64_t kWholePermille = 1000;
-  std::int64_t requests = 0;
-  for (const WorkAhead& part : ahead) {
-    requests += static_cast<std::int64_t>(part.requests);
-  }
-  const Duration dispatch_period =
-      ExpectedWait(ahead, places) / std::max<std::int64_t>(requests, 1);
-  const std::int64_t dispatches =
-      (kWholePermille + floor_permille - 1) / floor_permille;
-  return dispatch_period * dispatches * static_cast<std::int64_t>(own);
+  return ExpectedWait({own}, places) * kWholePermille / floor_permille;
 }
 
 Duration RetryAfterBacklog(Duration backlog) {
--- a/src/policy/class_queue.cc
+++ b/src/policy/class_queue.cc
@@ -25,7 +25,8 @@
   }
   for (const RequestClass& c : classes) {
     classes_[c.name] =
-        Declared{c.tier, c.first_token_target, c.floor_permille, c.queue_limit};
+        Declared{c.tier, c.first_token_target, c.floor_permille, c.queue_limit,
+                 std::max<std::uint64_t>(c.expected_output_tokens, 1)};
   }
 }
 
@@ -213,18 +214,20 @@
 }
 
 void ClassQueue::CountDispatch(Lane* lane, const RequestClassName& served) {
+  const std::uint64_t work = classes_.at(served).work;
   for (auto& [name, line] : *lane) {
     if (name == served || line.requests.empty()) {
-      line.credit_permille = 0;
+      line.credit = 0;
       line.due_since = 0;
       continue;
     }
     if (line.due_since != 0) {
       continue;
     }
-    const std::uint32_t floor = classes_.at(name).floor_permille;
-    line.credit_permille += floor;
-    if (floor > 0 && line.credit_permille + floor >= kWholePermille) {
+    const Declared& own = classes_.at(name);
+    line.credit += own.floor_permille * work;
+    if (own.floor_permille > 0 && line.credit + own.floor_permille * own.work >=
+                                      kWholePermille * own.work) {
       line.due_since = ++due_count_;
     }
   }
--- a/src/policy/standard_dispatcher_admit.cc
+++ b/src/policy/standard_dispatcher_admit.cc
@@ -131,12 +131,16 @@
 Duration StandardDispatcher::PlaceWait(const Target& target,
                                        const RequestClass& declared,
                                        TimePoint now) const {
-  std::size_t own = 1;
+  const Duration own_time =
+      latency_.ServiceTime(declared, target, kMedianPermille, now);
+  WorkAhead own{1, own_time};
   std::vector<WorkAhead> ahead;
   for (const ClassBacklog& backlog :
        queue_.Ahead(target, declared.name, LateAt(target, now))) {
     const RequestClass* other = FindClass(config_, backlog.request_class);
-    own = backlog.request_class == declared.name ? backlog.waiting : own;
+    if (backlog.request_class == declared.name) {
+      own.requests = backlog.waiting;
+    }
     if (other != nullptr) {
       ahead.push_back(
           {backlog.waiting,
@@ -151,8 +155,8 @@
   if (declared.floor_permille == 0) {
     return by_tier;
   }
-  return std::min(
-      by_tier, ExpectedFloorWait(own, declared.floor_permille, ahead, places));
+  return std::min(by_tier,
+                  ExpectedFloorWait(own, declared.floor_permille, places));
 }
 
 }  // namespace rattanward::policy
