--- a/src/ledger/state_machine.cc
+++ b/src/ledger/state_machine.cc
@@ -1,5 +1,7 @@
 #include "rattanward/ledger/state_machine.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "rattanward/ledger/detail/codec.h"
@@ -15,15 +17,6 @@
 constexpr std::size_t kMaxFencing = 100'000;
 constexpr std::size_t kMaxEntries = 10'000;
 
-/// 64-bit FNV-1a; guards against mistakes, not against an attacker.
-std::uint64_t Digest(const std::string& bytes) {
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char c : bytes) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  }
-  return hash;
-}
-
 template <class T>
 concept OperatorCommand = requires(const T& command) {
   command.command_id;
@@ -84,7 +77,8 @@
 
 template <class T>
 Outcome StateMachine::ApplyOperatorCommand(const T& command) {
-  const std::uint64_t digest = Digest(Encode(Command(command)));
+  const std::string bytes = Encode(Command(command));
+  const std::uint64_t digest = XXH3_64bits(bytes.data(), bytes.size());
   const auto known = std::find_if(
       commands_.begin(), commands_.end(),
       [&](const CommandRecord& r) { return r.id == command.command_id; });
