Trust lagging load reports less

A stale report that says full held requests back beside idle upstreams, and every entry followed the newest report to the same upstream. Change: the load of other entries no longer holds the top tier back, since the upstream serves it first, and is averaged over reports.

--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -52,7 +53,9 @@
   bool gone = false;
   std::vector<RunningAttempt> running;
   /// Load of other entries, by the last report less what was ours in it.
-  std::uint32_t others = 0;
+  std::uint32_t reported_others = 0;
+  /// Moving average of the above over the reports, which lag behind.
+  double others_average = 0;
   std::uint64_t sent_total = 0;
   /// When attempts of this entry ended lately; a report may still count them.
   std::vector<TimePoint> recent_ends;
@@ -65,7 +68,11 @@
 
   /// @brief Requests that run there, as far as is known.
   std::uint32_t Load() const {
-    return static_cast<std::uint32_t>(running.size()) + others;
+    return static_cast<std::uint32_t>(running.size()) + Others();
+  }
+  /// @brief Requests of other entries that run there, averaged over reports.
+  std::uint32_t Others() const {
+    return static_cast<std::uint32_t>(std::lround(others_average));
   }
   /// @brief Whether it may get new work at all.
   bool InService() const { return !gone && !announcement.draining; }
--- a/src/policy/chooser.cc
+++ b/src/policy/chooser.cc
@@ -82,8 +82,10 @@
   }
   const std::uint32_t limit =
       query.floor_due ? capacity : TrunkLimit(capacity, query.tier);
+  // Reports lag, so the load of other entries is no reason to hold the top tier
+  // back: the upstream serves it first among what waits there.
   const bool may_exceed =
-      upstream.running.empty() && (query.floor_due || query.tier.value == 0);
+      query.tier.value == 0 || (upstream.running.empty() && query.floor_due);
   return upstream.Load() < limit || may_exceed;
 }
 
@@ -93,7 +95,7 @@
   }
   const std::uint32_t limit = TrunkLimit(upstream.announcement.capacity, tier);
   return std::max(static_cast<std::uint32_t>(upstream.running.size()),
-                  limit - std::min(limit, upstream.others));
+                  limit - std::min(limit, upstream.Others()));
 }
 
 Chooser::Chooser(FailureDomain local, std::uint64_t seed)
--- a/src/policy/upstream_table.cc
+++ b/src/policy/upstream_table.cc
@@ -9,6 +9,9 @@
 
 /// Time between the making of a load report and its arrival here.
 constexpr Duration kReportLag = std::chrono::milliseconds(300);
+/// Weight of a new report in the average of the others' load: reports lag, and
+/// entries that all follow the newest one would crowd the same upstream.
+constexpr double kReportWeight = 0.2;
 
 template <class Range, class Predicate>
 std::uint32_t Count(const Range& range, Predicate predicate) {
@@ -37,7 +40,10 @@
   }
   state->announcement = announcement;
   state->gone = false;
-  state->others = OthersOf(*state, now);
+  state->reported_others = OthersOf(*state, now);
+  const double weight = known ? kReportWeight : 1.0;
+  state->others_average +=
+      weight * (state->reported_others - state->others_average);
   if (reindex) {
     Index(state.get());
   }
