Forget entries on an operator's order alone; share the stand-ins' server

Cause: control forgot an entry after an hour of silence, while entries count by their settings; several that still ran, cut off for that hour, could have vouched for each other under an old version. The two stand-ins started their servers by the same lines, rattanctl judged two answers by the same lines, and rattanwardd had flags of its own. Ruled out: making entries count by the ledger, which they can't read while cut off. Change: forgetting is left to rattanctl vm forget; one loopback server; one ErrorOf; the daemons' common flags.

--- a/apps/rattanctl/main.cc
+++ b/apps/rattanctl/main.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -135,14 +136,24 @@
   return kExitAccepted;
 }
 
+/// The error of a call, or that of the answer that it gave.
+template <class Reply>
+std::optional<Error> ErrorOf(const Result<Reply>& reply) {
+  if (!reply) {
+    return reply.error();
+  }
+  const auto& outcome = reply.value().outcome();
+  if (outcome.error() == 0) {
+    return std::nullopt;
+  }
+  return MakeError(static_cast<ErrorCode>(outcome.error()), outcome.message());
+}
+
 int RunConfigState(const ControlAddresses& control, const auto& call,
                    Duration patience) {
   const auto reply = control.Call(call, patience);
-  if (!reply || reply.value().outcome().error() != 0) {
-    return reply ? Fail(MakeError(
-                       static_cast<ErrorCode>(reply.value().outcome().error()),
-                       reply.value().outcome().message()))
-                 : Fail(reply.error());
+  if (const auto error = ErrorOf(reply)) {
+    return Fail(*error);
   }
   PrintReply(reply.value());
   return reply.value().accepted() ? kExitAccepted : kExitPending;
@@ -271,11 +282,8 @@
   call.set_endpoint(FLAGS_endpoint);
   call.set_wait_ms(WaitMilliseconds());
   const auto reply = control.Call(call, Patience());
-  if (!reply || reply.value().outcome().error() != 0) {
-    return reply ? Fail(MakeError(
-                       static_cast<ErrorCode>(reply.value().outcome().error()),
-                       reply.value().outcome().message()))
-                 : Fail(reply.error());
+  if (const auto error = ErrorOf(reply)) {
+    return Fail(*error);
   }
   PrintReply(reply.value());
   return reply.value().complete() ? kExitAccepted : kExitPending;
--- a/apps/rattanward-fake-engine/main.cc
+++ b/apps/rattanward-fake-engine/main.cc
@@ -5,12 +5,11 @@
 #include <algorithm>
 #include <csignal>
 #include <deque>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "batch.h"
 #include "rattanward/adapter/announce_client.h"
-#include "rattanward/adapter/elastic_task_queue.h"
+#include "rattanward/adapter/loopback_server.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 lets the system choose");
 DEFINE_string(instance, "", "Instance id; made from the process id if empty");
@@ -297,21 +296,12 @@
 
 int Run() {
   Engine engine;
-  httplib::Server server;
-  server.new_task_queue = [] {
-    return new adapter::ElasticTaskQueue(kThreads);
-  };
-  server.set_tcp_nodelay(true);
-  engine.Routes(server);
-  int port = FLAGS_port;
+  adapter::LoopbackServer http(kThreads);
+  engine.Routes(http.server());
+  const int port = http.Start(FLAGS_port);
   if (port == 0) {
-    port = server.bind_to_any_port("127.0.0.1");
-  } else if (!server.bind_to_port("127.0.0.1", port)) {
-    std::cerr << "cannot listen on port " << port << "\n";
     return 1;
   }
-  std::thread serving([&server] { server.listen_after_bind(); });
-  std::cout << "listening on 127.0.0.1:" << port << std::endl;
   adapter::AnnounceClient announcer(
       adapter::ParseEndpoints(FLAGS_entries), FLAGS_announce_token,
       std::chrono::milliseconds(FLAGS_announce_period_ms),
@@ -319,8 +309,6 @@
   while (g_terminate == 0 || !engine.Idle()) {
     std::this_thread::sleep_for(kReadWait);
   }
-  server.stop();
-  serving.join();
   return 0;
 }
 
--- a/apps/rattanward-fake-service/main.cc
+++ b/apps/rattanward-fake-service/main.cc
@@ -3,13 +3,12 @@
 #include <unistd.h>
 
 #include <csignal>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
 #include "rattanward/adapter/announce_client.h"
-#include "rattanward/adapter/elastic_task_queue.h"
+#include "rattanward/adapter/loopback_server.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 lets the system choose");
 DEFINE_string(instance, "", "Instance id; made from the process id if empty");
@@ -79,21 +78,12 @@
 
 int Run() {
   RunCounter runs;
-  httplib::Server server;
-  server.new_task_queue = [] {
-    return new adapter::ElasticTaskQueue(kThreads);
-  };
-  server.set_tcp_nodelay(true);
-  Routes(server, runs);
-  int port = FLAGS_port;
+  adapter::LoopbackServer http(kThreads);
+  Routes(http.server(), runs);
+  const int port = http.Start(FLAGS_port);
   if (port == 0) {
-    port = server.bind_to_any_port("127.0.0.1");
-  } else if (!server.bind_to_port("127.0.0.1", port)) {
-    std::cerr << "cannot listen on port " << port << "\n";
     return 1;
   }
-  std::thread serving([&server] { server.listen_after_bind(); });
-  std::cout << "listening on 127.0.0.1:" << port << std::endl;
   adapter::AnnounceClient announcer(
       adapter::ParseEndpoints(FLAGS_entries), FLAGS_announce_token,
       std::chrono::milliseconds(FLAGS_announce_period_ms),
@@ -101,8 +91,6 @@
   while (g_stop == 0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
-  server.stop();
-  serving.join();
   return 0;
 }
 
--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -1,5 +1,3 @@
-#include <gflags/gflags.h>
-
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -8,6 +6,7 @@
 #include <thread>
 
 #include "rattanward/adapter/command_line.h"
+#include "rattanward/adapter/daemon_flags.h"
 #include "rattanward/adapter/event_log.h"
 #include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
@@ -18,9 +17,6 @@
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
 
-DEFINE_string(settings, "", "Path of the settings file");
-DEFINE_bool(check, false, "Check the settings and exit");
-
 namespace rattanward {
 namespace {
 
--- a/include/rattanward/control/entry_hub.h
+++ b/include/rattanward/control/entry_hub.h
@@ -61,9 +61,6 @@
   /// @brief Pushes what changed to the entries that are connected here.
   void LedgerChanged();
 
-  /// @brief Removes entries that are gone for long; for a leader.
-  void ForgetSilent();
-
   /// @brief Notes when this process becomes or ceases to be a confirmed
   /// leader; to be called before anything that depends on it.
   void UpdateLeadership();
@@ -92,7 +89,6 @@
   void NoteLive(const protocol::EntryStatus& status);
   void PushTo(Connected& connected);
   void AddRegistered();
-  bool DomainLives(const FailureDomain& domain);
   protocol::ControlStatus StatusNow(std::uint64_t heartbeat) const;
   std::string LeaderEndpoint() const;
 
@@ -108,7 +104,7 @@
   };
   std::map<ProcessId, LastStatus> last_;
   std::map<ProcessId, Connected> connected_;
-  /// Entries whose registration or removal is on its way.
+  /// Entries whose registration is on its way.
   std::set<ProcessId> changing_;
   std::set<ProcessId> registered_;
   std::uint64_t state_revision_ = 1;
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -12,7 +12,6 @@
 
 constexpr Duration kTick{std::chrono::milliseconds(20)};
 constexpr Duration kHelloPeriod{std::chrono::milliseconds(500)};
-constexpr Duration kHubPeriod{std::chrono::seconds(10)};
 /// Idle time between two marks that move log time on.
 constexpr Duration kTimeMarkPeriod{std::chrono::seconds(60)};
 
@@ -87,7 +86,6 @@
     replica_.Tick();
   });
   timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(Hello()); });
-  timers_.Every(kHubPeriod, [this](TimePoint) { entries_.ForgetSilent(); });
   timers_.Every(kTimeMarkPeriod, [this](TimePoint) {
     replica_.Propose(ledger::TimeMark{}, [](const Result<ledger::Outcome>&) {});
   });
--- a/src/control/entry_hub.cc
+++ b/src/control/entry_hub.cc
@@ -12,8 +12,6 @@
 
 using adapter::MonotonicNow;
 
-/// An entry silent for this long is forgotten, if its domain lives on.
-constexpr Duration kForgetAfter{std::chrono::hours(1)};
 /// An entry heard this recently is shown as live.
 constexpr Duration kLiveWithin{std::chrono::seconds(2)};
 
@@ -239,38 +237,6 @@
   }
 }
 
-void EntryHub::ForgetSilent() {
-  UpdateLeadership();
-  if (!rule_) {
-    return;
-  }
-  const TimePoint now = MonotonicNow();
-  for (const auto& [process, record] : replica_.ledger().entries()) {
-    const auto [last, first_seen] =
-        last_.try_emplace(process, LastStatus{ConfigVersion{}, now});
-    if (first_seen || now - last->second.heard < kForgetAfter ||
-        !DomainLives(record.failure_domain) ||
-        !changing_.insert(process).second) {
-      continue;
-    }
-    const CommandId id("forget-" + process.str() + "-" +
-                       std::to_string(replica_.applied()));
-    replica_.Propose(ledger::EntryForget{id, process, VmName()},
-                     [this, gone = process](const Result<ledger::Outcome>&) {
-                       changing_.erase(gone);
-                     });
-  }
-}
-
-bool EntryHub::DomainLives(const FailureDomain& domain) {
-  for (const DomainInForce& state : InForce(ConfigVersion{}).domains) {
-    if (state.failure_domain == domain) {
-      return 2 * state.live > state.entries;
-    }
-  }
-  return false;
-}
-
 InForceReport EntryHub::InForce(ConfigVersion version) {
   UpdateLeadership();
   InForceReport report;
