--- a/include/rattanward/domain/request_class.h
+++ b/include/rattanward/domain/request_class.h
@@ -27,7 +27,7 @@
   Duration between_tokens_target{0};
   /// Time from arrival after which an answer that has not begun is useless.
   Duration deadline{0};
-  /// Share of dispatches, in thousandths, kept for this class when it waits.
+  /// Share of work, in thousandths, kept for this class while it waits.
   std::uint32_t floor_permille = 0;
   /// Requests of this class that may wait at one entry.
   std::uint32_t queue_limit = 0;
