--- a/include/rattanward/adapter/settings.h
+++ b/include/rattanward/adapter/settings.h
@@ -80,6 +80,9 @@
   std::vector<Endpoint> initial_voters;
   /// Start a new cluster if the data folder is empty.
   bool bootstrap = false;
+  /// Voters to be kept up without an operator: control VMs that are heard join
+  /// by themselves, and lost ones are replaced. 0 leaves it to operators.
+  std::uint32_t wanted_voters = 0;
   SecretSource shared_secret;
   SecretSource operator_token;
   /// Empty for standard error.
--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -11,12 +11,24 @@
 #include "rattanward/adapter/settings.h"
 #include "rattanward/consensus/repair.h"
 #include "rattanward/control/entry_hub.h"
+#include "rattanward/control/member_keeper.h"
 #include "rattanward/control/replica.h"
 #include "rattanward/control/voter_directory.h"
 #include "rattanward/port/event_sink.h"
 
 namespace rattanward::control {
 
+/// @brief A part that serves further messages on the control thread.
+class ControlExtension {
+ public:
+  virtual ~ControlExtension() = default;
+  /// @brief Takes a message; false if it is not one of the part's.
+  virtual bool Take(const adapter::InboundMessage& message,
+                    const adapter::ReplyHandle& reply) = 0;
+  /// @brief The ledger or the role changed.
+  virtual void Changed() = 0;
+};
+
 /// @brief One control VM's process, but for the operator RPC.
 /// @note Everything runs on the thread that runs the io_context; only Stop()
 /// and Post() may be called from another one.
@@ -57,6 +69,9 @@
   /// @brief Operator address of the leader; empty if unknown.
   std::string LeaderOperatorEndpoint() const;
 
+  /// @brief Adds a part; it must outlive the run.
+  void Extend(ControlExtension* extension) { extension_ = extension; }
+
   Replica& replica() { return replica_; }
   const Replica& replica() const { return replica_; }
   EntryHub& entries() { return entries_; }
@@ -77,6 +92,7 @@
   void ContactMembers();
   void TryBootstrap();
   void NoteConfig();
+  void KeepMembers();
   void Fail(const Error& error);
 
   asio::io_context& io_;
@@ -88,6 +104,8 @@
   Replica replica_;
   EntryHub entries_;
   adapter::MessageListener listener_;
+  MemberKeeper keeper_;
+  ControlExtension* extension_ = nullptr;
   ConfigVersion logged_config_;
   std::optional<Error> failure_;
   std::atomic<bool> stopped_{false};
--- /dev/null
+++ b/include/rattanward/control/routing_hub.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/adapter/message_transport.h"
+#include "rattanward/control/control_daemon.h"
+#include "rattanward/membership/instance_directory.h"
+#include "rattanward/port/event_sink.h"
+#include "rattanward/protocol/routing_messages.h"
+
+namespace rattanward::control {
+
+/// @brief Times of a routing hub.
+struct RoutingHubOptions {
+  /// Time between two heartbeats of an upstream.
+  Duration heartbeat{std::chrono::milliseconds(1000)};
+  /// Longest wait for entries to heed routes before they are acknowledged.
+  Duration routing_wait{std::chrono::milliseconds(800)};
+  /// Longest wait for entries to heed that an upstream leaves.
+  Duration leave_wait{std::chrono::milliseconds(500)};
+  /// An entry that did not report for this long is not waited for.
+  Duration entry_silence{std::chrono::milliseconds(1200)};
+  /// Voters without which no routes are acknowledged.
+  std::size_t wanted_voters = 3;
+};
+
+/// @brief Serves routes and the directory of upstreams, at every control VM.
+/// @note Routes live in the replicated log; the directory is soft state, told
+/// to the entries and the other control VMs, and rebuilt from heartbeats. All
+/// calls are on the control thread.
+class RoutingHub : public ControlExtension {
+ public:
+  using Done = std::function<void(Status)>;
+  using RoutingCallback = std::function<void(Result<ledger::RoutingRecord>)>;
+
+  RoutingHub(ControlDaemon& daemon, RoutingHubOptions options,
+             port::EventSink events);
+
+  /// @brief Starts the timers.
+  void Start();
+
+  /// @brief Commits routes and waits until the entries in touch run them.
+  /// @param version The operator's version; an older one changes nothing.
+  /// Errors: kNotLeader, kNoQuorum, kOutcomeUnknown.
+  void Declare(ConfigVersion version, std::string text, Done done);
+
+  /// @brief The newest routes, linearizable.
+  /// Errors: kNotLeader, kNoQuorum.
+  void ReadNewest(RoutingCallback callback);
+
+  /// @brief Takes what an upstream registered.
+  /// @param done Called once the entries in touch heed it, where it leaves.
+  void Register(const membership::InstanceRecord& record, Done done);
+
+  /// @brief Takes the word of an upstream that it is gone.
+  void Leave(const UpstreamId& id, std::optional<std::uint64_t> born,
+             Done done);
+
+  bool Take(const adapter::InboundMessage& message,
+            const adapter::ReplyHandle& reply) override;
+  void Changed() override;
+
+  const membership::InstanceDirectory& directory() const { return directory_; }
+  std::size_t entries() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    adapter::ReplyHandle handle;
+    FailureDomain failure_domain;
+    Endpoint peer_endpoint;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    ConfigVersion routing;
+    ConfigVersion pushed_routing;
+    std::uint64_t push_heeded = 0;
+    bool told_all = false;
+    TimePoint heard;
+  };
+  struct Waiter {
+    TimePoint deadline;
+    std::function<bool(const Entry&)> heeded;
+    Done done;
+  };
+
+  void TakeReport(const adapter::InboundMessage& message,
+                  const adapter::ReplyHandle& reply);
+  void TakePush(const adapter::InboundMessage& message);
+  void TakeBeats(const adapter::InboundMessage& message);
+  void TakeCrashes(const adapter::InboundMessage& message);
+  void Tell(const std::vector<protocol::CrashWitness>& witnesses);
+  protocol::ControlReport ReportFor(const Entry& entry) const;
+  void PushRouting(Entry& entry);
+  void PushAll(Entry& entry);
+  void PushNews();
+  void SpreadNews(const std::vector<membership::InstanceRecord>& records);
+  void WaitForEntries(Duration longest,
+                      std::function<bool(const Entry&)> heeded, Done done);
+  void CheckWaiters();
+  void Tick(TimePoint now);
+  void AfterCommit(ConfigVersion version, const Done& done);
+  bool EnoughVoters(TimePoint now);
+
+  ControlDaemon& daemon_;
+  RoutingHubOptions options_;
+  port::EventSink events_;
+  membership::InstanceDirectory directory_;
+  std::map<ProcessId, Entry> entries_;
+  std::vector<Waiter> waiters_;
+  std::vector<membership::InstanceBeat> beats_;
+  std::set<protocol::CrashWitness> crashes_;
+  std::uint64_t push_number_ = 0;
+  TimePoint next_full_push_;
+  TimePoint next_upkeep_;
+  TimePoint few_voters_since_;
+};
+
+}  // namespace rattanward::control
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -47,6 +47,13 @@
     return heard_;
   }
 
+  /// @brief When an endpoint last said hello; the epoch if it never did.
+  TimePoint HeardAt(const Endpoint& endpoint) const;
+
+  /// @brief Sends a one-way message to every other control VM that is
+  /// connected.
+  void SendToAll(protocol::MessageKind kind, const std::string& body);
+
   /// @brief Closes every connection.
   void Stop();
 
@@ -56,6 +63,7 @@
   Endpoint self_;
   std::map<Endpoint, std::unique_ptr<adapter::PeerClient>> clients_;
   std::map<Endpoint, protocol::VoterHello> heard_;
+  std::map<Endpoint, TimePoint> heard_at_;
 };
 
 }  // namespace rattanward::control
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -17,6 +17,8 @@
   kShutdownStarted = 1003,
   kProcessStopped = 1004,
   kSettingsRejected = 1005,
+  kSettingsReloaded = 1006,
+  kRecordsDropped = 1007,
 
   kRequestArrived = 2001,
   kRequestDispatched = 2002,
--- a/include/rattanward/ledger/commands.h
+++ b/include/rattanward/ledger/commands.h
@@ -18,7 +18,9 @@
 using LogTime = Number<struct LogTimeTag>;
 
 /// @brief Largest encoded command, in bytes.
-inline constexpr std::size_t kMaxCommandBytes = 4U << 20U;
+inline constexpr std::size_t kMaxCommandBytes = 6U << 20U;
+/// @brief Largest declaration of routes, in bytes of text.
+inline constexpr std::size_t kMaxRoutingBytes = 5U << 20U;
 /// @brief Largest declared configuration, in bytes of TOML text.
 inline constexpr std::size_t kMaxConfigBytes = 2U << 20U;
 /// @brief Largest answer kept with a finished claim, in bytes.
@@ -148,11 +150,21 @@
   friend bool operator==(const TimeMark&, const TimeMark&) = default;
 };
 
+/// @brief Stores a declaration of routes, unless one as new is held.
+/// @note The version is the operator's own; the highest one holds.
+struct RoutingDeclare {
+  ConfigVersion version;
+  std::string text;
+
+  friend bool operator==(const RoutingDeclare&,
+                         const RoutingDeclare&) = default;
+};
+
 /// @note The order is the wire format: add at the end only.
 using Command =
     std::variant<ConfigApply, ClaimBegin, ClaimRelease, ClaimFinish,
                  ClaimsAbandon, FencingTake, UpstreamDrain, QuarantineChange,
-                 EntryRegister, EntryForget, TimeMark>;
+                 EntryRegister, EntryForget, TimeMark, RoutingDeclare>;
 
 /// @brief A command as it stands in the log, with the leader's time.
 struct StampedCommand {
@@ -220,9 +232,17 @@
   friend bool operator==(const Refused&, const Refused&) = default;
 };
 
+/// @brief The declaration of routes that is held now, sent or newer.
+struct RoutingHeld {
+  ConfigVersion version;
+
+  friend bool operator==(const RoutingHeld&, const RoutingHeld&) = default;
+};
+
 /// @note The order is the wire format: add at the end only.
 using Outcome = std::variant<Done, ConfigCommitted, ConfigConflict, ClaimTaken,
-                             ClaimRunning, ClaimStored, FencingTaken, Refused>;
+                             ClaimRunning, ClaimStored, FencingTaken, Refused,
+                             RoutingHeld>;
 
 /// @brief Encodes a command as msgpack, as carried by protocol::Propose.
 std::string Encode(const Command& command);
--- a/include/rattanward/ledger/detail/command_fields.h
+++ b/include/rattanward/ledger/detail/command_fields.h
@@ -46,6 +46,10 @@
   visit(v.command_id, v.process, v.vm);
 }
 void Fields(Is<TimeMark> auto&, auto& visit) { visit(); }
+void Fields(Is<RoutingDeclare> auto& v, auto& visit) {
+  visit(v.version, v.text);
+}
+void Fields(Is<RoutingHeld> auto& v, auto& visit) { visit(v.version); }
 void Fields(Is<StampedCommand> auto& v, auto& visit) {
   visit(v.time, v.command);
 }
--- a/include/rattanward/ledger/state_machine.h
+++ b/include/rattanward/ledger/state_machine.h
@@ -31,6 +31,14 @@
   friend bool operator==(const ConfigRecord&, const ConfigRecord&) = default;
 };
 
+/// @brief The newest declaration of routes.
+struct RoutingRecord {
+  ConfigVersion version;
+  std::string text;
+
+  friend bool operator==(const RoutingRecord&, const RoutingRecord&) = default;
+};
+
 /// @brief Outcome of an operator command, for a resend under the same id.
 struct CommandRecord {
   CommandId id;
@@ -91,6 +99,8 @@
   /// @brief Fingerprints that are quarantined.
   const std::set<std::uint64_t>& quarantined() const { return quarantined_; }
   const std::map<ProcessId, EntryRecord>& entries() const { return entries_; }
+  /// @brief The newest declaration of routes; version 0 if there is none.
+  const RoutingRecord& routing() const { return routing_; }
 
   friend bool operator==(const StateMachine&, const StateMachine&) = default;
 
@@ -108,6 +118,7 @@
   Outcome Run(const EntryRegister& command);
   Outcome Run(const EntryForget& command);
   Outcome Run(const TimeMark& command);
+  Outcome Run(const RoutingDeclare& command);
   void TrimConfigs();
 
   LogTime time_;
@@ -118,6 +129,7 @@
   std::set<UpstreamId> drained_;
   std::set<std::uint64_t> quarantined_;
   std::map<ProcessId, EntryRecord> entries_;
+  RoutingRecord routing_;
 };
 
 }  // namespace rattanward::ledger
--- /dev/null
+++ b/include/rattanward/policy/placer.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "rattanward/domain/ids.h"
+#include "rattanward/domain/routing.h"
+#include "rattanward/domain/time.h"
+#include "rattanward/membership/instance_directory.h"
+
+namespace rattanward::policy {
+
+/// @brief A part of a prompt that requests share, in its order.
+struct PromptPart {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+
+  friend bool operator==(const PromptPart&, const PromptPart&) = default;
+};
+
+/// @brief What placing needs to know of a request.
+struct PlacementRequest {
+  ServiceName service;
+  RouteKind kind = RouteKind::kAtMostOnce;
+  /// 0 is the most urgent.
+  std::uint32_t rank = 0;
+  std::vector<PromptPart> prompt;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_output_tokens = 0;
+
+  friend bool operator==(const PlacementRequest&,
+                         const PlacementRequest&) = default;
+};
+
+/// @brief What one request was counted as at its upstream.
+struct PlacementCharge {
+  std::uint64_t unread_tokens = 0;
+  std::uint64_t held_tokens = 0;
+
+  friend bool operator==(const PlacementCharge&,
+                         const PlacementCharge&) = default;
+};
+
+/// @brief Work that entries have at one upstream.
+struct UpstreamLoad {
+  std::uint32_t running = 0;
+  /// Prompt tokens that are not read yet.
+  std::uint64_t unread_tokens = 0;
+  /// Tokens of prompts and answers that running requests hold at most.
+  std::uint64_t held_tokens = 0;
+
+  friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+
+/// @brief Load of one entry at the upstreams that it uses.
+struct EntryLoad {
+  ProcessId entry;
+  std::map<UpstreamId, UpstreamLoad> upstreams;
+
+  friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
+};
+
+/// @brief Chooses an upstream for each request, by load and by the prompts
+/// that upstreams keep.
+/// @note Pure. Own sends are known at once, those of other entries of the
+/// failure domain by their messages. The score of an upstream is the work
+/// that stands before a request there, in prompt tokens.
+class Placer {
+ public:
+  explicit Placer(FailureDomain own_domain) : own_domain_(std::move(own_domain)) {}
+
+  /// @brief Takes the declared services; upstreams of others are not used.
+  void SetServices(const std::vector<RoutedService>& services);
+
+  /// @brief Takes a record of the directory.
+  void SetInstance(const membership::InstanceRecord& record);
+  void RemoveInstance(const UpstreamId& id);
+
+  /// @brief Number of entries that share the upstreams, this one included.
+  void SetEntries(std::size_t all, std::size_t own_domain);
+
+  /// @brief Takes the load of another entry.
+  void SetEntryLoad(const EntryLoad& load, TimePoint now);
+
+  /// @brief The upstream that a request should go to now.
+  /// @param excluded Upstreams that it must not go to.
+  /// @return None while every upstream is full, or there is none.
+  std::optional<UpstreamId> Choose(const PlacementRequest& request,
+                                   const std::set<UpstreamId>& excluded,
+                                   TimePoint now) const;
+
+  /// @brief Whether a service has any upstream that may take requests.
+  bool HasUpstream(const ServiceName& service) const;
+
+  /// @brief Whether a service has a ready upstream besides those excluded.
+  bool HasOther(const ServiceName& service,
+                const std::set<UpstreamId>& excluded) const;
+
+  /// @brief Notes a request that was sent.
+  /// @return The charge that the later calls for it give back.
+  PlacementCharge Sent(const UpstreamId& id, const PlacementRequest& request,
+                       TimePoint now);
+
+  /// @brief Notes that the first event came: the prompt was read.
+  void PromptRead(const UpstreamId& id, PlacementCharge* charge);
+
+  /// @brief Notes that a request is over at an upstream.
+  void Finished(const UpstreamId& id, const PlacementCharge& charge);
+
+  /// @brief Notes that an upstream refused a request, or could not be reached.
+  void Failed(const UpstreamId& id, bool unreachable, TimePoint now);
+
+  /// @brief Notes that an upstream answered.
+  void Answered(const UpstreamId& id);
+
+  /// @brief Connections that this entry may hold to an upstream.
+  std::uint32_t ConnectionShare(const UpstreamId& id) const;
+
+  /// @brief Own load, for the other entries.
+  EntryLoad OwnLoad(const ProcessId& self) const;
+
+ private:
+  struct Service {
+    RoutedService declared;
+    std::vector<UpstreamId> instances;
+  };
+  struct Instance {
+    membership::InstanceRecord record;
+    UpstreamLoad own;
+    std::map<ProcessId, UpstreamLoad> others;
+    /// Parts that requests of this entry had read there, by time.
+    std::unordered_map<std::uint64_t, TimePoint> parts;
+    std::uint32_t failures = 0;
+    TimePoint avoid_until;
+  };
+
+  bool Usable(const Instance& instance, TimePoint now) const;
+  UpstreamLoad TotalLoad(const Instance& instance) const;
+  double Score(const Instance& instance, const Service& service,
+               const PlacementRequest& request, std::uint64_t key,
+               TimePoint now) const;
+  bool Full(const Instance& instance, const Service& service) const;
+  std::uint32_t MissingTokens(const Instance& instance,
+                              const PlacementRequest& request) const;
+  void Index();
+
+  FailureDomain own_domain_;
+  std::map<ServiceName, Service> services_;
+  std::map<UpstreamId, Instance> instances_;
+  std::map<ProcessId, TimePoint> entry_loads_heard_;
+  std::size_t entries_ = 1;
+  std::size_t domain_entries_ = 1;
+};
+
+}  // namespace rattanward::policy
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -25,6 +25,13 @@
   kPortionRequest = 33,
   kPortionGrant = 34,
   kSuspicions = 35,
+  kEntryReport = 40,
+  kControlReport = 41,
+  kRoutingPush = 42,
+  kInstancePush = 43,
+  kInstanceBeats = 44,
+  kCrashesTold = 45,
+  kLoadTold = 46,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
--- /dev/null
+++ b/include/rattanward/protocol/load_messages.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "rattanward/policy/placer.h"
+#include "rattanward/protocol/codec.h"
+
+namespace rattanward::protocol {
+
+/// @brief Load of one entry at one upstream.
+struct UpstreamLoadTold {
+  UpstreamId upstream;
+  std::uint32_t running = 0;
+  std::uint64_t unread_tokens = 0;
+  std::uint64_t held_tokens = 0;
+
+  friend bool operator==(const UpstreamLoadTold&,
+                         const UpstreamLoadTold&) = default;
+};
+
+/// @brief Entry to the other entries of its failure domain.
+struct LoadTold {
+  ProcessId entry;
+  std::vector<UpstreamLoadTold> upstreams;
+
+  friend bool operator==(const LoadTold&, const LoadTold&) = default;
+};
+
+template <>
+struct FieldsOf<UpstreamLoadTold> {
+  static auto Tie(auto& m) {
+    return std::tie(m.upstream, m.running, m.unread_tokens, m.held_tokens);
+  }
+};
+
+template <>
+struct FieldsOf<LoadTold> {
+  static auto Tie(auto& m) { return std::tie(m.entry, m.upstreams); }
+};
+
+/// @brief The load as a message.
+inline LoadTold ToMessage(const policy::EntryLoad& load) {
+  LoadTold told;
+  told.entry = load.entry;
+  for (const auto& [id, upstream] : load.upstreams) {
+    told.upstreams.push_back({id, upstream.running, upstream.unread_tokens,
+                              upstream.held_tokens});
+  }
+  return told;
+}
+
+/// @brief The message as a load.
+inline policy::EntryLoad ToEntryLoad(const LoadTold& told) {
+  policy::EntryLoad load;
+  load.entry = told.entry;
+  for (const UpstreamLoadTold& one : told.upstreams) {
+    load.upstreams[one.upstream] = {one.running, one.unread_tokens,
+                                    one.held_tokens};
+  }
+  return load;
+}
+
+}  // namespace rattanward::protocol
--- /dev/null
+++ b/include/rattanward/protocol/routing_messages.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "rattanward/domain/ids.h"
+#include "rattanward/membership/instance_directory.h"
+#include "rattanward/protocol/codec.h"
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::protocol {
+
+/// @brief A request that was running where an upstream seems to have crashed.
+struct CrashWitness {
+  /// Hash of path, account and body.
+  std::uint64_t fingerprint = 0;
+  UpstreamId upstream;
+  /// Start of the upstream that crashed.
+  std::uint64_t born = 0;
+
+  friend auto operator<=>(const CrashWitness&, const CrashWitness&) = default;
+};
+
+/// @brief Entry to every control VM: once a period, and at once after news.
+struct EntryReport {
+  ProcessId process;
+  FailureDomain failure_domain;
+  /// Grows with each start of the process.
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  /// Version of the routes that it runs; 0 until it has one.
+  ConfigVersion routing;
+  /// Number of the newest InstancePush of the receiver that it heeds.
+  std::uint64_t push_heeded = 0;
+  /// Where entries of its failure domain reach it.
+  Endpoint peer_endpoint;
+  std::vector<CrashWitness> witnesses;
+
+  friend bool operator==(const EntryReport&, const EntryReport&) = default;
+};
+
+/// @brief An entry that others may talk to.
+struct EntryPeer {
+  ProcessId process;
+  FailureDomain failure_domain;
+  Endpoint endpoint;
+
+  friend bool operator==(const EntryPeer&, const EntryPeer&) = default;
+};
+
+/// @brief Control VM to entry, in answer to each EntryReport.
+struct ControlReport {
+  /// Set only by a leader that a quorum has confirmed within its lease.
+  bool leader = false;
+  /// Newest version of the routes that is committed there.
+  ConfigVersion committed;
+  /// Every control VM that this one knows.
+  std::vector<Endpoint> control;
+  /// Entries that were heard here lately, the asking one included.
+  std::vector<EntryPeer> entries;
+
+  friend bool operator==(const ControlReport&, const ControlReport&) = default;
+};
+
+/// @brief Control VM to entry: newer routes.
+struct RoutingPush {
+  ConfigVersion version;
+  std::string text;
+
+  friend bool operator==(const RoutingPush&, const RoutingPush&) = default;
+};
+
+/// @brief Changed records, to entries and between control VMs.
+struct InstancePush {
+  /// Grows with each push of the sender; 0 where none is awaited.
+  std::uint64_t number = 0;
+  std::vector<membership::InstanceRecord> records;
+
+  friend bool operator==(const InstancePush&, const InstancePush&) = default;
+};
+
+/// @brief Between control VMs: signs of life without news.
+struct InstanceBeats {
+  std::vector<membership::InstanceBeat> beats;
+
+  friend bool operator==(const InstanceBeats&, const InstanceBeats&) = default;
+};
+
+/// @brief Control VM to entries and other control VMs: crashes to remember.
+struct CrashesTold {
+  std::vector<CrashWitness> witnesses;
+
+  friend bool operator==(const CrashesTold&, const CrashesTold&) = default;
+};
+
+template <>
+struct FieldsOf<CrashWitness> {
+  static auto Tie(auto& m) {
+    return std::tie(m.fingerprint, m.upstream, m.born);
+  }
+};
+
+template <>
+struct FieldsOf<EntryReport> {
+  static auto Tie(auto& m) {
+    return std::tie(m.process, m.failure_domain, m.incarnation, m.sequence,
+                    m.routing, m.push_heeded, m.peer_endpoint, m.witnesses);
+  }
+};
+
+template <>
+struct FieldsOf<EntryPeer> {
+  static auto Tie(auto& m) {
+    return std::tie(m.process, m.failure_domain, m.endpoint);
+  }
+};
+
+template <>
+struct FieldsOf<ControlReport> {
+  static auto Tie(auto& m) {
+    return std::tie(m.leader, m.committed, m.control, m.entries);
+  }
+};
+
+template <>
+struct FieldsOf<RoutingPush> {
+  static auto Tie(auto& m) { return std::tie(m.version, m.text); }
+};
+
+template <>
+struct FieldsOf<membership::InstanceStamp> {
+  static auto Tie(auto& m) { return std::tie(m.born, m.sequence); }
+};
+
+template <>
+struct FieldsOf<membership::InstanceRecord> {
+  static auto Tie(auto& m) {
+    return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
+                    m.version, m.slots, m.state, m.silent);
+  }
+};
+
+template <>
+struct FieldsOf<membership::InstanceBeat> {
+  static auto Tie(auto& m) { return std::tie(m.id, m.stamp); }
+};
+
+template <>
+struct FieldsOf<InstancePush> {
+  static auto Tie(auto& m) { return std::tie(m.number, m.records); }
+};
+
+template <>
+struct FieldsOf<InstanceBeats> {
+  static auto Tie(auto& m) { return std::tie(m.beats); }
+};
+
+template <>
+struct FieldsOf<CrashesTold> {
+  static auto Tie(auto& m) { return std::tie(m.witnesses); }
+};
+
+}  // namespace rattanward::protocol
--- /dev/null
+++ b/include/rattanward/proxy/entry_node.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/http/server.h"
+#include "rattanward/proxy/control_link.h"
+#include "rattanward/proxy/load_exchange.h"
+#include "rattanward/proxy/proxy.h"
+
+namespace rattanward::proxy {
+
+/// @brief Settings of one event-driven entry.
+struct EntryNodeOptions {
+  ProxyOptions proxy;
+  /// Where the balancer asks whether callers should come here.
+  Endpoint ready;
+  std::string ready_path;
+  /// Where other entries tell their load, over UDP.
+  Endpoint peer_listen;
+  std::vector<Endpoint> control;
+  std::string secret;
+  /// From the order to stop to being stopped by force.
+  Duration grace{std::chrono::seconds(8)};
+  std::function<Result<RoutingDeclaration>(const std::string&)> decode_routing;
+};
+
+/// @brief One entry: data path, readiness, and the links to control and to
+/// the other entries.
+class EntryNode {
+ public:
+  EntryNode(asio::io_context& io, EntryNodeOptions options,
+            const Dialect& dialect, port::EventSink events);
+
+  /// @brief Binds every address and starts.
+  /// Errors: kDisconnected.
+  Status Start();
+
+  /// @brief Connects to one more control VM.
+  void ContactControl(const Endpoint& endpoint) { link_.Contact(endpoint); }
+
+  /// @brief Stops being ready, serves what still comes, then calls done.
+  void Shutdown(std::function<void()> done);
+
+  Proxy& proxy() { return proxy_; }
+  adapter::AsioTimerService& timers() { return timers_; }
+
+ private:
+  ControlLinkHooks LinkHooks();
+  void TakeRouting(const protocol::RoutingPush& push);
+  void TakeEntries(const std::vector<protocol::EntryPeer>& entries);
+  void AnswerReady(const std::shared_ptr<http::ServerConnection>& connection,
+                   const http::ServerRequest& request);
+  void CheckStopped();
+
+  EntryNodeOptions options_;
+  port::EventSink events_;
+  adapter::AsioTimerService timers_;
+  Proxy proxy_;
+  ControlLink link_;
+  LoadExchange loads_;
+  http::Server ready_server_;
+  std::function<void()> stopped_;
+  TimePoint stop_ordered_;
+  bool closed_idle_ = false;
+  bool was_ready_ = false;
+};
+
+}  // namespace rattanward::proxy
--- /dev/null
+++ b/include/rattanward/proxy/proxy.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/domain/routing.h"
+#include "rattanward/http/server.h"
+#include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/placer.h"
+#include "rattanward/policy/request_queue.h"
+#include "rattanward/policy/retry_allowance.h"
+#include "rattanward/port/event_sink.h"
+#include "rattanward/protocol/routing_messages.h"
+#include "rattanward/proxy/exchange.h"
+#include "rattanward/proxy/upstream_pool.h"
+
+namespace rattanward::proxy {
+
+/// @brief Settings of the data path of one entry.
+struct ProxyOptions {
+  ProcessId process;
+  FailureDomain failure_domain;
+  /// Callers' HTTP.
+  Endpoint listen;
+  std::size_t max_connections = 2048;
+  std::size_t max_body_bytes = 16U << 20U;
+  policy::RetryLimits retries;
+  /// Requests with a key start only within this time after control confirmed
+  /// that the routes are the newest.
+  Duration key_lease{std::chrono::milliseconds(4500)};
+  /// A caller is told that a route or key is unknown only within this time
+  /// after such a confirmation.
+  Duration denial_lease{std::chrono::milliseconds(1500)};
+};
+
+/// @brief Totals of a data path since its start.
+struct ProxyCounters {
+  std::uint64_t arrived = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t caller_left = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t resumed = 0;
+  std::uint64_t malformed = 0;
+
+  friend bool operator==(const ProxyCounters&, const ProxyCounters&) = default;
+};
+
+/// @brief What a data path asks of the rest of the entry.
+struct ProxyHooks {
+  /// A request was running at an upstream that seems to have crashed.
+  std::function<void(const protocol::CrashWitness&)> witness;
+  port::EventSink events;
+};
+
+/// @brief The data path of an entry: callers, queue, upstreams.
+/// @note One thread: everything runs on the io_context's.
+class Proxy : public ExchangeOwner {
+ public:
+  Proxy(asio::io_context& io, ProxyOptions options, const Dialect& dialect,
+        ProxyHooks hooks);
+
+  /// @brief Binds the callers' address.
+  /// Errors: kDisconnected.
+  Status Start();
+
+  /// @brief Runs newer routes from now on; older ones are ignored.
+  /// @return Whether they were newer.
+  bool SetRouting(std::shared_ptr<const RoutingTable> table);
+
+  /// @brief Takes records of the directory.
+  void TakeInstances(const std::vector<membership::InstanceRecord>& records);
+
+  /// @brief Takes crashes that entries have witnessed.
+  void TakeCrashes(const std::vector<protocol::CrashWitness>& witnesses);
+
+  /// @brief A confirmed leader has told, for a moment, the newest version.
+  void Confirm(TimePoint moment, ConfigVersion newest);
+
+  /// @brief Takes how many entries there are.
+  void SetEntries(std::size_t all, std::size_t own_domain);
+
+  /// @brief Takes the load of another entry of the failure domain.
+  void TakeLoad(const policy::EntryLoad& load);
+
+  policy::EntryLoad OwnLoad() const { return placer_.OwnLoad(options_.process); }
+
+  /// @brief Whether the routes were confirmed within a time.
+  bool ConfirmedWithin(Duration time) const;
+
+  /// @brief Whether new callers should come here.
+  bool Ready() const;
+
+  /// @brief Stops being ready; answers close their connections from now on.
+  void BeginShutdown();
+  /// @brief Closes idle connections.
+  void CloseIdle() { server_.CloseAfterAnswers(); }
+  bool idle() const { return exchanges_.empty(); }
+
+  ConfigVersion routing_version() const;
+  const ProxyCounters& counters() const { return counters_; }
+  std::size_t open_requests() const { return exchanges_.size(); }
+  std::size_t waiting() const { return queue_.size(); }
+  std::size_t connections() const { return server_.connections(); }
+  std::uint64_t upstream_connections_opened() const { return pool_.opened(); }
+  std::size_t upstreams() const { return directory_.size(); }
+
+  const Dialect& dialect() const override { return dialect_; }
+  void Enqueue(const std::shared_ptr<Exchange>& exchange) override;
+  std::shared_ptr<http::ClientConnection> Connect(
+      const UpstreamId& upstream) override;
+  bool MayRepeat(const Exchange& exchange) override;
+  Status MayStart(const Exchange& exchange) override;
+  policy::PlacementCharge NoteSent(const Exchange& exchange) override;
+  void NoteFirstEvent(const Exchange& exchange,
+                      policy::PlacementCharge* charge) override;
+  void NoteReleased(
+      const Exchange& exchange, const policy::PlacementCharge& charge,
+      std::shared_ptr<http::ClientConnection> connection) override;
+  void NoteRefusedThere(const Exchange& exchange) override;
+  void NoteUnreachable(const Exchange& exchange) override;
+  void NoteBroken(const Exchange& exchange) override;
+  void NoteAnswered(const Exchange& exchange) override;
+  Duration RetryAfter(const Exchange& exchange) const override;
+  void Log(EventId id, const Exchange& exchange,
+           std::vector<EventField> fields) override;
+  void Forget(const std::shared_ptr<Exchange>& exchange) override;
+
+ private:
+  void OnRequest(const std::shared_ptr<http::ServerConnection>& caller,
+                 http::ServerRequest request);
+  Result<RoutedRequest> Routed(
+      const std::shared_ptr<http::ServerConnection>& caller,
+      http::ServerRequest request);
+  Error Denied(ErrorCode code, std::string message) const;
+  bool IsCrasher(std::uint64_t fingerprint) const;
+  void ScheduleDrain();
+  void Drain();
+  bool TryPlace(const std::shared_ptr<Exchange>& exchange,
+                std::set<ServiceName>* full);
+  void Upkeep(TimePoint now);
+  void Probe(const UpstreamId& upstream,
+             const protocol::CrashWitness& witness);
+
+  asio::io_context& io_;
+  ProxyOptions options_;
+  const Dialect& dialect_;
+  ProxyHooks hooks_;
+  adapter::AsioTimerService timers_;
+  http::Server server_;
+  UpstreamPool pool_;
+  membership::InstanceDirectory directory_;
+  policy::Placer placer_;
+  policy::RequestQueue<std::shared_ptr<Exchange>> queue_;
+  std::map<ServiceName, policy::RetryAllowance> allowances_;
+  std::set<std::shared_ptr<Exchange>> exchanges_;
+  std::shared_ptr<const RoutingTable> table_;
+  std::unordered_map<std::uint64_t, std::set<protocol::CrashWitness>> crashes_;
+  TimePoint confirmed_;
+  TimePoint started_;
+  ConfigVersion required_;
+  std::size_t entries_ = 1;
+  ProxyCounters counters_;
+  bool ever_confirmed_ = false;
+  bool stopping_ = false;
+  bool drain_scheduled_ = false;
+};
+
+}  // namespace rattanward::proxy
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr Duration kTick{std::chrono::milliseconds(20)};
-constexpr Duration kHelloPeriod{std::chrono::milliseconds(500)};
+constexpr Duration kHelloPeriod{std::chrono::milliseconds(300)};
+constexpr Duration kKeeperPeriod{std::chrono::milliseconds(100)};
 /// Idle time between two marks that move log time on.
 constexpr Duration kTimeMarkPeriod{std::chrono::seconds(60)};
 
@@ -53,8 +54,8 @@
       listener_(
           io, transport_,
           [this](const adapter::InboundMessage& message,
-                 const adapter::ReplyHandle& reply) { Take(message, reply); }) {
-}
+                 const adapter::ReplyHandle& reply) { Take(message, reply); }),
+      keeper_(KeeperOptions{settings_.wanted_voters}) {}
 
 ReplicaHooks ControlDaemon::Hooks() {
   ReplicaHooks hooks;
@@ -65,6 +66,9 @@
     ContactMembers();
     NoteConfig();  // before the entries are told, so that its record is first
     entries_.LedgerChanged();
+    if (extension_ != nullptr) {
+      extension_->Changed();
+    }
   };
   hooks.failed = [this](const Error& error) { Fail(error); };
   hooks.events = events_;
@@ -86,6 +90,9 @@
     replica_.Tick();
   });
   timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(Hello()); });
+  if (settings_.wanted_voters > 0) {
+    timers_.Every(kKeeperPeriod, [this](TimePoint) { KeepMembers(); });
+  }
   timers_.Every(kTimeMarkPeriod, [this](TimePoint) {
     replica_.Propose(ledger::TimeMark{}, [](const Result<ledger::Outcome>&) {});
   });
@@ -135,7 +142,9 @@
       TakeConsensus(message.envelope);
       break;
     default:
-      entries_.Take(message, reply);
+      if (extension_ == nullptr || !extension_->Take(message, reply)) {
+        entries_.Take(message, reply);
+      }
   }
 }
 
@@ -203,6 +212,33 @@
   }
 }
 
+void ControlDaemon::KeepMembers() {
+  const TimePoint now = timers_.Now();
+  if (!replica_.HoldsLease()) {
+    return;
+  }
+  std::vector<HeardVoter> heard;
+  for (const auto& [endpoint, hello] : voters_.heard()) {
+    heard.push_back({hello.id, endpoint, voters_.HeardAt(endpoint)});
+  }
+  const consensus::Node& node = replica_.node();
+  const auto change =
+      keeper_.Next(node.Progress(now), node.commit_index(), heard, now);
+  if (!change) {
+    return;
+  }
+  // A refusal is tried again at the next turn.
+  const auto position = replica_.Change(*change);
+  if (position) {
+    events_({change->kind == consensus::MembershipChange::Kind::kRemove
+                 ? EventId::kVoterRemoved
+                 : EventId::kVoterAdded,
+             {{"voter", change->id.str()},
+              {"endpoint", ToString(change->endpoint)},
+              {"index", std::to_string(position.value().index)}}});
+  }
+}
+
 const protocol::VoterHello* ControlDaemon::FindVoter(
     const Endpoint& endpoint) const {
   return voters_.FindAt(endpoint);
--- /dev/null
+++ b/src/control/routing_hub.cc
@@ -0,0 +1,418 @@
+#include "rattanward/control/routing_hub.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::control {
+namespace {
+
+using adapter::MonotonicNow;
+using membership::InstanceDirectory;
+using membership::InstanceRecord;
+using membership::InstanceState;
+
+constexpr Duration kTick{std::chrono::milliseconds(50)};
+/// Signs of life are passed on together.
+constexpr Duration kFullPushPeriod{std::chrono::seconds(4)};
+constexpr Duration kUpkeepPeriod{std::chrono::milliseconds(500)};
+/// Heartbeats that may be missing before an upstream counts as silent.
+constexpr int kMissedBeats = 4;
+/// How long a gone or silent upstream is remembered.
+constexpr Duration kForgetAfter{std::chrono::seconds(60)};
+/// How long a deployment with too few control VMs holds its routes back.
+constexpr Duration kFewVotersPatience{std::chrono::seconds(20)};
+/// An entry that did not report for this long is forgotten.
+constexpr Duration kForgetEntryAfter{std::chrono::seconds(10)};
+constexpr std::size_t kMaxCrashes = 4096;
+
+template <class M>
+void PushTo(const adapter::ReplyHandle& handle, protocol::MessageKind kind,
+            const M& message) {
+  handle.Push(kind, protocol::Encode(message));
+}
+
+}  // namespace
+
+RoutingHub::RoutingHub(ControlDaemon& daemon, RoutingHubOptions options,
+                       port::EventSink events)
+    : daemon_(daemon), options_(options), events_(std::move(events)) {}
+
+void RoutingHub::Start() {
+  daemon_.Extend(this);
+  daemon_.timers().Every(kTick, [this](TimePoint now) { Tick(now); });
+}
+
+bool RoutingHub::Take(const adapter::InboundMessage& message,
+                      const adapter::ReplyHandle& reply) {
+  switch (message.envelope.kind) {
+    case protocol::MessageKind::kEntryReport:
+      TakeReport(message, reply);
+      return true;
+    case protocol::MessageKind::kInstancePush:
+      TakePush(message);
+      return true;
+    case protocol::MessageKind::kInstanceBeats:
+      TakeBeats(message);
+      return true;
+    case protocol::MessageKind::kCrashesTold:
+      TakeCrashes(message);
+      return true;
+    default:
+      return false;
+  }
+}
+
+void RoutingHub::TakeReport(const adapter::InboundMessage& message,
+                            const adapter::ReplyHandle& reply) {
+  const auto decoded =
+      protocol::Decode<protocol::EntryReport>(message.envelope.body);
+  if (!decoded) {
+    return;
+  }
+  const protocol::EntryReport& report = decoded.value();
+  Entry& entry = entries_[report.process];
+  if (std::tie(report.incarnation, report.sequence) <
+      std::tie(entry.incarnation, entry.sequence)) {
+    return;  // An older report on another connection.
+  }
+  if (!entry.handle.connected() || entry.incarnation != report.incarnation) {
+    entry.pushed_routing = report.routing;
+    entry.told_all = false;
+    entry.push_heeded = 0;
+  }
+  entry.handle = reply;
+  entry.failure_domain = report.failure_domain;
+  entry.peer_endpoint = report.peer_endpoint;
+  entry.incarnation = report.incarnation;
+  entry.sequence = report.sequence;
+  entry.routing = report.routing;
+  entry.push_heeded = std::max(entry.push_heeded, report.push_heeded);
+  entry.heard = MonotonicNow();
+  Tell(report.witnesses);
+  reply.Reply(protocol::MessageKind::kControlReport,
+              protocol::Encode(ReportFor(entry)));
+  PushRouting(entry);
+  PushAll(entry);
+  CheckWaiters();
+}
+
+protocol::ControlReport RoutingHub::ReportFor(const Entry& entry) const {
+  protocol::ControlReport report;
+  report.leader = daemon_.replica().ConfirmedLeader();
+  report.committed = daemon_.replica().ledger().routing().version;
+  report.control.push_back(daemon_.settings().peer_listen);
+  for (const consensus::Member& member :
+       daemon_.replica().node().membership().members) {
+    report.control.push_back(member.endpoint);
+  }
+  const TimePoint alive_since = MonotonicNow() - 2 * options_.entry_silence;
+  for (const auto& [process, other] : entries_) {
+    if (other.heard >= alive_since) {
+      // Only those of its own failure domain are talked to; of the others, the
+      // number matters.
+      const bool near = other.failure_domain == entry.failure_domain;
+      report.entries.push_back({near ? process : ProcessId(),
+                                other.failure_domain,
+                                near ? other.peer_endpoint : Endpoint()});
+    }
+  }
+  return report;
+}
+
+void RoutingHub::PushRouting(Entry& entry) {
+  const ledger::RoutingRecord& routing = daemon_.replica().ledger().routing();
+  if (routing.version > entry.pushed_routing) {
+    entry.pushed_routing = routing.version;
+    PushTo(entry.handle, protocol::MessageKind::kRoutingPush,
+           protocol::RoutingPush{routing.version, routing.text});
+  }
+}
+
+void RoutingHub::PushAll(Entry& entry) {
+  if (!entry.told_all) {
+    entry.told_all = true;
+    PushTo(entry.handle, protocol::MessageKind::kInstancePush,
+           protocol::InstancePush{push_number_, directory_.All()});
+    if (!crashes_.empty()) {
+      PushTo(entry.handle, protocol::MessageKind::kCrashesTold,
+             protocol::CrashesTold{{crashes_.begin(), crashes_.end()}});
+    }
+  }
+}
+
+/// Tells the entries what has changed since the last push.
+void RoutingHub::PushNews() {
+  const std::vector<InstanceRecord> news = directory_.TakeNews();
+  if (news.empty()) {
+    return;
+  }
+  ++push_number_;
+  const std::string body =
+      protocol::Encode(protocol::InstancePush{push_number_, news});
+  for (auto& [process, entry] : entries_) {
+    entry.handle.Push(protocol::MessageKind::kInstancePush, body);
+  }
+  for (const InstanceRecord& record : news) {
+    events_({record.state == InstanceState::kReady
+                 ? EventId::kUpstreamAnnounced
+                 : EventId::kUpstreamDraining,
+             {{"upstream", record.id.str()},
+              {"service", record.service.str()},
+              {"endpoint", ToString(record.endpoint)},
+              {"state", std::to_string(static_cast<int>(record.state))},
+              {"silent", record.silent ? "1" : "0"},
+              {"sequence", std::to_string(record.stamp.sequence)},
+              {"push", std::to_string(push_number_)}}});
+  }
+}
+
+void RoutingHub::SpreadNews(const std::vector<InstanceRecord>& records) {
+  daemon_.voters().SendToAll(
+      protocol::MessageKind::kInstancePush,
+      protocol::Encode(protocol::InstancePush{0, records}));
+}
+
+void RoutingHub::TakePush(const adapter::InboundMessage& message) {
+  const auto push =
+      protocol::Decode<protocol::InstancePush>(message.envelope.body);
+  if (!push) {
+    return;
+  }
+  for (const InstanceRecord& record : push.value().records) {
+    directory_.Merge(record, MonotonicNow());
+  }
+  PushNews();
+}
+
+void RoutingHub::TakeBeats(const adapter::InboundMessage& message) {
+  const auto told =
+      protocol::Decode<protocol::InstanceBeats>(message.envelope.body);
+  if (!told) {
+    return;
+  }
+  for (const membership::InstanceBeat& beat : told.value().beats) {
+    directory_.Beat(beat, MonotonicNow());
+  }
+  PushNews();
+}
+
+void RoutingHub::TakeCrashes(const adapter::InboundMessage& message) {
+  const auto told =
+      protocol::Decode<protocol::CrashesTold>(message.envelope.body);
+  if (!told) {
+    return;
+  }
+  protocol::CrashesTold fresh;
+  for (const protocol::CrashWitness& witness : told.value().witnesses) {
+    if (crashes_.size() < kMaxCrashes && crashes_.insert(witness).second) {
+      fresh.witnesses.push_back(witness);
+    }
+  }
+  if (fresh.witnesses.empty()) {
+    return;
+  }
+  const std::string body = protocol::Encode(fresh);
+  for (auto& [process, entry] : entries_) {
+    entry.handle.Push(protocol::MessageKind::kCrashesTold, body);
+  }
+}
+
+/// Passes what an entry witnessed on to all entries and control VMs.
+void RoutingHub::Tell(const std::vector<protocol::CrashWitness>& witnesses) {
+  protocol::CrashesTold fresh;
+  for (const protocol::CrashWitness& witness : witnesses) {
+    if (crashes_.size() < kMaxCrashes && crashes_.insert(witness).second) {
+      fresh.witnesses.push_back(witness);
+    }
+  }
+  if (fresh.witnesses.empty()) {
+    return;
+  }
+  const std::string body = protocol::Encode(fresh);
+  for (auto& [process, entry] : entries_) {
+    entry.handle.Push(protocol::MessageKind::kCrashesTold, body);
+  }
+  daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold, body);
+}
+
+void RoutingHub::Register(const InstanceRecord& record, Done done) {
+  const InstanceDirectory::Change change =
+      directory_.Merge(record, MonotonicNow());
+  if (change == InstanceDirectory::Change::kNews) {
+    PushNews();
+    SpreadNews({record});
+  } else if (change == InstanceDirectory::Change::kBeat) {
+    beats_.push_back({record.id, record.stamp});
+  }
+  if (record.state == InstanceState::kReady) {
+    done(outcome::success());
+    return;
+  }
+  WaitForEntries(
+      options_.leave_wait,
+      [number = push_number_](const Entry& entry) {
+        return entry.push_heeded >= number;
+      },
+      std::move(done));
+}
+
+void RoutingHub::Leave(const UpstreamId& id, std::optional<std::uint64_t> born,
+                       Done done) {
+  const auto record = directory_.Leave(id, born, MonotonicNow());
+  if (record) {
+    PushNews();
+    SpreadNews({*record});
+  }
+  WaitForEntries(
+      options_.leave_wait,
+      [number = push_number_](const Entry& entry) {
+        return entry.push_heeded >= number;
+      },
+      std::move(done));
+}
+
+bool RoutingHub::EnoughVoters(TimePoint now) {
+  const consensus::Node& node = daemon_.replica().node();
+  if (consensus::VoterCount(node.membership()) >= options_.wanted_voters &&
+      node.membership_committed()) {
+    few_voters_since_ = TimePoint();
+    return true;
+  }
+  if (few_voters_since_ == TimePoint()) {
+    few_voters_since_ = now;
+  }
+  return now - few_voters_since_ > kFewVotersPatience;
+}
+
+void RoutingHub::Declare(ConfigVersion version, std::string text, Done done) {
+  if (!daemon_.replica().ConfirmedLeader()) {
+    const VoterId& leader = daemon_.replica().node().leader();
+    const bool other = !leader.empty() && leader != daemon_.replica().id();
+    done(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
+                   "not a confirmed leader"));
+    return;
+  }
+  if (!EnoughVoters(MonotonicNow())) {
+    done(MakeError(ErrorCode::kNoQuorum,
+                   "too few voters to bear the losses that must be borne"));
+    return;
+  }
+  if (daemon_.replica().ledger().routing().version >= version) {
+    // Held already: only confirm that this is the newest state.
+    daemon_.replica().Read([this, version, done = std::move(done)](
+                               const Status& status) {
+      if (status) {
+        AfterCommit(version, done);
+      } else {
+        done(status);
+      }
+    });
+    return;
+  }
+  daemon_.replica().Propose(
+      ledger::RoutingDeclare{version, std::move(text)},
+      [this, version, done = std::move(done)](
+          const Result<ledger::Outcome>& outcome) {
+        if (!outcome) {
+          done(outcome.error());
+          return;
+        }
+        AfterCommit(version, done);
+      });
+}
+
+void RoutingHub::AfterCommit(ConfigVersion version, const Done& done) {
+  events_({EventId::kConfigCommitted,
+           {{"routes", std::to_string(version.value)}}});
+  for (auto& [process, entry] : entries_) {
+    PushRouting(entry);
+  }
+  WaitForEntries(
+      options_.routing_wait,
+      [version](const Entry& entry) { return entry.routing >= version; },
+      [this, version, done](const Status& status) {
+        events_({EventId::kConfigAccepted,
+                 {{"routes", std::to_string(version.value)}}});
+        done(status);
+      });
+}
+
+void RoutingHub::ReadNewest(RoutingCallback callback) {
+  if (!daemon_.replica().ConfirmedLeader()) {
+    const VoterId& leader = daemon_.replica().node().leader();
+    const bool other = !leader.empty() && leader != daemon_.replica().id();
+    callback(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
+                       "not a confirmed leader"));
+    return;
+  }
+  daemon_.replica().Read(
+      [this, callback = std::move(callback)](const Status& status) {
+        if (!status) {
+          callback(status.error());
+          return;
+        }
+        callback(daemon_.replica().ledger().routing());
+      });
+}
+
+void RoutingHub::Changed() {
+  for (auto& [process, entry] : entries_) {
+    PushRouting(entry);
+  }
+}
+
+void RoutingHub::WaitForEntries(Duration longest,
+                                std::function<bool(const Entry&)> heeded,
+                                Done done) {
+  waiters_.push_back(
+      {MonotonicNow() + longest, std::move(heeded), std::move(done)});
+  CheckWaiters();
+}
+
+void RoutingHub::CheckWaiters() {
+  const TimePoint now = MonotonicNow();
+  const TimePoint silent = now - options_.entry_silence;
+  std::vector<Done> ready;
+  std::erase_if(waiters_, [&](Waiter& waiter) {
+    const bool heeded = std::all_of(
+        entries_.begin(), entries_.end(), [&](const auto& item) {
+          const Entry& entry = item.second;
+          return entry.heard < silent || !entry.handle.connected() ||
+                 waiter.heeded(entry);
+        });
+    if (!heeded && now < waiter.deadline) {
+      return false;
+    }
+    ready.push_back(std::move(waiter.done));
+    return true;
+  });
+  for (const Done& done : ready) {
+    done(outcome::success());
+  }
+}
+
+void RoutingHub::Tick(TimePoint now) {
+  if (!beats_.empty()) {
+    daemon_.voters().SendToAll(
+        protocol::MessageKind::kInstanceBeats,
+        protocol::Encode(protocol::InstanceBeats{std::exchange(beats_, {})}));
+  }
+  CheckWaiters();
+  if (now >= next_upkeep_) {
+    next_upkeep_ = now + kUpkeepPeriod;
+    directory_.MarkSilent(now - kMissedBeats * options_.heartbeat);
+    directory_.Forget(now - kForgetAfter);
+    std::erase_if(entries_, [&](const auto& item) {
+      return item.second.heard < now - kForgetEntryAfter;
+    });
+    PushNews();
+  }
+  if (now >= next_full_push_) {
+    next_full_push_ = now + kFullPushPeriod;
+    SpreadNews(directory_.All());
+  }
+}
+
+}  // namespace rattanward::control
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -1,5 +1,6 @@
 #include "rattanward/control/voter_directory.h"
 
+#include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/protocol/message_fields.h"
 
 namespace rattanward::control {
@@ -46,10 +47,13 @@
 }
 
 void VoterDirectory::Heard(const protocol::VoterHello& hello) {
-  if (hello.peer_endpoint == self_ || heard_.size() >= kMaxEndpoints) {
+  const bool known = heard_.count(hello.peer_endpoint) > 0;
+  if (hello.peer_endpoint == self_ ||
+      (!known && heard_.size() >= kMaxEndpoints)) {
     return;
   }
   heard_[hello.peer_endpoint] = hello;
+  heard_at_[hello.peer_endpoint] = adapter::MonotonicNow();
   Contact(hello.peer_endpoint);
 }
 
@@ -87,6 +91,21 @@
   return it == heard_.end() ? nullptr : &it->second;
 }
 
+TimePoint VoterDirectory::HeardAt(const Endpoint& endpoint) const {
+  const auto it = heard_at_.find(endpoint);
+  return it == heard_at_.end() ? TimePoint() : it->second;
+}
+
+void VoterDirectory::SendToAll(protocol::MessageKind kind,
+                               const std::string& body) {
+  for (const auto& [endpoint, client] : clients_) {
+    protocol::Envelope envelope;
+    envelope.kind = kind;
+    envelope.body = body;
+    client->Send(std::move(envelope));
+  }
+}
+
 void VoterDirectory::Stop() {
   for (const auto& [endpoint, client] : clients_) {
     client->Stop();
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -18,6 +18,8 @@
       {EventId::kShutdownStarted, "shutdown-started"},
       {EventId::kProcessStopped, "process-stopped"},
       {EventId::kSettingsRejected, "settings-rejected"},
+      {EventId::kSettingsReloaded, "settings-reloaded"},
+      {EventId::kRecordsDropped, "records-dropped"},
       {EventId::kRequestArrived, "request-arrived"},
       {EventId::kRequestDispatched, "request-dispatched"},
       {EventId::kRequestRetried, "request-retried"},
--- /dev/null
+++ b/src/domain/routing.cc
@@ -0,0 +1,152 @@
+#include "rattanward/domain/routing.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace rattanward {
+namespace {
+
+Status Invalid(std::string message) {
+  return MakeError(ErrorCode::kInvalidConfig, std::move(message));
+}
+
+std::string Lower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+std::string PlaceKey(std::string_view host, std::string_view prefix) {
+  std::string key = Lower(host);
+  key += '\n';
+  key += prefix;
+  return key;
+}
+
+std::uint64_t TotalWeight(const Route& route) {
+  return std::accumulate(route.split.begin(), route.split.end(),
+                         std::uint64_t{0},
+                         [](std::uint64_t sum, const WeightedService& part) {
+                           return sum + part.weight;
+                         });
+}
+
+Status CheckRoute(const Route& route, const std::set<ServiceName>& services) {
+  if (route.path_prefix.empty() || route.path_prefix.front() != '/' ||
+      route.path_prefix.back() != '/') {
+    return Invalid("route " + route.name + ": prefix \"" + route.path_prefix +
+                   "\" does not begin and end with a slash");
+  }
+  for (const WeightedService& part : route.split) {
+    if (services.count(part.service) == 0) {
+      return Invalid("route " + route.name + ": unknown service \"" +
+                     part.service.str() + "\"");
+    }
+  }
+  if (TotalWeight(route) == 0) {
+    return Invalid("route " + route.name + ": the weights add up to 0");
+  }
+  if (route.timeout <= Duration::zero()) {
+    return Invalid("route " + route.name + ": the timeout is not above 0");
+  }
+  return outcome::success();
+}
+
+Status CheckAccounts(const std::vector<RoutedAccount>& accounts) {
+  std::map<std::string, ClientAccountId> owners;
+  for (const RoutedAccount& account : accounts) {
+    for (const std::string& key : account.keys) {
+      const auto [owner, added] = owners.emplace(key, account.id);
+      if (!added && owner->second != account.id) {
+        return Invalid("accounts " + owner->second.str() + " and " +
+                       account.id.str() + " share a key");
+      }
+    }
+  }
+  return outcome::success();
+}
+
+}  // namespace
+
+Status Check(const RoutingDeclaration& declaration) {
+  std::set<ServiceName> services;
+  for (const RoutedService& service : declaration.services) {
+    if (!services.insert(service.name).second) {
+      return Invalid("service " + service.name.str() + " stands twice");
+    }
+  }
+  std::set<std::string> places;
+  for (const Route& route : declaration.routes) {
+    Status status = CheckRoute(route, services);
+    if (!status) {
+      return status;
+    }
+    if (!places.insert(PlaceKey(route.host, route.path_prefix)).second) {
+      return Invalid("route " + route.name + ": another route has host \"" +
+                     route.host + "\" and prefix \"" + route.path_prefix +
+                     "\"");
+    }
+  }
+  return CheckAccounts(declaration.accounts);
+}
+
+RoutingTable::RoutingTable(RoutingDeclaration declaration)
+    : declaration_(std::move(declaration)) {
+  for (const Route& route : declaration_.routes) {
+    routes_.emplace(PlaceKey(route.host, route.path_prefix), &route);
+  }
+  for (const RoutedAccount& account : declaration_.accounts) {
+    for (const std::string& key : account.keys) {
+      accounts_.emplace(key, &account);
+    }
+  }
+  for (const RoutedService& service : declaration_.services) {
+    services_.emplace(service.name, &service);
+  }
+}
+
+const Route* RoutingTable::FindRoute(std::string_view host,
+                                     std::string_view path) const {
+  host = host.substr(0, host.find(':'));
+  path = path.substr(0, path.find('?'));
+  std::string key = PlaceKey(host, path);
+  const std::size_t first = host.size() + 1;
+  for (std::size_t end = key.find_last_of('/');
+       end != std::string::npos && end >= first;
+       end = key.find_last_of('/')) {
+    key.resize(end + 1);
+    const auto found = routes_.find(key);
+    if (found != routes_.end()) {
+      return found->second;
+    }
+    key.resize(end);
+  }
+  return nullptr;
+}
+
+const RoutedAccount* RoutingTable::FindAccount(const std::string& key) const {
+  const auto found = accounts_.find(key);
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+const RoutedService* RoutingTable::FindService(const ServiceName& name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+const ServiceName& ChooseService(const Route& route, std::uint64_t draw) {
+  std::uint64_t left = draw % TotalWeight(route);
+  for (const WeightedService& part : route.split) {
+    if (left < part.weight) {
+      return part.service;
+    }
+    left -= part.weight;
+  }
+  return route.split.back().service;
+}
+
+}  // namespace rattanward
--- /dev/null
+++ b/src/http/client_connection.cc
@@ -0,0 +1,305 @@
+#include "rattanward/http/client_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <charconv>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/http/detail/socket_io.h"
+
+namespace rattanward::http {
+namespace {
+
+using adapter::MonotonicNow;
+using asio::ip::tcp;
+
+/// An idle connection whose peer names no time is trusted this long.
+constexpr Duration kUnnamedKeepAlive{std::chrono::milliseconds(400)};
+/// Taken off the time that a peer names: it may be rounded, and a request is
+/// on its way for a while.
+constexpr Duration kKeepAliveMargin{std::chrono::milliseconds(700)};
+/// Answers are streams; their size is bounded by what is buffered, not here.
+constexpr std::uint64_t kNoBodyLimit =
+    std::numeric_limits<std::uint64_t>::max() / 2;
+constexpr std::uint32_t kMaxAnswerHeadBytes = 64U << 10U;
+
+/// Seconds of "timeout=N" in a keep-alive field.
+std::optional<Duration> NamedKeepAlive(const ResponseHead& head) {
+  const std::string* value = head.fields.Find("keep-alive");
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value->find(kName);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  std::int64_t seconds = 0;
+  const char* first = value->data() + at + kName.size();
+  const auto parsed =
+      std::from_chars(first, value->data() + value->size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(asio::io_context& io, Endpoint peer)
+    : io_(io), socket_(io), timer_(io), peer_(std::move(peer)) {}
+
+void ClientConnection::Send(std::string head,
+                            std::shared_ptr<const std::string> body,
+                            Duration connect_timeout, ClientHandler* handler) {
+  handler_ = handler;
+  head_ = std::move(head);
+  body_ = std::move(body);
+  sent_ = 0;
+  ++exchanges_;
+  answering_ = true;
+  head_told_ = false;
+  foreign_ = false;
+  paused_ = false;
+  parser_ = std::make_unique<ResponseParser>(
+      ParserLimits{kMaxAnswerHeadBytes, kNoBodyLimit}, to_head_);
+  if (connected_) {
+    TrySend();
+  } else {
+    Connect(connect_timeout);
+  }
+}
+
+void ClientConnection::Connect(Duration timeout) {
+  connecting_ = true;
+  asio::error_code e;
+  const auto address = asio::ip::make_address(peer_.address, e);
+  timer_.expires_after(timeout);
+  timer_.async_wait([weak = weak_from_this()](const asio::error_code& waited) {
+    const auto self = weak.lock();
+    if (!waited && self && self->connecting_) {
+      self->Fail(ClientFailure::kNotSent);
+    }
+  });
+  socket_.async_connect(
+      tcp::endpoint(address, peer_.port),
+      [self = shared_from_this()](const asio::error_code& failed) {
+        if (self->closed_) {
+          return;
+        }
+        self->connecting_ = false;
+        self->timer_.cancel();
+        if (failed) {
+          self->Fail(ClientFailure::kNotSent);
+          return;
+        }
+        self->connected_ = true;
+        detail::PrepareSocket(self->socket_);
+        self->WaitReadable();
+        self->TrySend();
+      });
+}
+
+void ClientConnection::TrySend() {
+  while (!closed_ && answering_ && !sent_all()) {
+    const std::size_t in_body = sent_ < head_.size() ? 0 : sent_ - head_.size();
+    const std::size_t in_head = std::min(sent_, head_.size());
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(head_.data() + in_head, head_.size() - in_head),
+        asio::buffer(body_->data() + in_body, body_->size() - in_body)};
+    asio::error_code e;
+    const std::size_t count = socket_.write_some(buffers, e);
+    if (e == asio::error::would_block || e == asio::error::try_again) {
+      writing_ = true;
+      socket_.async_wait(tcp::socket::wait_write,
+                         [self = shared_from_this()](const asio::error_code& w) {
+                           self->writing_ = false;
+                           if (!w && !self->closed_) {
+                             self->TrySend();
+                           }
+                         });
+      return;
+    }
+    if (e) {
+      // An answer may have come before the peer closed: read it first.
+      OnReadable();
+      if (!closed_ && answering_ && !head_told_) {
+        Fail(sent_ == 0 ? ClientFailure::kNotSent : ClientFailure::kNoAnswer);
+      }
+      return;
+    }
+    sent_ += count;
+  }
+}
+
+void ClientConnection::WaitReadable() {
+  if (reading_ || closed_ || (paused_ && answering_)) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const asio::error_code& e) {
+                       self->reading_ = false;
+                       if (!e && !self->closed_) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void ClientConnection::Resume() {
+  if (paused_) {
+    paused_ = false;
+    WaitReadable();
+  }
+}
+
+void ClientConnection::OnReadable() {
+  const auto self = shared_from_this();
+  const detail::ReadOutcome read = detail::ReadSome(socket_);
+  if (!answering_) {
+    if (read.ended || !read.bytes.empty()) {
+      const auto on_idle = std::move(on_idle_closed);
+      Close();
+      if (on_idle) {
+        on_idle(*this);
+      }
+      return;
+    }
+    WaitReadable();
+    return;
+  }
+  if (!read.bytes.empty()) {
+    input_.append(read.bytes);
+    TakeInput();
+    if (!closed_ && answering_) {
+      handler_->OnReadEnd();
+    }
+  }
+  if (read.ended && !closed_) {
+    PeerEnded(read.reset);
+    return;
+  }
+  WaitReadable();
+}
+
+void ClientConnection::TakeInput() {
+  while (!closed_ && answering_ && !input_.empty()) {
+    const Result<std::size_t> taken = parser_->Feed(input_);
+    if (!taken) {
+      Fail(head_told_ ? ClientFailure::kCutOff : ClientFailure::kMalformed);
+      return;
+    }
+    input_.erase(0, taken.value());
+    if (parser_->head_done() && !head_told_ && !foreign_) {
+      TakeHead();
+    }
+    if (closed_ || !answering_) {
+      return;
+    }
+    const std::string piece = parser_->TakeBody();
+    if (!piece.empty() && !foreign_) {
+      handler_->OnBody(piece);
+    }
+    if (closed_ || !answering_) {
+      return;
+    }
+    if (parser_->done()) {
+      if (!foreign_) {
+        Complete();
+        return;
+      }
+      DropForeignAnswer();
+    } else if (taken.value() == 0) {
+      return;
+    }
+  }
+}
+
+void ClientConnection::TakeHead() {
+  constexpr int kFirstFinalStatus = 200;
+  const ResponseHead& head = parser_->head();
+  foreign_ =
+      head.status < kFirstFinalStatus || !handler_->IsOwnAnswer(head);
+  if (foreign_) {
+    if (parser_->framing() == Framing::kUntilClose) {
+      Fail(ClientFailure::kMalformed);
+    }
+    return;
+  }
+  NoteKeepAlive(head);
+  head_told_ = true;
+  handler_->OnHead(head, parser_->framing(), parser_->length());
+}
+
+void ClientConnection::DropForeignAnswer() {
+  foreign_ = false;
+  parser_ = std::make_unique<ResponseParser>(
+      ParserLimits{kMaxAnswerHeadBytes, kNoBodyLimit}, to_head_);
+}
+
+void ClientConnection::NoteKeepAlive(const ResponseHead& head) {
+  const std::optional<Duration> named = NamedKeepAlive(head);
+  keep_alive_ = named ? std::max(*named / 2, *named - kKeepAliveMargin)
+                      : kUnnamedKeepAlive;
+  peer_closes_ = !parser_->keep_alive();
+}
+
+void ClientConnection::Complete() {
+  answering_ = false;
+  ClientHandler* handler = std::exchange(handler_, nullptr);
+  const bool clean = sent_all() && !peer_closes_ && input_.empty() &&
+                     parser_->framing() != Framing::kUntilClose;
+  usable_until_ = MonotonicNow() + keep_alive_;
+  if (!clean) {
+    Close();
+  }
+  body_.reset();
+  head_.clear();
+  parser_.reset();
+  handler->OnComplete();
+}
+
+bool ClientConnection::Reusable(TimePoint now) const {
+  return connected_ && !closed_ && !answering_ && now < usable_until_;
+}
+
+void ClientConnection::PeerEnded(bool reset) {
+  if (!reset && head_told_ && parser_->FeedEnd()) {
+    peer_closes_ = true;
+    Complete();
+    return;
+  }
+  if (head_told_) {
+    Fail(ClientFailure::kCutOff);
+  } else {
+    Fail(sent_ == 0 ? ClientFailure::kNotSent : ClientFailure::kNoAnswer);
+  }
+}
+
+void ClientConnection::Fail(ClientFailure failure) {
+  ClientHandler* handler = std::exchange(handler_, nullptr);
+  Close();
+  if (handler != nullptr) {
+    handler->OnFailure(failure);
+  }
+}
+
+void ClientConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  answering_ = false;
+  handler_ = nullptr;
+  timer_.cancel();
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace rattanward::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,172 @@
+#include "rattanward/http/server.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+namespace rattanward::http {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Duration kAcceptRetryDelay{std::chrono::milliseconds(20)};
+/// Connections taken in one turn, so that others get theirs.
+constexpr int kMaxAcceptsAtOnce = 64;
+
+std::string Seconds(Duration duration) {
+  std::array<char, 32> text{};
+  const std::chrono::duration<double> seconds = duration;
+  std::snprintf(text.data(), text.size(), "%.3f", seconds.count());
+  return text.data();
+}
+
+}  // namespace
+
+Server::Server(asio::io_context& io, Options options, RequestHandler handler)
+    : io_(io),
+      acceptor_(io),
+      retry_timer_(io),
+      options_(options),
+      handler_(std::move(handler)) {}
+
+Status Server::Listen(const Endpoint& endpoint) {
+  asio::error_code e;
+  const auto address = asio::ip::make_address(endpoint.address, e);
+  const tcp::endpoint local(address, endpoint.port);
+  if (!e) {
+    acceptor_.open(local.protocol(), e);
+  }
+  if (!e) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), e);
+  }
+  if (!e) {
+    acceptor_.bind(local, e);
+  }
+  if (!e) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, e);
+  }
+  if (!e) {
+    acceptor_.non_blocking(true, e);
+  }
+  if (e) {
+    return MakeError(ErrorCode::kDisconnected,
+                     ToString(endpoint) + ": " + e.message());
+  }
+  bound_ = {endpoint.address, acceptor_.local_endpoint().port()};
+  Accept();
+  return outcome::success();
+}
+
+void Server::Accept() {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](
+                                                     const asio::error_code&
+                                                         waited) {
+    if (waited || stopped_) {
+      return;
+    }
+    for (int i = 0; i < kMaxAcceptsAtOnce; ++i) {
+      asio::error_code e;
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, e);
+      if (e == asio::error::would_block || e == asio::error::try_again) {
+        break;
+      }
+      if (e == asio::error::no_descriptors) {
+        AcceptLater();
+        return;
+      }
+      if (!e) {
+        Take(std::move(socket));
+      }
+    }
+    Accept();
+  });
+}
+
+/// Out of descriptors: waits instead of spinning.
+void Server::AcceptLater() {
+  retry_timer_.expires_after(kAcceptRetryDelay);
+  retry_timer_.async_wait([this](const asio::error_code& e) {
+    if (!e && !stopped_) {
+      Accept();
+    }
+  });
+}
+
+void Server::Take(tcp::socket socket) {
+  if (connections_.size() >= options_.max_connections) {
+    OnRefused(MakeError(ErrorCode::kTooManyOpenRequests,
+                        "the server holds its largest number of connections"));
+    return;
+  }
+  auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
+  connections_[connection.get()] = connection;
+  connection->Start();
+  if (closing_) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void Server::CloseAfterAnswers() {
+  closing_ = true;
+  std::vector<std::shared_ptr<ServerConnection>> all;
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(connection);
+  }
+  for (const auto& connection : all) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void Server::Stop() {
+  stopped_ = true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  retry_timer_.cancel();
+  for (const auto& [key, connection] :
+       std::exchange(connections_, {})) {
+    connection->Abort();
+  }
+}
+
+std::size_t Server::busy() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& c) { return c.second->busy(); }));
+}
+
+bool Server::HasRoomFor(std::size_t bytes) {
+  return bytes <= options_.max_body_bytes;
+}
+
+void Server::OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                       ServerRequest request) {
+  handler_(connection, std::move(request));
+}
+
+void Server::OnRefused(const Error& error) {
+  if (on_refused) {
+    on_refused(error);
+  }
+}
+
+void Server::OnClosed(ServerConnection& connection) {
+  connections_.erase(&connection);
+}
+
+void RespondError(ServerConnection& connection, const Error& error) {
+  ResponseHead head;
+  head.status = HttpStatus(error.code);
+  head.fields.Add("Content-Type", "text/plain");
+  if (error.retry_after) {
+    head.fields.Add("Retry-After", Seconds(*error.retry_after));
+  }
+  connection.Respond(std::move(head),
+                     std::to_string(static_cast<int>(error.code)) + ' ' +
+                         std::string(ErrorName(error.code)) + ": " +
+                         error.message + '\n');
+}
+
+}  // namespace rattanward::http
--- a/src/ledger/commands.cc
+++ b/src/ledger/commands.cc
@@ -107,6 +107,19 @@
 
 Status CheckOne(const TimeMark&) { return outcome::success(); }
 
+Status CheckOne(const RoutingDeclare& command) {
+  if (command.version.value == 0) {
+    return Malformed("the version of a declaration of routes is 0");
+  }
+  if (command.text.size() > kMaxRoutingBytes) {
+    return Malformed("declaration of routes has " +
+                     std::to_string(command.text.size()) +
+                     " bytes, at most " + std::to_string(kMaxRoutingBytes) +
+                     " are allowed");
+  }
+  return outcome::success();
+}
+
 }  // namespace
 
 std::string Encode(const Command& command) {
--- a/src/ledger/state_machine.cc
+++ b/src/ledger/state_machine.cc
@@ -10,7 +10,7 @@
 namespace rattanward::ledger {
 namespace {
 
-constexpr std::uint32_t kSnapshotFormat = 1;
+constexpr std::uint32_t kSnapshotFormat = 2;
 constexpr std::size_t kMaxSnapshotItems = 2'000'000;
 constexpr std::size_t kMaxDrained = 10'000;
 constexpr std::size_t kMaxQuarantined = 100'000;
@@ -37,11 +37,12 @@
   std::set<UpstreamId> drained;
   std::set<std::uint64_t> quarantined;
   std::map<ProcessId, EntryRecord> entries;
+  RoutingRecord routing;
 };
 
 void Fields(Is<SnapshotData> auto& v, auto& visit) {
   visit(v.format, v.time, v.configs, v.commands, v.claims, v.fencing, v.drained,
-        v.quarantined, v.entries);
+        v.quarantined, v.entries, v.routing);
 }
 
 }  // namespace
@@ -61,6 +62,10 @@
   visit(v.process, v.vm, v.failure_domain);
 }
 
+void Fields(Is<RoutingRecord> auto& v, auto& visit) {
+  visit(v.version, v.text);
+}
+
 Outcome StateMachine::Apply(const StampedCommand& stamped) {
   time_ = std::max(time_, stamped.time);
   claims_.Expire(time_);
@@ -180,6 +185,13 @@
 
 Outcome StateMachine::Run(const TimeMark&) { return Done{}; }
 
+Outcome StateMachine::Run(const RoutingDeclare& command) {
+  if (command.version > routing_.version) {
+    routing_ = {command.version, command.text};
+  }
+  return RoutingHeld{routing_.version};
+}
+
 void StateMachine::TrimConfigs() {
   std::size_t bytes = 0;
   std::size_t keep = 1;
@@ -208,7 +220,7 @@
 std::string StateMachine::Snapshot() const {
   return detail::EncodeValue(SnapshotData{kSnapshotFormat, time_, configs_,
                                           commands_, claims_.claims(), fencing_,
-                                          drained_, quarantined_, entries_});
+                                          drained_, quarantined_, entries_, routing_});
 }
 
 Result<StateMachine> StateMachine::Restore(const std::string& bytes) {
@@ -227,6 +239,7 @@
   machine.drained_ = std::move(value.drained);
   machine.quarantined_ = std::move(value.quarantined);
   machine.entries_ = std::move(value.entries);
+  machine.routing_ = std::move(value.routing);
   return machine;
 }
 
--- /dev/null
+++ b/src/membership/instance_directory.cc
@@ -0,0 +1,163 @@
+#include "rattanward/membership/instance_directory.h"
+
+#include <utility>
+
+namespace rattanward::membership {
+namespace {
+
+/// Whether two records tell others the same.
+bool SameNews(const InstanceRecord& a, const InstanceRecord& b) {
+  InstanceRecord copy = a;
+  copy.stamp.sequence = b.stamp.sequence;
+  return copy == b;
+}
+
+}  // namespace
+
+InstanceDirectory::Change InstanceDirectory::Merge(const InstanceRecord& record,
+                                                   TimePoint now) {
+  const auto found = entries_.find(record.id);
+  if (found == entries_.end()) {
+    for (const auto& [id, entry] : entries_) {
+      const bool same_place = entry.record.endpoint == record.endpoint;
+      if (same_place && entry.record.stamp.born > record.stamp.born) {
+        return Change::kStale;  // Of a process that ran there before.
+      }
+    }
+    entries_[record.id] = Entry{record, now};
+    news_.push_back(record.id);
+    RetireOthersAt(record);
+    return Change::kNews;
+  }
+  Entry& entry = found->second;
+  const InstanceRecord& known = entry.record;
+  if (record.stamp.born == known.stamp.born &&
+      known.state == InstanceState::kGone) {
+    return Change::kStale;
+  }
+  if (record.stamp < known.stamp) {
+    // The word that it leaves holds, whatever overtook it.
+    const bool leaves = record.stamp.born == known.stamp.born &&
+                        record.state == InstanceState::kGone;
+    if (!leaves) {
+      return Change::kStale;
+    }
+  }
+  if (record.stamp == known.stamp && record.state <= known.state &&
+      (record.silent == known.silent || !record.silent)) {
+    return Change::kStale;
+  }
+  const bool news = !SameNews(known, record);
+  entry.record = record;
+  if (!record.silent) {
+    entry.heard = now;
+  }
+  if (!news) {
+    return Change::kBeat;
+  }
+  news_.push_back(record.id);
+  RetireOthersAt(record);
+  return Change::kNews;
+}
+
+InstanceDirectory::Change InstanceDirectory::Beat(const InstanceBeat& beat,
+                                                  TimePoint now) {
+  const InstanceRecord* known = Find(beat.id);
+  if (known == nullptr || known->stamp.born != beat.stamp.born) {
+    return Change::kStale;
+  }
+  InstanceRecord record = *known;
+  record.stamp = beat.stamp;
+  record.silent = false;
+  return Merge(record, now);
+}
+
+std::optional<InstanceRecord> InstanceDirectory::Leave(
+    const UpstreamId& id, std::optional<std::uint64_t> born, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  InstanceRecord record = found->second.record;
+  if (born && *born < record.stamp.born) {
+    return std::nullopt;
+  }
+  if (born) {
+    record.stamp.born = *born;
+  }
+  record.state = InstanceState::kGone;
+  record.silent = false;
+  if (Merge(record, now) != Change::kNews) {
+    return std::nullopt;
+  }
+  return record;
+}
+
+/// An address that a later instance registered has left the earlier one.
+void InstanceDirectory::RetireOthersAt(const InstanceRecord& record) {
+  if (record.state == InstanceState::kGone) {
+    return;
+  }
+  for (auto& [id, entry] : entries_) {
+    if (id != record.id && entry.record.endpoint == record.endpoint &&
+        entry.record.state != InstanceState::kGone &&
+        entry.record.stamp.born <= record.stamp.born) {
+      entry.record.state = InstanceState::kGone;
+      news_.push_back(id);
+    }
+  }
+}
+
+std::vector<InstanceRecord> InstanceDirectory::MarkSilent(TimePoint not_since) {
+  std::vector<InstanceRecord> marked;
+  for (auto& [id, entry] : entries_) {
+    if (entry.heard < not_since && !entry.record.silent &&
+        entry.record.state != InstanceState::kGone) {
+      entry.record.silent = true;
+      news_.push_back(id);
+      marked.push_back(entry.record);
+    }
+  }
+  return marked;
+}
+
+std::vector<UpstreamId> InstanceDirectory::Forget(TimePoint not_since) {
+  std::vector<UpstreamId> forgotten;
+  std::erase_if(entries_, [&](const auto& item) {
+    const Entry& entry = item.second;
+    const bool over = entry.record.silent ||
+                      entry.record.state == InstanceState::kGone;
+    if (!over || entry.heard >= not_since) {
+      return false;
+    }
+    forgotten.push_back(item.first);
+    return true;
+  });
+  return forgotten;
+}
+
+const InstanceRecord* InstanceDirectory::Find(const UpstreamId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+std::vector<InstanceRecord> InstanceDirectory::TakeNews() {
+  std::vector<InstanceRecord> records;
+  for (const UpstreamId& id : std::exchange(news_, {})) {
+    if (const InstanceRecord* record = Find(id)) {
+      records.push_back(*record);
+    }
+  }
+  return records;
+}
+
+std::vector<InstanceRecord> InstanceDirectory::All() const {
+  std::vector<InstanceRecord> records;
+  records.reserve(entries_.size());
+  for (const auto& [id, entry] : entries_) {
+    records.push_back(entry.record);
+  }
+  return records;
+}
+
+}  // namespace rattanward::membership
--- /dev/null
+++ b/src/policy/placer.cc
@@ -0,0 +1,305 @@
+#include "rattanward/policy/placer.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "rattanward/policy/rendezvous.h"
+
+namespace rattanward::policy {
+namespace {
+
+/// Work that a running request stands for, in prompt tokens: it slows the
+/// reading of prompts beside it.
+constexpr double kTokensPerRunning = 60;
+/// Work that leaving the own failure domain stands for, in prompt tokens.
+constexpr double kTokensPerDomainHop = 4000;
+/// Preference among equals, in prompt tokens, by rendezvous rank.
+constexpr double kTokensPerRank = 400;
+/// Load of an entry that did not report for this long is not counted.
+constexpr Duration kLoadExpiry{std::chrono::milliseconds(1500)};
+/// Avoidance of an upstream after a failure; doubles with each one more.
+constexpr Duration kFirstAvoidance{std::chrono::milliseconds(300)};
+constexpr std::uint32_t kMaxDoublings = 4;
+/// Avoidance after a refusal for being full.
+constexpr Duration kFullAvoidance{std::chrono::milliseconds(60)};
+/// Requests beyond its slots that a plain service is given.
+constexpr std::uint32_t kServiceBacklog = 1;
+/// Parts of prompts remembered of one upstream.
+constexpr std::size_t kMaxParts = 4096;
+constexpr std::uint32_t kMinConnections = 4;
+
+/// Hash that sends requests with the same long part to the same upstream.
+std::uint64_t PrefixKey(const PlacementRequest& request) {
+  // The last part is the request's own, or its session's.
+  const PromptPart* longest = nullptr;
+  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    const PromptPart& part = request.prompt[i];
+    if (longest == nullptr || part.tokens >= longest->tokens) {
+      longest = &part;
+    }
+  }
+  if (longest == nullptr && !request.prompt.empty()) {
+    longest = &request.prompt.front();
+  }
+  return longest == nullptr ? 0 : longest->id;
+}
+
+}  // namespace
+
+void Placer::SetServices(const std::vector<RoutedService>& services) {
+  services_.clear();
+  for (const RoutedService& service : services) {
+    services_[service.name].declared = service;
+  }
+  Index();
+}
+
+void Placer::SetInstance(const membership::InstanceRecord& record) {
+  Instance& instance = instances_[record.id];
+  const bool restarted = instance.record.stamp.born != record.stamp.born;
+  if (restarted) {
+    instance = Instance();
+  }
+  instance.record = record;
+  Index();
+}
+
+void Placer::RemoveInstance(const UpstreamId& id) {
+  instances_.erase(id);
+  Index();
+}
+
+void Placer::Index() {
+  for (auto& [name, service] : services_) {
+    service.instances.clear();
+  }
+  for (const auto& [id, instance] : instances_) {
+    const auto service = services_.find(instance.record.service);
+    if (service != services_.end() &&
+        instance.record.state == membership::InstanceState::kReady) {
+      service->second.instances.push_back(id);
+    }
+  }
+}
+
+void Placer::SetEntries(std::size_t all, std::size_t own_domain) {
+  entries_ = std::max<std::size_t>(all, 1);
+  domain_entries_ = std::max<std::size_t>(own_domain, 1);
+}
+
+void Placer::SetEntryLoad(const EntryLoad& load, TimePoint now) {
+  entry_loads_heard_[load.entry] = now;
+  for (auto& [id, instance] : instances_) {
+    const auto told = load.upstreams.find(id);
+    if (told == load.upstreams.end()) {
+      instance.others.erase(load.entry);
+    } else {
+      instance.others[load.entry] = told->second;
+    }
+  }
+  std::erase_if(entry_loads_heard_, [&](const auto& heard) {
+    if (now - heard.second < kLoadExpiry) {
+      return false;
+    }
+    for (auto& [id, instance] : instances_) {
+      instance.others.erase(heard.first);
+    }
+    return true;
+  });
+}
+
+bool Placer::Usable(const Instance& instance, TimePoint now) const {
+  return instance.record.state == membership::InstanceState::kReady &&
+         now >= instance.avoid_until;
+}
+
+UpstreamLoad Placer::TotalLoad(const Instance& instance) const {
+  UpstreamLoad total = instance.own;
+  for (const auto& [entry, load] : instance.others) {
+    total.running += load.running;
+    total.unread_tokens += load.unread_tokens;
+    total.held_tokens += load.held_tokens;
+  }
+  return total;
+}
+
+std::uint32_t Placer::MissingTokens(const Instance& instance,
+                                    const PlacementRequest& request) const {
+  std::uint32_t kept = 0;
+  for (const PromptPart& part : request.prompt) {
+    if (instance.parts.count(part.id) == 0) {
+      break;
+    }
+    kept += part.tokens;
+  }
+  return request.prompt_tokens - std::min(kept, request.prompt_tokens);
+}
+
+bool Placer::Full(const Instance& instance, const Service& service) const {
+  const UpstreamLoad total = TotalLoad(instance);
+  const std::uint32_t slots = std::max(instance.record.slots, 1U);
+  if (!service.declared.engine) {
+    return total.running >= slots + kServiceBacklog;
+  }
+  return total.running >= slots;
+}
+
+double Placer::Score(const Instance& instance, const Service& service,
+                     const PlacementRequest& request, std::uint64_t key,
+                     TimePoint /*now*/) const {
+  const UpstreamLoad total = TotalLoad(instance);
+  const bool far = instance.record.failure_domain != own_domain_;
+  const std::uint64_t node = StableHash(instance.record.id.str());
+  // 0 for the first choice of the prompt's hash, up to 1 for the last.
+  const double rank = 1.0 - static_cast<double>(RendezvousWeight(key, node)) /
+                                static_cast<double>(
+                                    std::numeric_limits<std::uint64_t>::max());
+  if (!service.declared.engine) {
+    const double slots = std::max(instance.record.slots, 1U);
+    constexpr double kHopLoad = 0.5;
+    return total.running / slots + (far ? kHopLoad : 0.0) + rank / slots;
+  }
+  return static_cast<double>(total.unread_tokens) +
+         MissingTokens(instance, request) +
+         kTokensPerRunning * total.running + (far ? kTokensPerDomainHop : 0.0) +
+         kTokensPerRank * rank;
+}
+
+std::optional<UpstreamId> Placer::Choose(const PlacementRequest& request,
+                                         const std::set<UpstreamId>& excluded,
+                                         TimePoint now) const {
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return std::nullopt;
+  }
+  const std::uint64_t key = PrefixKey(request);
+  const Instance* best = nullptr;
+  double best_score = 0;
+  for (const UpstreamId& id : service->second.instances) {
+    const Instance& instance = instances_.at(id);
+    if (excluded.count(id) > 0 || !Usable(instance, now) ||
+        Full(instance, service->second)) {
+      continue;
+    }
+    constexpr double kSilencePenalty = 1e7;
+    const double score =
+        Score(instance, service->second, request, key, now) +
+        (instance.record.silent ? kSilencePenalty : 0.0);
+    if (best == nullptr || score < best_score) {
+      best = &instance;
+      best_score = score;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->record.id);
+}
+
+bool Placer::HasUpstream(const ServiceName& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && !found->second.instances.empty();
+}
+
+bool Placer::HasOther(const ServiceName& service,
+                      const std::set<UpstreamId>& excluded) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::any_of(found->second.instances.begin(),
+                     found->second.instances.end(),
+                     [&](const UpstreamId& id) {
+                       return excluded.count(id) == 0;
+                     });
+}
+
+PlacementCharge Placer::Sent(const UpstreamId& id,
+                             const PlacementRequest& request, TimePoint now) {
+  const auto found = instances_.find(id);
+  if (found == instances_.end()) {
+    return {};
+  }
+  Instance& instance = found->second;
+  const PlacementCharge charge{
+      MissingTokens(instance, request),
+      std::uint64_t{request.prompt_tokens} + request.max_output_tokens};
+  ++instance.own.running;
+  instance.own.unread_tokens += charge.unread_tokens;
+  instance.own.held_tokens += charge.held_tokens;
+  if (instance.parts.size() > kMaxParts) {
+    instance.parts.clear();
+  }
+  for (const PromptPart& part : request.prompt) {
+    instance.parts[part.id] = now;
+  }
+  return charge;
+}
+
+void Placer::PromptRead(const UpstreamId& id, PlacementCharge* charge) {
+  const auto found = instances_.find(id);
+  if (found != instances_.end()) {
+    UpstreamLoad& own = found->second.own;
+    own.unread_tokens -= std::min(own.unread_tokens, charge->unread_tokens);
+  }
+  charge->unread_tokens = 0;
+}
+
+void Placer::Finished(const UpstreamId& id, const PlacementCharge& charge) {
+  const auto found = instances_.find(id);
+  if (found == instances_.end()) {
+    return;
+  }
+  UpstreamLoad& own = found->second.own;
+  own.running -= std::min(own.running, 1U);
+  own.held_tokens -= std::min(own.held_tokens, charge.held_tokens);
+  own.unread_tokens -= std::min(own.unread_tokens, charge.unread_tokens);
+  if (own.running == 0) {
+    own = UpstreamLoad();
+  }
+}
+
+void Placer::Failed(const UpstreamId& id, bool unreachable, TimePoint now) {
+  const auto found = instances_.find(id);
+  if (found == instances_.end()) {
+    return;
+  }
+  Instance& instance = found->second;
+  if (!unreachable) {
+    instance.avoid_until = std::max(instance.avoid_until, now + kFullAvoidance);
+    return;
+  }
+  const std::uint32_t doublings = std::min(instance.failures, kMaxDoublings);
+  ++instance.failures;
+  instance.avoid_until = now + kFirstAvoidance * (1U << doublings);
+  instance.parts.clear();
+}
+
+void Placer::Answered(const UpstreamId& id) {
+  const auto found = instances_.find(id);
+  if (found != instances_.end()) {
+    found->second.failures = 0;
+  }
+}
+
+std::uint32_t Placer::ConnectionShare(const UpstreamId& id) const {
+  const auto found = instances_.find(id);
+  if (found == instances_.end()) {
+    return 0;
+  }
+  const auto service = services_.find(found->second.record.service);
+  if (service == services_.end()) {
+    return 0;
+  }
+  const std::uint32_t all = service->second.declared.max_connections;
+  return std::max(kMinConnections,
+                  all / static_cast<std::uint32_t>(entries_));
+}
+
+EntryLoad Placer::OwnLoad(const ProcessId& self) const {
+  EntryLoad load;
+  load.entry = self;
+  for (const auto& [id, instance] : instances_) {
+    if (instance.own.running > 0) {
+      load.upstreams[id] = instance.own;
+    }
+  }
+  return load;
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/policy/retry_allowance.cc
@@ -0,0 +1,40 @@
+#include "rattanward/policy/retry_allowance.h"
+
+#include <algorithm>
+
+namespace rattanward::policy {
+namespace {
+
+/// Share of the declared limits that is used: entries may come and go within
+/// a window, and each of them takes its part of the fixed allowance.
+constexpr double kUsedShare = 0.5;
+
+}  // namespace
+
+void RetryAllowance::NoteRequest(TimePoint now) {
+  Expire(&requests_, now - limits_.window);
+  requests_.push_back(now);
+}
+
+bool RetryAllowance::TryTake(std::size_t entries, TimePoint now) {
+  Expire(&requests_, now - limits_.window);
+  Expire(&repeats_, now - limits_.window);
+  const double fixed =
+      limits_.fixed / static_cast<double>(std::max<std::size_t>(entries, 1));
+  const double allowed =
+      kUsedShare *
+      (limits_.ratio * static_cast<double>(requests_.size()) + fixed);
+  if (static_cast<double>(repeats_.size()) + 1 > std::max(allowed, 1.0)) {
+    return false;
+  }
+  repeats_.push_back(now);
+  return true;
+}
+
+void RetryAllowance::Expire(std::deque<TimePoint>* times, TimePoint before) {
+  while (!times->empty() && times->front() < before) {
+    times->pop_front();
+  }
+}
+
+}  // namespace rattanward::policy
--- /dev/null
+++ b/src/proxy/control_link.cc
@@ -0,0 +1,145 @@
+#include "rattanward/proxy/control_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rattanward/adapter/asio_timer_service.h"
+
+namespace rattanward::proxy {
+namespace {
+
+using adapter::MonotonicNow;
+
+constexpr Duration kAnswerTimeout{std::chrono::milliseconds(1200)};
+constexpr std::size_t kMaxControls = 32;
+/// Crashes told in one report; each is repeated in later ones.
+constexpr std::size_t kMaxWitnesses = 64;
+
+}  // namespace
+
+ControlLink::ControlLink(asio::io_context& io,
+                         adapter::TransportOptions options,
+                         protocol::EntryReport self, ControlLinkHooks hooks)
+    : io_(io),
+      options_(std::move(options)),
+      self_(std::move(self)),
+      hooks_(std::move(hooks)) {}
+
+void ControlLink::Contact(const Endpoint& endpoint) {
+  if (endpoint.port == 0 || controls_.count(endpoint) > 0 ||
+      controls_.size() >= kMaxControls) {
+    return;
+  }
+  Control& control = controls_[endpoint];
+  control.client = std::make_unique<adapter::PeerClient>(
+      io_, options_, endpoint,
+      [this, endpoint](const protocol::Envelope& envelope) {
+        TakePush(endpoint, envelope);
+      },
+      [this, endpoint](const ProcessId&) {
+        Control& connected = controls_[endpoint];
+        connected.push_heeded = 0;
+        ReportTo(endpoint, connected);
+      });
+  control.client->Start();
+}
+
+void ControlLink::AddWitness(const protocol::CrashWitness& witness) {
+  if (std::find(witnesses_.begin(), witnesses_.end(), witness) !=
+      witnesses_.end()) {
+    return;
+  }
+  witnesses_.push_back(witness);
+  if (witnesses_.size() > kMaxWitnesses) {
+    witnesses_.erase(witnesses_.begin());
+  }
+}
+
+void ControlLink::Report() {
+  for (auto& [endpoint, control] : controls_) {
+    ReportTo(endpoint, control);
+  }
+}
+
+void ControlLink::ReportTo(const Endpoint& /*endpoint*/, Control& control) {
+  if (!control.client->connected()) {
+    return;
+  }
+  ++self_.sequence;
+  protocol::EntryReport report = self_;
+  report.push_heeded = control.push_heeded;
+  report.witnesses = witnesses_;
+  protocol::Envelope envelope;
+  envelope.kind = protocol::MessageKind::kEntryReport;
+  envelope.body = protocol::Encode(report);
+  const TimePoint sent = MonotonicNow();
+  control.client->Call(std::move(envelope), kAnswerTimeout,
+                       [this, sent](const Result<protocol::Envelope>& answer) {
+                         if (answer) {
+                           TakeReport(sent, answer.value());
+                         }
+                       });
+}
+
+void ControlLink::TakeReport(TimePoint sent,
+                             const protocol::Envelope& envelope) {
+  const auto report = protocol::Decode<protocol::ControlReport>(envelope.body);
+  if (!report) {
+    return;
+  }
+  for (const Endpoint& endpoint : report.value().control) {
+    Contact(endpoint);
+  }
+  if (report.value().leader) {
+    hooks_.confirmed(sent, report.value().committed);
+    hooks_.entries(report.value().entries);
+  }
+}
+
+void ControlLink::TakePush(const Endpoint& endpoint,
+                           const protocol::Envelope& envelope) {
+  switch (envelope.kind) {
+    case protocol::MessageKind::kRoutingPush: {
+      const auto push = protocol::Decode<protocol::RoutingPush>(envelope.body);
+      if (push) {
+        hooks_.routing(push.value());
+        Report();
+      }
+      break;
+    }
+    case protocol::MessageKind::kInstancePush: {
+      const auto push = protocol::Decode<protocol::InstancePush>(envelope.body);
+      if (push) {
+        hooks_.instances(push.value().records);
+        Control& control = controls_[endpoint];
+        control.push_heeded = std::max(control.push_heeded, push.value().number);
+        ReportTo(endpoint, control);
+      }
+      break;
+    }
+    case protocol::MessageKind::kCrashesTold: {
+      const auto told = protocol::Decode<protocol::CrashesTold>(envelope.body);
+      if (told) {
+        hooks_.crashes(told.value().witnesses);
+      }
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+std::size_t ControlLink::connected() const {
+  return static_cast<std::size_t>(
+      std::count_if(controls_.begin(), controls_.end(), [](const auto& item) {
+        return item.second.client->connected();
+      }));
+}
+
+void ControlLink::Stop() {
+  for (auto& [endpoint, control] : controls_) {
+    control.client->Stop();
+  }
+}
+
+}  // namespace rattanward::proxy
--- /dev/null
+++ b/src/proxy/entry_node.cc
@@ -0,0 +1,194 @@
+#include "rattanward/proxy/entry_node.h"
+
+#include <chrono>
+#include <utility>
+
+namespace rattanward::proxy {
+namespace {
+
+using adapter::MonotonicNow;
+
+constexpr Duration kReportPeriod{std::chrono::milliseconds(400)};
+constexpr Duration kLoadPeriod{std::chrono::milliseconds(100)};
+constexpr Duration kStopCheckPeriod{std::chrono::milliseconds(100)};
+/// The balancer asks once a second and needs two misses.
+constexpr Duration kBalancerNotices{std::chrono::milliseconds(3300)};
+/// Kept free before the end of the grace time.
+constexpr Duration kStopMargin{std::chrono::milliseconds(400)};
+constexpr std::size_t kReadyConnections = 64;
+constexpr std::size_t kReadyBodyBytes = 64U << 10U;
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+
+std::uint64_t Incarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          MonotonicNow().time_since_epoch())
+          .count());
+}
+
+adapter::TransportOptions Transport(const EntryNodeOptions& options,
+                                    const port::EventSink& events) {
+  adapter::TransportOptions transport;
+  transport.self = options.proxy.process;
+  transport.secret = options.secret;
+  transport.events = events;
+  return transport;
+}
+
+protocol::EntryReport Self(const EntryNodeOptions& options) {
+  protocol::EntryReport report;
+  report.process = options.proxy.process;
+  report.failure_domain = options.proxy.failure_domain;
+  report.incarnation = Incarnation();
+  report.peer_endpoint = options.peer_listen;
+  return report;
+}
+
+}  // namespace
+
+EntryNode::EntryNode(asio::io_context& io, EntryNodeOptions options,
+                     const Dialect& dialect, port::EventSink events)
+    : options_(std::move(options)),
+      events_(std::move(events)),
+      timers_(io),
+      proxy_(io, options_.proxy, dialect,
+             {[this](const protocol::CrashWitness& witness) {
+                link_.AddWitness(witness);
+                link_.Report();
+              },
+              events_}),
+      link_(io, Transport(options_, events_), Self(options_), LinkHooks()),
+      loads_(io, options_.secret,
+             [this](const policy::EntryLoad& load) { proxy_.TakeLoad(load); }),
+      ready_server_(
+          io, {kReadyConnections, kReadyBodyBytes},
+          [this](const std::shared_ptr<http::ServerConnection>& connection,
+                 const http::ServerRequest& request) {
+            AnswerReady(connection, request);
+          }) {}
+
+ControlLinkHooks EntryNode::LinkHooks() {
+  ControlLinkHooks hooks;
+  hooks.routing = [this](const protocol::RoutingPush& push) {
+    TakeRouting(push);
+  };
+  hooks.instances =
+      [this](const std::vector<membership::InstanceRecord>& records) {
+        proxy_.TakeInstances(records);
+      };
+  hooks.crashes =
+      [this](const std::vector<protocol::CrashWitness>& witnesses) {
+        proxy_.TakeCrashes(witnesses);
+      };
+  hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
+    proxy_.Confirm(sent, committed);
+  };
+  hooks.entries = [this](const std::vector<protocol::EntryPeer>& entries) {
+    TakeEntries(entries);
+  };
+  hooks.events = events_;
+  return hooks;
+}
+
+Status EntryNode::Start() {
+  Status started = proxy_.Start();
+  if (started) {
+    started = ready_server_.Listen(options_.ready);
+  }
+  if (started) {
+    started = loads_.Start(options_.peer_listen);
+  }
+  if (!started) {
+    return started;
+  }
+  for (const Endpoint& endpoint : options_.control) {
+    link_.Contact(endpoint);
+  }
+  timers_.Every(kReportPeriod, [this](TimePoint) { link_.Report(); });
+  timers_.Every(kLoadPeriod,
+                [this](TimePoint) { loads_.Tell(proxy_.OwnLoad()); });
+  return outcome::success();
+}
+
+void EntryNode::TakeRouting(const protocol::RoutingPush& push) {
+  if (push.version <= proxy_.routing_version()) {
+    return;
+  }
+  auto declaration = options_.decode_routing(push.text);
+  if (!declaration) {
+    events_({EventId::kSettingsRejected,
+             {{"routes", std::to_string(push.version.value)},
+              {"reason", declaration.error().message}}});
+    return;
+  }
+  proxy_.SetRouting(
+      std::make_shared<const RoutingTable>(std::move(declaration.value())));
+  link_.SetRouting(proxy_.routing_version());
+}
+
+void EntryNode::TakeEntries(const std::vector<protocol::EntryPeer>& entries) {
+  std::set<Endpoint> peers;
+  std::size_t near = 0;
+  for (const protocol::EntryPeer& entry : entries) {
+    if (entry.failure_domain != options_.proxy.failure_domain) {
+      continue;
+    }
+    ++near;
+    if (entry.endpoint != options_.peer_listen && entry.endpoint.port != 0) {
+      peers.insert(entry.endpoint);
+    }
+  }
+  loads_.SetPeers(peers);
+  proxy_.SetEntries(entries.size(), near);
+}
+
+void EntryNode::AnswerReady(
+    const std::shared_ptr<http::ServerConnection>& connection,
+    const http::ServerRequest& request) {
+  http::ResponseHead head;
+  if (request.head.target != options_.ready_path) {
+    head.status = kNotFound;
+    connection->Respond(std::move(head), "");
+    return;
+  }
+  const bool ready = proxy_.Ready();
+  if (ready != was_ready_) {
+    was_ready_ = ready;
+    events_({ready ? EventId::kProcessReady : EventId::kEntryIsolated,
+             {{"routes", std::to_string(proxy_.routing_version().value)},
+              {"controls", std::to_string(link_.connected())},
+              {"upstreams", std::to_string(proxy_.upstreams())}}});
+  }
+  head.status = ready ? kOk : kUnavailable;
+  connection->Respond(std::move(head), "");
+}
+
+void EntryNode::Shutdown(std::function<void()> done) {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = std::move(done);
+  stop_ordered_ = MonotonicNow();
+  events_({EventId::kShutdownStarted,
+           {{"open", std::to_string(proxy_.open_requests())}}});
+  proxy_.BeginShutdown();
+  timers_.Every(kStopCheckPeriod, [this](TimePoint) { CheckStopped(); });
+}
+
+void EntryNode::CheckStopped() {
+  const Duration since = MonotonicNow() - stop_ordered_;
+  if (since >= kBalancerNotices && !closed_idle_) {
+    closed_idle_ = true;
+    proxy_.CloseIdle();
+  }
+  const bool all_done = closed_idle_ && proxy_.idle() &&
+                        proxy_.connections() == 0;
+  if (all_done || since >= options_.grace - kStopMargin) {
+    timers_.Stop();
+    stopped_();
+  }
+}
+
+}  // namespace rattanward::proxy
--- /dev/null
+++ b/src/proxy/event_splitter.cc
@@ -0,0 +1,67 @@
+#include "rattanward/proxy/event_splitter.h"
+
+#include <utility>
+
+namespace rattanward::proxy {
+namespace {
+
+/// One past the end of the last whole event; 0 if there is none.
+std::size_t EndOfLastEvent(std::string_view text) {
+  for (std::size_t i = text.size(); i-- > 1;) {
+    if (text[i] != '\n') {
+      continue;
+    }
+    const bool blank = text[i - 1] == '\n' ||
+                       (i >= 2 && text[i - 1] == '\r' && text[i - 2] == '\n');
+    if (blank) {
+      return i + 1;
+    }
+  }
+  return 0;
+}
+
+std::string_view NextLine(std::string_view* text) {
+  const std::size_t end = text->find('\n');
+  std::string_view line = text->substr(0, end);
+  text->remove_prefix(end == std::string_view::npos ? text->size() : end + 1);
+  if (!line.empty() && line.back() == '\r') {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+}  // namespace
+
+std::string EventSplitter::Take(std::string_view bytes) {
+  rest_ += bytes;
+  const std::size_t end = EndOfLastEvent(rest_);
+  std::string whole = rest_.substr(0, end);
+  rest_.erase(0, end);
+  NoteEvents(whole);
+  return whole;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(rest_, std::string());
+}
+
+void EventSplitter::NoteEvents(std::string_view events) {
+  constexpr std::string_view kId = "id:";
+  while (!events.empty()) {
+    std::string_view line = NextLine(&events);
+    if (line.empty()) {
+      ++events_;
+      continue;
+    }
+    if (line.substr(0, kId.size()) != kId) {
+      continue;
+    }
+    line.remove_prefix(kId.size());
+    if (!line.empty() && line.front() == ' ') {
+      line.remove_prefix(1);
+    }
+    last_id_ = std::string(line);
+  }
+}
+
+}  // namespace rattanward::proxy
--- /dev/null
+++ b/src/proxy/load_exchange.cc
@@ -0,0 +1,105 @@
+#include "rattanward/proxy/load_exchange.h"
+
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <asio/buffer.hpp>
+#include <utility>
+
+#include "rattanward/protocol/load_messages.h"
+
+namespace rattanward::proxy {
+namespace {
+
+using asio::ip::udp;
+
+constexpr std::size_t kDigestBytes = 16;
+
+/// The first half of an HMAC-SHA256.
+std::string Digest(const std::string& secret, std::string_view text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &size);
+  return std::string(reinterpret_cast<const char*>(digest.data()),
+                     kDigestBytes);
+}
+
+}  // namespace
+
+LoadExchange::LoadExchange(asio::io_context& io, std::string secret,
+                           Taker taker)
+    : socket_(io), secret_(std::move(secret)), taker_(std::move(taker)) {}
+
+Status LoadExchange::Start(const Endpoint& endpoint) {
+  asio::error_code e;
+  const auto address = asio::ip::make_address(endpoint.address, e);
+  const udp::endpoint local(address, endpoint.port);
+  if (!e) {
+    socket_.open(local.protocol(), e);
+  }
+  if (!e) {
+    socket_.bind(local, e);
+  }
+  if (!e) {
+    socket_.non_blocking(true, e);
+  }
+  if (e) {
+    return MakeError(ErrorCode::kDisconnected,
+                     ToString(endpoint) + ": " + e.message());
+  }
+  Receive();
+  return outcome::success();
+}
+
+void LoadExchange::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buffer_), sender_,
+      [this](const asio::error_code& e, std::size_t count) {
+        if (e == asio::error::operation_aborted) {
+          return;
+        }
+        if (!e) {
+          TakeDatagram(std::string_view(buffer_.data(), count));
+        }
+        Receive();
+      });
+}
+
+void LoadExchange::TakeDatagram(std::string_view datagram) {
+  if (datagram.size() <= kDigestBytes) {
+    ++refused_;
+    return;
+  }
+  const std::string_view body = datagram.substr(kDigestBytes);
+  if (Digest(secret_, body) != datagram.substr(0, kDigestBytes)) {
+    ++refused_;
+    return;
+  }
+  const auto told = protocol::Decode<protocol::LoadTold>(body);
+  if (!told) {
+    ++refused_;
+    return;
+  }
+  taker_(protocol::ToEntryLoad(told.value()));
+}
+
+void LoadExchange::Tell(const policy::EntryLoad& load) {
+  const bool empty = load.upstreams.empty();
+  if (peers_.empty() || (empty && told_empty_)) {
+    return;
+  }
+  told_empty_ = empty;
+  const std::string body = protocol::Encode(protocol::ToMessage(load));
+  const std::string datagram = Digest(secret_, body) + body;
+  for (const Endpoint& peer : peers_) {
+    asio::error_code e;
+    const udp::endpoint to(asio::ip::make_address(peer.address, e), peer.port);
+    if (!e) {
+      socket_.send_to(asio::buffer(datagram), to, 0, e);
+    }
+  }
+}
+
+}  // namespace rattanward::proxy
