Recover sooner after all control is lost, and say when to come again

Callers refused meanwhile were told 0.3 s and came again too soon, once. Bytes between failure domains: load datagrams each 32 ms and hellos each 300 ms. Ruled out: entries slow to connect (routes arrived 20 ms after the election).

--- a/include/rattanward/control/member_keeper.h
+++ b/include/rattanward/control/member_keeper.h
@@ -23,7 +23,7 @@
   /// Voters that bear the losses that the deployment must bear.
   std::size_t wanted_voters = 3;
   /// A hello this old no longer shows that its sender runs.
-  Duration fresh{std::chrono::milliseconds(1500)};
+  Duration fresh{std::chrono::milliseconds(2500)};
   /// A voter beyond the wanted number that was silent this long is removed.
   Duration lost_after{std::chrono::milliseconds(3000)};
 };
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -26,7 +26,7 @@
   /// Longest wait for entries to heed that an upstream leaves.
   Duration leave_wait{std::chrono::milliseconds(500)};
   /// An entry that did not report for this long is not waited for.
-  Duration entry_silence{std::chrono::milliseconds(1200)};
+  Duration entry_silence{std::chrono::milliseconds(1500)};
   /// Voters without which no routes are acknowledged.
   std::size_t wanted_voters = 3;
 };
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,15 +20,16 @@
 /// @note All calls are on the io_context's thread.
 class VoterDirectory {
  public:
+  /// @param hello What this control VM says of itself now.
   VoterDirectory(asio::io_context& io, adapter::TransportOptions options,
-                 Endpoint self);
+                 Endpoint self, std::function<protocol::VoterHello()> hello);
 
   /// @brief Keeps a connection to this endpoint; ignored for the own one.
   void Contact(const Endpoint& endpoint);
 
-  /// @brief Says hello at every known endpoint.
-  /// @param self What this control VM says of itself.
-  void SayHello(const protocol::VoterHello& self);
+  /// @brief Says hello at every known endpoint; a new connection starts with
+  /// one by itself.
+  void SayHello();
 
   /// @brief Takes a hello, as a call or an answer.
   void Heard(const protocol::VoterHello& hello);
@@ -58,9 +60,12 @@
   void Stop();
 
  private:
+  void SayHelloTo(adapter::PeerClient& client, const std::string& body);
+
   asio::io_context& io_;
   adapter::TransportOptions options_;
   Endpoint self_;
+  std::function<protocol::VoterHello()> hello_;
   std::map<Endpoint, std::unique_ptr<adapter::PeerClient>> clients_;
   std::map<Endpoint, protocol::VoterHello> heard_;
   std::map<Endpoint, TimePoint> heard_at_;
--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -68,6 +68,9 @@
   http::Server ready_server_;
   std::function<void()> stopped_;
   TimePoint stop_ordered_;
+  std::set<Endpoint> near_peers_;
+  std::set<Endpoint> far_peers_;
+  std::uint32_t load_turn_ = 0;
   Duration load_period_{std::chrono::milliseconds(100)};
   bool closed_idle_ = false;
   bool was_ready_ = false;
--- a/include/rattanward/proxy/load_exchange.h
+++ b/include/rattanward/proxy/load_exchange.h
@@ -26,11 +26,8 @@
   /// Errors: kDisconnected.
   Status Start(const Endpoint& endpoint);
 
-  /// @brief Entries that are told.
-  void SetPeers(const std::set<Endpoint>& peers) { peers_ = peers; }
-
-  /// @brief Sends a load, unless it and the one before it are empty.
-  void Tell(const policy::EntryLoad& load);
+  /// @brief Sends a load to some entries.
+  void Tell(const policy::EntryLoad& load, const std::set<Endpoint>& peers);
 
   std::uint64_t refused() const { return refused_; }
 
@@ -41,11 +38,9 @@
   asio::ip::udp::socket socket_;
   std::string secret_;
   Taker taker_;
-  std::set<Endpoint> peers_;
   std::array<char, 16U << 10U> buffer_{};
   asio::ip::udp::endpoint sender_;
   std::uint64_t refused_ = 0;
-  bool told_empty_ = false;
 };
 
 }  // namespace rattanward::proxy
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -103,8 +103,8 @@
 
   /// @brief Stops being ready; answers close their connections from now on.
   void BeginShutdown();
-  /// @brief Closes idle connections.
-  void CloseIdle() { server_.CloseAfterAnswers(); }
+  /// @brief Closes idle connections, and refuses what still comes on others.
+  void CloseIdle();
   bool idle() const { return exchanges_.empty(); }
 
   ConfigVersion routing_version() const;
@@ -141,7 +141,8 @@
                  http::ServerRequest request);
   Result<RoutedRequest> Routed(
       const std::shared_ptr<http::ServerConnection>& caller,
-      http::ServerRequest request);
+      const RequestTraits& traits, http::ServerRequest request);
+  Duration AdviceFor(const Error& error, const RequestTraits& traits) const;
   Error Denied(ErrorCode code, std::string message) const;
   bool IsCrasher(std::uint64_t fingerprint) const;
   void ScheduleDrain();
@@ -173,6 +174,7 @@
   ProxyCounters counters_;
   bool ever_confirmed_ = false;
   bool stopping_ = false;
+  bool refusing_ = false;
   bool drain_scheduled_ = false;
 };
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -11,13 +11,16 @@
 namespace {
 
 constexpr Duration kTick{std::chrono::milliseconds(20)};
-constexpr Duration kHelloPeriod{std::chrono::milliseconds(300)};
+constexpr Duration kHelloPeriod{std::chrono::milliseconds(1000)};
 constexpr Duration kKeeperPeriod{std::chrono::milliseconds(100)};
 /// Idle time between two marks that move log time on.
 constexpr Duration kTimeMarkPeriod{std::chrono::seconds(60)};
 
 consensus::NodeOptions MakeNodeOptions() {
   consensus::NodeOptions options;
+  options.heartbeat = std::chrono::milliseconds(80);
+  options.election_timeout = std::chrono::milliseconds(500);
+  options.lease = std::chrono::milliseconds(350);
   options.seed = std::random_device()();
   return options;
 }
@@ -46,7 +49,7 @@
       events_(std::move(events)),
       transport_(MakeTransport(settings_, secret, events_, std::move(clock))),
       timers_(io),
-      voters_(io, transport_, settings_.peer_listen),
+      voters_(io, transport_, settings_.peer_listen, [this] { return Hello(); }),
       replica_(io, std::move(storage), MakeNodeOptions(), Hooks()),
       entries_(
           replica_, events_,
@@ -89,7 +92,7 @@
     entries_.UpdateLeadership();
     replica_.Tick();
   });
-  timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(Hello()); });
+  timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SayHello(); });
   if (settings_.wanted_voters > 0) {
     timers_.Every(kKeeperPeriod, [this](TimePoint) { KeepMembers(); });
   }
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -110,6 +110,9 @@
        daemon_.replica().node().membership().members) {
     report.control.push_back(member.endpoint);
   }
+  if (!report.leader) {
+    return report;
+  }
   const TimePoint alive_since = MonotonicNow() - 2 * options_.entry_silence;
   for (const auto& [process, other] : entries_) {
     if (other.heard >= alive_since) {
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -13,39 +13,52 @@
 }  // namespace
 
 VoterDirectory::VoterDirectory(asio::io_context& io,
-                               adapter::TransportOptions options, Endpoint self)
-    : io_(io), options_(std::move(options)), self_(std::move(self)) {}
+                               adapter::TransportOptions options, Endpoint self,
+                               std::function<protocol::VoterHello()> hello)
+    : io_(io),
+      options_(std::move(options)),
+      self_(std::move(self)),
+      hello_(std::move(hello)) {}
 
 void VoterDirectory::Contact(const Endpoint& endpoint) {
   if (endpoint == self_ || endpoint.port == 0 || clients_.count(endpoint) > 0 ||
       clients_.size() >= kMaxEndpoints) {
     return;
   }
-  auto client = std::make_unique<adapter::PeerClient>(io_, options_, endpoint);
+  auto client = std::make_unique<adapter::PeerClient>(
+      io_, options_, endpoint, adapter::PeerClient::PushHandler(),
+      [this, endpoint](const ProcessId&) {
+        SayHelloTo(*clients_[endpoint], protocol::Encode(hello_()));
+      });
   client->Start();
   clients_[endpoint] = std::move(client);
 }
 
-void VoterDirectory::SayHello(const protocol::VoterHello& self) {
-  const std::string body = protocol::Encode(self);
+void VoterDirectory::SayHello() {
+  const std::string body = protocol::Encode(hello_());
   for (const auto& [endpoint, client] : clients_) {
-    protocol::Envelope envelope;
-    envelope.kind = protocol::MessageKind::kVoterHello;
-    envelope.body = body;
-    client->Call(std::move(envelope), kHelloTimeout,
-                 [this](const Result<protocol::Envelope>& answer) {
-                   if (!answer) {
-                     return;
-                   }
-                   const auto hello = protocol::Decode<protocol::VoterHello>(
-                       answer.value().body);
-                   if (hello) {
-                     Heard(hello.value());
-                   }
-                 });
+    SayHelloTo(*client, body);
   }
 }
 
+void VoterDirectory::SayHelloTo(adapter::PeerClient& client,
+                                const std::string& body) {
+  protocol::Envelope envelope;
+  envelope.kind = protocol::MessageKind::kVoterHello;
+  envelope.body = body;
+  client.Call(std::move(envelope), kHelloTimeout,
+              [this](const Result<protocol::Envelope>& answer) {
+                if (!answer) {
+                  return;
+                }
+                const auto hello = protocol::Decode<protocol::VoterHello>(
+                    answer.value().body);
+                if (hello) {
+                  Heard(hello.value());
+                }
+              });
+}
+
 void VoterDirectory::Heard(const protocol::VoterHello& hello) {
   const bool known = heard_.count(hello.peer_endpoint) > 0;
   if (hello.peer_endpoint == self_ ||
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -11,14 +11,15 @@
 
 constexpr Duration kReportPeriod{std::chrono::milliseconds(400)};
 constexpr Duration kMinLoadPeriod{std::chrono::milliseconds(30)};
-constexpr Duration kLoadPeriodPerPeer{std::chrono::milliseconds(4)};
+constexpr Duration kLoadPeriodPerPeer{std::chrono::milliseconds(10)};
+constexpr std::uint32_t kFarTurns = 4;
 /// Datagrams that tell of the same placement; some are lost.
 constexpr int kPlacedTells = 3;
 constexpr Duration kStopCheckPeriod{std::chrono::milliseconds(100)};
 /// The balancer asks once a second and needs two misses.
-constexpr Duration kBalancerNotices{std::chrono::milliseconds(3300)};
+constexpr Duration kBalancerNotices{std::chrono::milliseconds(2800)};
 /// Kept free before the end of the grace time.
-constexpr Duration kStopMargin{std::chrono::milliseconds(400)};
+constexpr Duration kStopMargin{std::chrono::milliseconds(200)};
 constexpr std::size_t kReadyConnections = 64;
 constexpr std::size_t kReadyBodyBytes = 64U << 10U;
 constexpr int kOk = 200;
@@ -116,8 +117,13 @@
 }
 
 /// With more entries, each tells less often: what one receives stays the same.
+/// Other failure domains are told less often: bytes to them cost more.
 void EntryNode::TellLoad() {
-  loads_.Tell(proxy_.OwnLoad(kPlacedTells * load_period_));
+  loads_.Tell(proxy_.OwnLoad(kPlacedTells * load_period_), near_peers_);
+  if (++load_turn_ % kFarTurns == 0) {
+    loads_.Tell(proxy_.OwnLoad(kPlacedTells * kFarTurns * load_period_),
+                far_peers_);
+  }
   timers_.After(load_period_, [this](TimePoint) { TellLoad(); });
 }
 
@@ -138,18 +144,20 @@
 }
 
 void EntryNode::TakeEntries(const std::vector<protocol::EntryPeer>& entries) {
-  std::set<Endpoint> peers;
+  near_peers_.clear();
+  far_peers_.clear();
   std::size_t near = 0;
   for (const protocol::EntryPeer& entry : entries) {
-    if (entry.failure_domain == options_.proxy.failure_domain) {
-      ++near;
-    }
+    const bool is_near =
+        entry.failure_domain == options_.proxy.failure_domain;
+    near += is_near ? 1 : 0;
     if (entry.endpoint != options_.peer_listen && entry.endpoint.port != 0) {
-      peers.insert(entry.endpoint);
+      (is_near ? near_peers_ : far_peers_).insert(entry.endpoint);
     }
   }
-  loads_.SetPeers(peers);
-  load_period_ = std::max(kMinLoadPeriod, kLoadPeriodPerPeer * static_cast<int>(peers.size()));
+  load_period_ =
+      std::max(kMinLoadPeriod,
+               kLoadPeriodPerPeer * static_cast<int>(near_peers_.size()));
   proxy_.SetEntries(entries.size(), near);
 }
 
--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -85,15 +85,14 @@
   taker_(protocol::ToEntryLoad(told.value()));
 }
 
-void LoadExchange::Tell(const policy::EntryLoad& load) {
-  const bool empty = load.upstreams.empty() && load.placed.empty();
-  if (peers_.empty() || (empty && told_empty_)) {
+void LoadExchange::Tell(const policy::EntryLoad& load,
+                        const std::set<Endpoint>& peers) {
+  if (peers.empty()) {
     return;
   }
-  told_empty_ = empty;
   const std::string body = protocol::Encode(protocol::ToMessage(load));
   const std::string datagram = Digest(secret_, body) + body;
-  for (const Endpoint& peer : peers_) {
+  for (const Endpoint& peer : peers) {
     asio::error_code e;
     const udp::endpoint to(asio::ip::make_address(peer.address, e), peer.port);
     if (!e) {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "rattanward/policy/rendezvous.h"
+#include "rattanward/policy/retry_advice.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -17,7 +18,10 @@
 constexpr Duration kUpkeepPeriod{std::chrono::milliseconds(100)};
 /// Requests wait for a place that nobody gives back here: others may.
 constexpr Duration kRetryAfter{std::chrono::milliseconds(250)};
-constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(300)};
+/// Control elects a leader within about this time.
+constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(1500)};
+constexpr Duration kStoppingRetryAfter{std::chrono::milliseconds(20)};
+constexpr Duration kUnnamedDeadline{std::chrono::seconds(10)};
 constexpr Duration kCrasherRetryAfter{std::chrono::seconds(30)};
 /// Upstreams that one request has crashed before it is not run any more.
 constexpr std::size_t kCrashesToRefuse = 3;
@@ -185,6 +189,11 @@
 
 void Proxy::BeginShutdown() { stopping_ = true; }
 
+void Proxy::CloseIdle() {
+  refusing_ = true;
+  server_.CloseAfterAnswers();
+}
+
 ConfigVersion Proxy::routing_version() const {
   return table_ ? table_->version() : ConfigVersion{};
 }
@@ -196,12 +205,17 @@
     caller->CloseWhenIdle();
   }
   const std::string target = request.head.target;
-  auto routed = Routed(caller, std::move(request));
+  const RequestTraits traits = dialect_.Read(request.head);
+  auto routed = Routed(caller, traits, std::move(request));
   if (!routed) {
     ++counters_.refused;
-    const Error& error = routed.error();
+    Error error = routed.error();
+    if (error.retry_after) {
+      error.retry_after = AdviceFor(error, traits);
+    }
     hooks_.events({EventId::kRequestShed,
-                   {{"error", std::string(ErrorName(error.code))},
+                   {{"request", traits.attempt.str()},
+                    {"error", std::string(ErrorName(error.code))},
                     {"reason", error.message},
                     {"target", target.substr(0, target.find('?'))},
                     {"routes", std::to_string(routing_version().value)}}});
@@ -228,7 +242,12 @@
 
 Result<RoutedRequest> Proxy::Routed(
     const std::shared_ptr<http::ServerConnection>& caller,
-    http::ServerRequest request) {
+    const RequestTraits& traits, http::ServerRequest request) {
+  if (refusing_) {
+    Error error = MakeError(ErrorCode::kShuttingDown, "this entry stops");
+    error.retry_after = kStoppingRetryAfter;
+    return error;
+  }
   if (!table_ || !ever_confirmed_) {
     Error error = MakeError(ErrorCode::kNoConfiguration, "no routes yet");
     error.retry_after = kNoRoutesRetryAfter;
@@ -244,7 +263,7 @@
   if (routed.route == nullptr) {
     return Denied(ErrorCode::kUnknownPath, "no route of this host and path");
   }
-  routed.traits = dialect_.Read(request.head);
+  routed.traits = traits;
   routed.account = table_->FindAccount(routed.traits.key);
   if (routed.account == nullptr && !routed.route->anonymous) {
     return Denied(ErrorCode::kUnknownKey, "unknown key");
@@ -432,8 +451,15 @@
   });
 }
 
-Duration Proxy::RetryAfter(const Exchange& /*exchange*/) const {
-  return kRetryAfter;
+Duration Proxy::RetryAfter(const Exchange& exchange) const {
+  return policy::RetryAdvice(kRetryAfter,
+                             exchange.deadline() - MonotonicNow());
+}
+
+/// What a caller is told whose request was refused before it was routed.
+Duration Proxy::AdviceFor(const Error& error, const RequestTraits& traits) const {
+  const Duration left = traits.deadline.value_or(kUnnamedDeadline);
+  return policy::RetryAdvice(error.retry_after.value_or(kRetryAfter), left);
 }
 
 void Proxy::Log(EventId id, const Exchange& exchange,
