Let a long prompt wait for the engine that keeps its shared part

Change: the choice is made first, then the request waits if it must; idle connections are closed without reading what crosses the close.

--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -151,8 +151,6 @@
   bool to_head_ = false;
   bool chunked_ = false;
   bool old_version_ = false;
-  /// The close was ours, with no request begun.
-  bool closed_idle_ = false;
 };
 
 }  // namespace rattanward::http
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -97,6 +97,9 @@
                                    const std::set<UpstreamId>& excluded,
                                    TimePoint now) const;
 
+  /// @brief Whether no upstream of a service takes any request now.
+  bool AllFull(const ServiceName& service, TimePoint now) const;
+
   /// @brief Whether a service has any upstream that may take requests.
   bool HasUpstream(const ServiceName& service) const;
 
@@ -151,8 +154,9 @@
                      std::uint64_t key, bool kept_elsewhere) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
   bool Holds(const Instance& instance, const PlacementRequest& request) const;
-  bool Full(const Instance& instance, const Service& service,
-            const PlacementRequest& request) const;
+  bool Full(const Instance& instance, const Service& service) const;
+  bool MustWait(const Instance& instance,
+                const PlacementRequest& request) const;
   std::uint32_t MissingTokens(const Instance& instance,
                               const PlacementRequest& request) const;
   void Index();
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -115,6 +115,7 @@
   void DeadlinePassed();
   void TakeStreamBytes(std::string_view piece);
   void StartStream();
+  void NoteEventTimes();
   void FinishStream();
   void AnswerWhole();
   void RefusedThere();
@@ -138,6 +139,8 @@
   TimePoint deadline_;
   TimePoint sent_at_;
   TimePoint first_event_at_;
+  TimePoint last_event_at_;
+  Duration longest_pause_{0};
   std::uint32_t attempts_ = 0;
   std::uint32_t unreachable_ = 0;
   /// Whether any upstream may have begun to run it.
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -52,13 +52,7 @@
     PeerLeft();
     return;
   }
-  if (state_ == State::kLingering) {
-    if (closed_idle_ && !read.bytes.empty()) {
-      // A request that crossed the close: tell its caller at once.
-      Close();
-      return;
-    }
-  } else if (!read.bytes.empty()) {
+  if (state_ != State::kLingering && !read.bytes.empty()) {
     input_.append(read.bytes);
     TakeInput();
   }
@@ -288,9 +282,8 @@
   close_requested_ = true;
   if (state_ == State::kReading && !message_begun_ && input_.empty() &&
       buffered() == 0) {
-    state_ = State::kLingering;
-    closed_idle_ = true;
-    Linger();
+    // What crosses the close is not read: its caller may send it elsewhere.
+    Close();
   }
 }
 
@@ -367,9 +360,7 @@
     return;
   }
   if (state_ == State::kReading && !writing_) {
-    state_ = State::kLingering;
-    closed_idle_ = true;
-    Linger();
+    Close();
     return;
   }
   PeerLeft();
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -26,7 +26,7 @@
 /// A prompt with more tokens to read than this waits at the entry while an
 /// engine has more than kLongBacklog unread, so that short ones get through.
 constexpr std::uint32_t kLongPrompt = 3000;
-constexpr std::uint64_t kLongBacklog = 20000;
+constexpr std::uint64_t kLongBacklog = 10000;
 /// Load of an entry that did not report for this long is not counted.
 constexpr Duration kLoadExpiry{std::chrono::milliseconds(1500)};
 /// Avoidance of an upstream after a failure; doubles with each one more.
@@ -161,16 +161,21 @@
   return request.prompt_tokens - std::min(kept, request.prompt_tokens);
 }
 
-bool Placer::Full(const Instance& instance, const Service& service,
-                  const PlacementRequest& request) const {
+bool Placer::Full(const Instance& instance, const Service& service) const {
   const UpstreamLoad total = TotalLoad(instance);
   const std::uint32_t slots = std::max(instance.record.slots, 1U);
   if (!service.declared.engine) {
     return total.running >= slots + kServiceBacklog;
   }
-  const bool must_wait = total.unread_tokens > kLongBacklog &&
-                         MissingTokens(instance, request) > kLongPrompt;
-  return must_wait || total.running >= slots;
+  return total.running >= slots;
+}
+
+/// Whether a long prompt should wait for its engine at the entry: on another
+/// one it would be read again, and here short ones still get past it.
+bool Placer::MustWait(const Instance& instance,
+                      const PlacementRequest& request) const {
+  return TotalLoad(instance).unread_tokens > kLongBacklog &&
+         MissingTokens(instance, request) > kLongPrompt;
 }
 
 double Placer::ServiceScore(const Instance& instance,
@@ -231,7 +236,7 @@
   for (const UpstreamId& id : ids) {
     const Instance& instance = instances_.at(id);
     if (excluded.count(id) > 0 || !Usable(instance, now) ||
-        Full(instance, service->second, request)) {
+        Full(instance, service->second)) {
       continue;
     }
     constexpr double kSilencePenalty = 1e7;
@@ -244,7 +249,21 @@
       best_score = score;
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(best->record.id);
+  if (best == nullptr || (engine && MustWait(*best, request))) {
+    return std::nullopt;
+  }
+  return best->record.id;
+}
+
+bool Placer::AllFull(const ServiceName& service, TimePoint now) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ||
+         std::all_of(found->second.instances.begin(),
+                     found->second.instances.end(), [&](const UpstreamId& id) {
+                       const Instance& instance = instances_.at(id);
+                       return !Usable(instance, now) ||
+                              Full(instance, found->second);
+                     });
 }
 
 bool Placer::HasUpstream(const ServiceName& service) const {
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -184,14 +184,22 @@
   if (events.empty()) {
     return;
   }
+  NoteEventTimes();
   StartStream();
   request_.caller->Write(events);
 }
 
-void Exchange::StartStream() {
+void Exchange::NoteEventTimes() {
+  const TimePoint now = MonotonicNow();
   if (first_event_at_ == TimePoint()) {
-    first_event_at_ = MonotonicNow();
+    first_event_at_ = now;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
   }
+  last_event_at_ = now;
+}
+
+void Exchange::StartStream() {
   if (charge_.unread_tokens > 0) {
     owner_.NoteFirstEvent(*this, &charge_);
   }
@@ -231,7 +239,8 @@
       {{"status", std::to_string(answer_.status)},
        {"events", std::to_string(splitter_.events())},
        {"first_event_ms",
-        Milliseconds(first_event_at_ - request_.request.arrived)}});
+        Milliseconds(first_event_at_ - request_.request.arrived)},
+       {"longest_pause_ms", Milliseconds(longest_pause_)}});
 }
 
 void Exchange::AnswerWhole() {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -338,7 +338,7 @@
   const auto upstream = placer_.Choose(exchange->placement(),
                                        exchange->excluded(), MonotonicNow());
   if (!upstream) {
-    if (exchange->excluded().empty()) {
+    if (placer_.AllFull(service, MonotonicNow())) {
       full->insert(service);
     } else if (!placer_.HasOther(service, exchange->excluded())) {
       exchange->Refuse(MakeError(ErrorCode::kNoUpstream,
