Choose homes for new parts by what engines keep already

Change: kept tokens count a tenth in the choice of a home; entries tell each other the tokens of placed parts.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -67,7 +67,7 @@
   ProcessId entry;
   std::map<UpstreamId, UpstreamLoad> upstreams;
   /// Parts of prompts that were lately sent there.
-  std::map<UpstreamId, std::vector<std::uint64_t>> placed;
+  std::map<UpstreamId, std::vector<PromptPart>> placed;
 
   friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
 };
@@ -148,9 +148,11 @@
     UpstreamLoad own;
     std::map<ProcessId, UpstreamLoad> others;
     /// Parts of prompts that were sent there, by any entry that told.
-    std::unordered_map<std::uint64_t, TimePoint> parts;
+    std::set<std::uint64_t> parts;
+    /// Tokens of these parts.
+    std::uint64_t kept_tokens = 0;
     /// The newest of these that this entry sent.
-    std::deque<std::pair<TimePoint, std::uint64_t>> placed;
+    std::deque<std::pair<TimePoint, PromptPart>> placed;
     std::uint32_t failures = 0;
     TimePoint avoid_until;
   };
@@ -161,6 +163,7 @@
                      std::uint64_t key, bool kept_elsewhere) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
   bool Holds(const Instance& instance, const PlacementRequest& request) const;
+  static void Keep(Instance* instance, const PromptPart& part);
   bool Full(const Instance& instance, const Service& service) const;
   bool MustWait(const Instance& instance,
                 const PlacementRequest& request) const;
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -23,7 +23,7 @@
 /// @brief Parts of prompts that an entry lately sent to one upstream.
 struct PartsPlaced {
   UpstreamId upstream;
-  std::vector<std::uint64_t> parts;
+  std::vector<policy::PromptPart> parts;
 
   friend bool operator==(const PartsPlaced&, const PartsPlaced&) = default;
 };
@@ -44,6 +44,11 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::PromptPart> {
+  static auto Tie(auto& m) { return std::tie(m.id, m.tokens); }
+};
+
 template <>
 struct FieldsOf<PartsPlaced> {
   static auto Tie(auto& m) { return std::tie(m.upstream, m.parts); }
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -21,6 +21,9 @@
 /// Preference among upstreams that all lack a prompt, in prompt tokens, by
 /// rendezvous rank: entries that don't know of each other choose alike.
 constexpr double kTokensPerRank = 3000;
+/// Work that a kept token stands for when a home is chosen for a new part:
+/// its requests will come again.
+constexpr double kKeptShare = 0.1;
 /// Parts placed by this entry that are remembered for the others.
 constexpr std::size_t kMaxPlaced = 256;
 /// A prompt with more tokens to read than this waits at the entry while an
@@ -116,9 +119,9 @@
       instance.others[load.entry] = told->second;
     }
     const auto placed = load.placed.find(id);
-    if (placed != load.placed.end() && instance.parts.size() < kMaxParts) {
-      for (const std::uint64_t part : placed->second) {
-        instance.parts[part] = now;
+    if (placed != load.placed.end()) {
+      for (const PromptPart& part : placed->second) {
+        Keep(&instance, part);
       }
     }
   }
@@ -203,7 +206,8 @@
   if (kept_elsewhere) {
     score += (kRereadWeight - 1) * shared_missing;
   } else {
-    score += kTokensPerRank * RendezvousRank(key, instance.record.id);
+    score += kTokensPerRank * RendezvousRank(key, instance.record.id) +
+             kKeptShare * static_cast<double>(instance.kept_tokens);
   }
   return score;
 }
@@ -281,6 +285,16 @@
                      });
 }
 
+void Placer::Keep(Instance* instance, const PromptPart& part) {
+  if (instance->parts.size() >= kMaxParts) {
+    instance->parts.clear();
+    instance->kept_tokens = 0;
+  }
+  if (instance->parts.insert(part.id).second) {
+    instance->kept_tokens += part.tokens;
+  }
+}
+
 PlacementCharge Placer::Sent(const UpstreamId& id,
                              const PlacementRequest& request, TimePoint now) {
   const auto found = instances_.find(id);
@@ -294,13 +308,9 @@
   ++instance.own.running;
   instance.own.unread_tokens += charge.unread_tokens;
   instance.own.held_tokens += charge.held_tokens;
-  if (instance.parts.size() > kMaxParts) {
-    instance.parts.clear();
-  }
   for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-    const std::uint64_t id_of_part = request.prompt[i].id;
-    instance.parts[id_of_part] = now;
-    instance.placed.emplace_back(now, id_of_part);
+    Keep(&instance, request.prompt[i]);
+    instance.placed.emplace_back(now, request.prompt[i]);
   }
   while (instance.placed.size() > kMaxPlaced) {
     instance.placed.pop_front();
@@ -345,6 +355,7 @@
   ++instance.failures;
   instance.avoid_until = now + kFirstAvoidance * (1U << doublings);
   instance.parts.clear();
+  instance.kept_tokens = 0;
 }
 
 void Placer::Answered(const UpstreamId& id) {
