Test the data path, the platform's formats and the directory by fuzzing

Found and mended: a directory that took an address's earlier owner back after the later one had been heard under an id that moved on, or a record of an id whose newer start had been dropped; a farewell that overtook the first heartbeat; an answer of no bytes that counted as complete where its end was asked for; Beast's assertion on the last chunk of an empty body.

--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -105,10 +105,12 @@
     TimePoint heard;
   };
 
-  void RetireOthersAt(const InstanceRecord& record);
+  void NoteAddress(const InstanceRecord& record);
 
   std::map<UpstreamId, Entry> entries_;
   std::vector<UpstreamId> news_;
+  /// Start of the newest instance that registered an address.
+  std::map<Endpoint, std::uint64_t> newest_born_;
 };
 
 }  // namespace rattanward::membership
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -114,6 +114,8 @@
   std::size_t connections() const { return server_.connections(); }
   std::uint64_t upstream_connections_opened() const { return pool_.opened(); }
   std::size_t upstreams() const { return directory_.size(); }
+  /// @brief The bound address of callers.
+  Endpoint endpoint() const { return server_.endpoint(); }
 
   const Dialect& dialect() const override { return dialect_; }
   void Enqueue(const std::shared_ptr<Exchange>& exchange) override;
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -1,5 +1,9 @@
 #include "rattanward/http/parser.h"
 
+// Beast 1.74 asserts that a last chunk has 5 bytes; that of an empty body has 3
+// when its end comes later.
+#define BOOST_DISABLE_ASSERTS
+
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -79,6 +83,9 @@
   }
 
   bool FeedEnd() {
+    if (!this->is_header_done()) {
+      return false;
+    }
     BeastError error;
     this->put_eof(error);
     return !error && this->is_done();
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -1,10 +1,15 @@
 #include "rattanward/membership/instance_directory.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace rattanward::membership {
 namespace {
 
+/// Addresses whose newest owner is remembered.
+constexpr std::size_t kMaxAddresses = 16384;
+
 /// Whether two records tell others the same.
 bool SameNews(const InstanceRecord& a, const InstanceRecord& b) {
   InstanceRecord copy = a;
@@ -16,17 +21,17 @@
 
 InstanceDirectory::Change InstanceDirectory::Merge(const InstanceRecord& record,
                                                    TimePoint now) {
+  NoteAddress(record);
   const auto found = entries_.find(record.id);
   if (found == entries_.end()) {
-    for (const auto& [id, entry] : entries_) {
-      const bool same_place = entry.record.endpoint == record.endpoint;
-      if (same_place && entry.record.stamp.born > record.stamp.born) {
-        return Change::kStale;  // Of a process that ran there before.
-      }
+    Entry& added = entries_[record.id];
+    added = Entry{record, now};
+    if (record.stamp.born < newest_born_[record.endpoint]) {
+      // Of a process that ran there before; kept to know older ones by.
+      added.record.state = InstanceState::kGone;
+      return Change::kStale;
     }
-    entries_[record.id] = Entry{record, now};
     news_.push_back(record.id);
-    RetireOthersAt(record);
     return Change::kNews;
   }
   Entry& entry = found->second;
@@ -49,6 +54,9 @@
   }
   const bool news = !SameNews(known, record);
   entry.record = record;
+  if (record.stamp.born < newest_born_[record.endpoint]) {
+    entry.record.state = InstanceState::kGone;
+  }
   if (!record.silent) {
     entry.heard = now;
   }
@@ -56,7 +64,6 @@
     return Change::kBeat;
   }
   news_.push_back(record.id);
-  RetireOthersAt(record);
   return Change::kNews;
 }
 
@@ -76,14 +83,24 @@
     const UpstreamId& id, std::optional<std::uint64_t> born, TimePoint now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
-    return std::nullopt;
+    if (!born) {
+      return std::nullopt;
+    }
+    // Kept, so that a heartbeat that was overtaken does not bring it back.
+    InstanceRecord unknown;
+    unknown.id = id;
+    unknown.stamp = {*born, std::numeric_limits<std::uint64_t>::max()};
+    unknown.state = InstanceState::kGone;
+    entries_[id] = Entry{unknown, now};
+    news_.push_back(id);
+    return unknown;
   }
   InstanceRecord record = found->second.record;
   if (born && *born < record.stamp.born) {
     return std::nullopt;
   }
-  if (born) {
-    record.stamp.born = *born;
+  if (born && *born > record.stamp.born) {
+    record.stamp = {*born, std::numeric_limits<std::uint64_t>::max()};
   }
   record.state = InstanceState::kGone;
   record.silent = false;
@@ -93,15 +110,21 @@
   return record;
 }
 
-/// An address that a later instance registered has left the earlier one.
-void InstanceDirectory::RetireOthersAt(const InstanceRecord& record) {
-  if (record.state == InstanceState::kGone) {
+/// An address that a later instance registered has left the earlier ones, even
+/// if the later one is known to have moved on since.
+void InstanceDirectory::NoteAddress(const InstanceRecord& record) {
+  if (record.state == InstanceState::kGone || record.endpoint == Endpoint()) {
     return;
   }
+  if (newest_born_.size() >= kMaxAddresses) {
+    newest_born_.clear();
+  }
+  std::uint64_t& newest = newest_born_[record.endpoint];
+  newest = std::max(newest, record.stamp.born);
   for (auto& [id, entry] : entries_) {
-    if (id != record.id && entry.record.endpoint == record.endpoint &&
+    if (entry.record.endpoint == record.endpoint &&
         entry.record.state != InstanceState::kGone &&
-        entry.record.stamp.born <= record.stamp.born) {
+        entry.record.stamp.born < newest) {
       entry.record.state = InstanceState::kGone;
       news_.push_back(id);
     }
--- /dev/null
+++ b/tests/src/fuzz-http.cc
@@ -0,0 +1,172 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "rattanward/http/parser.h"
+#include "rattanward/proxy/event_splitter.h"
+
+namespace rattanward::http {
+namespace {
+
+const ParserLimits kLimits;
+
+/// Cuts a text at random places.
+std::vector<std::string> Pieces(const std::string& text) {
+  std::vector<std::string> pieces;
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const auto count = static_cast<std::size_t>(
+        *rc::gen::inRange<int>(1, 1 + static_cast<int>(text.size() - at)));
+    pieces.push_back(text.substr(at, count));
+    at += count;
+  }
+  return pieces;
+}
+
+std::string DrawBody() {
+  return *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+}
+
+std::string Chunked(const std::string& body) {
+  std::string out;
+  for (const std::string& piece : Pieces(body)) {
+    out += Chunk(piece);
+  }
+  out += kLastChunk;
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("requests are the same however their bytes arrive") {
+  CHECK(rc::check([] {
+    const std::string body = DrawBody();
+    const bool chunked = *rc::gen::arbitrary<bool>();
+    const std::string text =
+        "POST /a/b?c HTTP/1.1\r\nHost: h\r\n" +
+        (chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Chunked(body)
+                 : "Content-Length: " + std::to_string(body.size()) +
+                       "\r\n\r\n" + body);
+    const std::string next = "GET / HTTP/1.1\r\n";
+    RequestParser parser(kLimits);
+    std::string input;
+    std::string got;
+    for (const std::string& piece : Pieces(text + next)) {
+      input += piece;
+      if (parser.done()) {
+        continue;
+      }
+      const auto taken = parser.Feed(input);
+      RC_ASSERT(taken.has_value());
+      input.erase(0, taken.value());
+      got += parser.TakeBody();
+    }
+    RC_ASSERT(parser.done());
+    RC_ASSERT(got == body);
+    RC_ASSERT(input == next);
+    RC_ASSERT(parser.head().target == "/a/b?c");
+    RC_ASSERT(parser.keep_alive());
+  }));
+}
+
+TEST_CASE("an answer that ends early is never complete") {
+  CHECK(rc::check([] {
+    const std::string body = DrawBody() + "x";
+    const bool chunked = *rc::gen::arbitrary<bool>();
+    const std::string text =
+        "HTTP/1.1 200 OK\r\n" +
+        std::string(chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                            : "Content-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n") +
+        (chunked ? Chunked(body) : body);
+    const auto cut = static_cast<std::size_t>(
+        *rc::gen::inRange<int>(0, static_cast<int>(text.size())));
+    ResponseParser parser(kLimits, false);
+    RC_ASSERT(parser.Feed(text.substr(0, cut)).has_value());
+    RC_ASSERT(!parser.done());
+    RC_ASSERT(!parser.FeedEnd());
+  }));
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+  ResponseParser parser(kLimits, false);
+  REQUIRE(parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc").has_value());
+  CHECK_FALSE(parser.done());
+  CHECK(parser.framing() == Framing::kUntilClose);
+  CHECK(parser.FeedEnd());
+  CHECK(parser.TakeBody() == "abc");
+}
+
+TEST_CASE("an answer to HEAD has no body") {
+  ResponseParser parser(kLimits, true);
+  const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+  CHECK(parser.Feed(text + "HTTP").value() == text.size());
+  CHECK(parser.done());
+  CHECK(parser.length() == 9);
+}
+
+TEST_CASE("heads and bodies over the limits are refused by number") {
+  ParserLimits limits;
+  limits.max_header_bytes = 200;
+  limits.max_body_bytes = 10;
+  RequestParser head(limits);
+  const auto large = head.Feed("GET / HTTP/1.1\r\nlong: " +
+                               std::string(500, 'x') + "\r\n");
+  REQUIRE_FALSE(large.has_value());
+  CHECK(large.error().code == ErrorCode::kHeadersTooLarge);
+  RequestParser body(limits);
+  const auto long_body =
+      body.Feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  REQUIRE_FALSE(long_body.has_value());
+  CHECK(long_body.error().code == ErrorCode::kBodyTooLarge);
+}
+
+TEST_CASE("any bytes leave the parser standing") {
+  CHECK(rc::check([](const std::string& bytes) {
+    RequestParser request(kLimits);
+    (void)request.Feed(bytes);
+    ResponseParser response(kLimits, false);
+    (void)response.Feed("HTTP/1.1 200 OK\r\n" + bytes);
+  }));
+}
+
+TEST_CASE("fields of one connection stay on it") {
+  Fields fields;
+  fields.Add("Connection", "close, X-Hop");
+  fields.Add("x-hop", "1");
+  fields.Add("Transfer-Encoding", "chunked");
+  fields.Add("Keep-Alive", "timeout=5");
+  fields.Add("X-End", "2");
+  const Fields kept = EndToEnd(fields);
+  REQUIRE(kept.all().size() == 1);
+  CHECK(kept.all()[0] == Field{"X-End", "2"});
+  CHECK(fields.Lists("connection", "CLOSE"));
+}
+
+TEST_CASE("events are passed on whole, and all bytes in the end") {
+  CHECK(rc::check([] {
+    const int events = *rc::gen::inRange(0, 6);
+    const std::string line_end = *rc::gen::arbitrary<bool>() ? "\n" : "\r\n";
+    std::string text;
+    for (int i = 0; i < events; ++i) {
+      text += "id: " + std::to_string(i) + line_end + "data: " + DrawBody() +
+              line_end + line_end;
+    }
+    const std::string rest = "id: 99" + line_end + "da";
+    proxy::EventSplitter splitter;
+    std::string got;
+    for (const std::string& piece : Pieces(text + rest)) {
+      got += splitter.Take(piece);
+      RC_ASSERT(text.compare(0, got.size(), got) == 0);
+    }
+    RC_ASSERT(got == text);
+    RC_ASSERT(splitter.events() == static_cast<std::uint64_t>(events));
+    RC_ASSERT(splitter.last_id() ==
+              (events == 0 ? "" : std::to_string(events - 1)));
+    RC_ASSERT(splitter.TakeRest() == rest);
+  }));
+}
+
+}  // namespace rattanward::http
--- /dev/null
+++ b/tests/src/fuzz-instance_directory.cc
@@ -0,0 +1,219 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rattanward/membership/instance_directory.h"
+
+namespace rattanward::membership {
+namespace {
+
+constexpr std::uint64_t kLast = std::numeric_limits<std::uint64_t>::max();
+
+/// One call of an upstream: what it said, when it was sent.
+struct Call {
+  int id = 0;
+  std::uint64_t born = 1;
+  std::uint64_t sequence = 1;
+  int address = 0;
+  InstanceState state = InstanceState::kReady;
+};
+
+std::ostream& operator<<(std::ostream& out, const Call& call) {
+  return out << "i" << call.id << " born " << call.born << " seq "
+             << call.sequence << " at " << call.address << " state "
+             << static_cast<int>(call.state);
+}
+
+InstanceRecord ToRecord(const Call& call) {
+  InstanceRecord record;
+  record.id = UpstreamId("i" + std::to_string(call.id));
+  record.stamp = {call.born, call.sequence};
+  record.service = ServiceName("s");
+  record.endpoint = {"10.0.0." + std::to_string(call.address + 1), 80};
+  record.state = call.state;
+  return record;
+}
+
+/// Says which upstreams are ready, from all calls that have arrived, in the
+/// order in which they were sent.
+class Oracle {
+ public:
+  void Arrived(const Call& call) { calls_.push_back(call); }
+
+  std::set<std::string> Ready() const {
+    std::set<std::string> ready;
+    std::map<int, Call> newest;
+    std::set<std::pair<int, std::uint64_t>> gone;
+    std::map<int, std::uint64_t> owner;
+    for (const Call& call : calls_) {
+      if (call.state == InstanceState::kGone) {
+        gone.insert({call.id, call.born});
+      } else {
+        owner[call.address] = std::max(owner[call.address], call.born);
+      }
+      const auto known = newest.find(call.id);
+      if (known == newest.end() ||
+          std::tie(known->second.born, known->second.sequence) <
+              std::tie(call.born, call.sequence)) {
+        newest[call.id] = call;
+      }
+    }
+    for (const auto& [id, call] : newest) {
+      if (call.state == InstanceState::kReady &&
+          gone.count({id, call.born}) == 0 && owner[call.address] == call.born) {
+        ready.insert("i" + std::to_string(id));
+      }
+    }
+    return ready;
+  }
+
+ private:
+  std::vector<Call> calls_;
+};
+
+std::set<std::string> Ready(const InstanceDirectory& directory) {
+  std::set<std::string> ready;
+  for (const InstanceRecord& record : directory.All()) {
+    if (record.state == InstanceState::kReady) {
+      ready.insert(record.id.str());
+    }
+  }
+  return ready;
+}
+
+/// Lives of upstreams: each start has a time of its own, beats, and an end.
+std::vector<Call> DrawCalls() {
+  std::vector<Call> calls;
+  const int starts = *rc::gen::inRange(1, 8);
+  for (int start = 0; start < starts; ++start) {
+    Call call;
+    call.id = *rc::gen::inRange(0, 4);
+    call.address = *rc::gen::inRange(0, 3);
+    call.born = static_cast<std::uint64_t>(start) + 1;
+    const int beats = *rc::gen::inRange(1, 5);
+    for (int beat = 0; beat < beats; ++beat) {
+      call.sequence = static_cast<std::uint64_t>(beat) + 1;
+      calls.push_back(call);
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      call.state = InstanceState::kDraining;
+      ++call.sequence;
+      calls.push_back(call);
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      call.state = InstanceState::kGone;
+      call.sequence = kLast;
+      calls.push_back(call);
+    }
+  }
+  return calls;
+}
+
+void Deliver(InstanceDirectory* directory, const Call& call) {
+  const InstanceRecord record = ToRecord(call);
+  if (call.state == InstanceState::kGone) {
+    directory->Leave(record.id, call.born, TimePoint());
+  } else {
+    directory->Merge(record, TimePoint());
+  }
+}
+
+}  // namespace
+
+TEST_CASE("late, repeated and reordered calls give the same ready upstreams") {
+  CHECK(rc::check([] {
+    std::vector<Call> calls = DrawCalls();
+    // Some twice, and any order.
+    const std::size_t count = calls.size();
+    for (std::size_t i = 0; i < count; ++i) {
+      if (*rc::gen::inRange(0, 4) == 0) {
+        calls.push_back(calls[i]);
+      }
+    }
+    for (std::size_t i = calls.size(); i > 1; --i) {
+      std::swap(calls[i - 1],
+                calls[static_cast<std::size_t>(
+                    *rc::gen::inRange<int>(0, static_cast<int>(i)))]);
+    }
+    InstanceDirectory directory;
+    Oracle oracle;
+    for (const Call& call : calls) {
+      Deliver(&directory, call);
+      oracle.Arrived(call);
+      RC_LOG() << call << "\n";
+      // What stands is never more than the oracle allows.
+      const std::set<std::string> ready = Ready(directory);
+      const std::set<std::string> allowed = oracle.Ready();
+      RC_ASSERT(std::includes(allowed.begin(), allowed.end(), ready.begin(),
+                              ready.end()));
+    }
+    RC_ASSERT(Ready(directory) == oracle.Ready());
+  }));
+}
+
+TEST_CASE("directories that tell each other their news agree") {
+  CHECK(rc::check([] {
+    const std::vector<Call> calls = DrawCalls();
+    InstanceDirectory one;
+    InstanceDirectory two;
+    for (const Call& call : calls) {
+      InstanceDirectory& first = *rc::gen::arbitrary<bool>() ? one : two;
+      Deliver(&first, call);
+      if (*rc::gen::arbitrary<bool>()) {
+        for (const InstanceRecord& record : one.TakeNews()) {
+          two.Merge(record, TimePoint());
+        }
+        for (const InstanceRecord& record : two.TakeNews()) {
+          one.Merge(record, TimePoint());
+        }
+      }
+    }
+    for (const InstanceRecord& record : one.All()) {
+      two.Merge(record, TimePoint());
+    }
+    for (const InstanceRecord& record : two.All()) {
+      one.Merge(record, TimePoint());
+    }
+    RC_ASSERT(Ready(one) == Ready(two));
+  }));
+}
+
+TEST_CASE("silence is told, and ends with the next heartbeat") {
+  InstanceDirectory directory;
+  Call call;
+  directory.Merge(ToRecord(call), TimePoint());
+  directory.TakeNews();
+  const TimePoint later = TimePoint() + std::chrono::seconds(5);
+  CHECK(directory.MarkSilent(later).size() == 1);
+  CHECK(directory.Find(UpstreamId("i0"))->silent);
+  CHECK(directory.TakeNews().size() == 1);
+  CHECK(directory.Beat({UpstreamId("i0"), {1, 2}}, later) ==
+        InstanceDirectory::Change::kNews);
+  CHECK_FALSE(directory.Find(UpstreamId("i0"))->silent);
+  CHECK(directory.Beat({UpstreamId("i0"), {1, 2}}, later) ==
+        InstanceDirectory::Change::kStale);
+}
+
+TEST_CASE("what is gone or silent is forgotten after a time, others never") {
+  InstanceDirectory directory;
+  Call call;
+  directory.Merge(ToRecord(call), TimePoint());
+  Call other;
+  other.id = 1;
+  other.address = 1;
+  other.born = 2;
+  directory.Merge(ToRecord(other), TimePoint());
+  directory.Leave(UpstreamId("i1"), std::nullopt, TimePoint());
+  const TimePoint later = TimePoint() + std::chrono::minutes(5);
+  CHECK(directory.Forget(later) == std::vector<UpstreamId>{UpstreamId("i1")});
+  CHECK(directory.size() == 1);
+}
+
+}  // namespace rattanward::membership
--- /dev/null
+++ b/tests/src/unit-platform.cc
@@ -0,0 +1,224 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/settings.h"
+#include "platform/wire.h"
+
+namespace rattanward::platform {
+namespace {
+
+constexpr const char* kConfiguration = R"({"version":7,
+ "routes":[
+  {"name":"r1","host":"a.example","path_prefix":"/x/","route_kind":"streaming",
+   "timeout_ms":12000,"slo_ms":2500,"priority":2,
+   "split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+   "max_attempts":1,"anonymous":false,"sticky":true,"resumable":false,
+   "gap_slo_ms":600},
+  {"name":"r2","host":"a.example","path_prefix":"/y/",
+   "route_kind":"idempotent","timeout_ms":6000,"service":"t"}],
+ "services":[
+  {"name":"s","max_connections":370,"engine":{"slots":64,
+   "kv_capacity_tokens":507885,"stride":3}},
+  {"name":"t","max_connections":110}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"u","api_keys":["k1","k2"],"priority":1}]})";
+
+constexpr const char* kHeartbeat = R"({"service":"s",
+ "address":"10.1.0.9:8080","zone":"z","version":"v1","slots":48,
+ "state":"ready","sequence":4,"born":1700000000000})";
+
+nlohmann::json Parsed(const char* text) { return nlohmann::json::parse(text); }
+
+http::RequestHead CallerHead() {
+  http::RequestHead head;
+  head.method = "POST";
+  head.target = "/x/1?q=2";
+  head.fields.Add("Host", "a.example");
+  head.fields.Add("X-Attempt-Id", "id1");
+  head.fields.Add("X-Deadline-Ms", "8000");
+  head.fields.Add("X-Token-Usage", "1460,80");
+  head.fields.Add("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410, e4402b7d:250");
+  head.fields.Add("Authorization", "Bearer key1");
+  head.fields.Add("X-Tenant", "forged");
+  head.fields.Add("X-Hold", "forged");
+  head.fields.Add("Kv-From", "forged");
+  head.fields.Add("Connection", "keep-alive, X-Mine");
+  head.fields.Add("X-Mine", "1");
+  head.fields.Add("X-Model", "m");
+  return head;
+}
+
+}  // namespace
+
+TEST_CASE("a configuration becomes the product's declaration") {
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  REQUIRE(decoded.has_value());
+  const RoutingDeclaration& declaration = decoded.value();
+  CHECK(declaration.version == ConfigVersion{7});
+  REQUIRE(declaration.routes.size() == 2);
+  CHECK(declaration.routes[0].kind == RouteKind::kStream);
+  CHECK(declaration.routes[0].gap_target == std::chrono::milliseconds(600));
+  CHECK(declaration.routes[0].split.size() == 2);
+  CHECK(declaration.routes[1].split[0].service == ServiceName("t"));
+  CHECK(declaration.services[0].engine->tokens_per_event == 3);
+  CHECK(declaration.accounts[0].rank == 1U);
+  CHECK(declaration.limits.idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a configuration cut at any byte is refused") {
+  const std::string whole = kConfiguration;
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    REQUIRE_FALSE(DecodeConfiguration(whole.substr(0, size)).has_value());
+  }
+}
+
+TEST_CASE("a configuration with a wrong field is refused") {
+  const std::vector<std::pair<const char*, nlohmann::json>> wrong = {
+      {"/version", "seven"},
+      {"/version", -1},
+      {"/routes", 3},
+      {"/routes/0/timeout_ms", 0},
+      {"/routes/0/timeout_ms", "12000"},
+      {"/routes/0/route_kind", "sometimes"},
+      {"/routes/0/split/0/service", "none"},
+      {"/routes/0/split", nlohmann::json::array()},
+      {"/routes/1/path_prefix", "/x/"},
+      {"/routes/1/host", 5},
+      {"/tenants/0/api_keys", "k1"}};
+  for (const auto& [where, value] : wrong) {
+    nlohmann::json object = Parsed(kConfiguration);
+    object[nlohmann::json::json_pointer(where)] = value;
+    CAPTURE(where);
+    CHECK_FALSE(DecodeConfiguration(object.dump()).has_value());
+  }
+}
+
+TEST_CASE("unknown fields of a configuration are ignored") {
+  nlohmann::json object = Parsed(kConfiguration);
+  object["new"] = 1;
+  object["routes"][0]["new"] = nlohmann::json::object();
+  CHECK(DecodeConfiguration(object.dump()).has_value());
+}
+
+TEST_CASE("a heartbeat becomes a record") {
+  const auto record = DecodeHeartbeat("i-1", kHeartbeat);
+  REQUIRE(record.has_value());
+  CHECK(record.value().id == UpstreamId("i-1"));
+  CHECK(record.value().stamp == membership::InstanceStamp{1700000000000, 4});
+  CHECK(record.value().endpoint == Endpoint{"10.1.0.9", 8080});
+  CHECK(record.value().slots == 48);
+}
+
+TEST_CASE("a heartbeat of another writer names no upstream") {
+  const std::vector<std::pair<const char*, nlohmann::json>> wrong = {
+      {"state", "resting"}, {"sequence", "4"},       {"sequence", -1},
+      {"slots", "many"},    {"address", "10.1.0.9"}, {"address", 5},
+      {"zone", nullptr},    {"born", "yesterday"},   {"born", 1.5}};
+  for (const auto& [field, value] : wrong) {
+    nlohmann::json object = Parsed(kHeartbeat);
+    object[field] = value;
+    CAPTURE(field);
+    CHECK_FALSE(DecodeHeartbeat("i-1", object.dump()).has_value());
+  }
+  for (const char* field : {"service", "address", "zone", "state", "sequence"}) {
+    nlohmann::json object = Parsed(kHeartbeat);
+    object.erase(field);
+    CAPTURE(field);
+    CHECK_FALSE(DecodeHeartbeat("i-1", object.dump()).has_value());
+  }
+  CHECK_FALSE(DecodeHeartbeat("i-1", "\x80\xff").has_value());
+  CHECK_FALSE(DecodeHeartbeat("i-1", "[]").has_value());
+}
+
+TEST_CASE("a farewell may name its start") {
+  CHECK(DecodeBorn(R"({"born":12})") == 12U);
+  CHECK_FALSE(DecodeBorn("").has_value());
+  CHECK_FALSE(DecodeBorn(R"({"born":"x"})").has_value());
+}
+
+TEST_CASE("a caller's fields are read") {
+  const proxy::RequestTraits traits = PlatformDialect().Read(CallerHead());
+  CHECK(traits.attempt == AttemptId("id1"));
+  CHECK(traits.key == "key1");
+  CHECK(traits.deadline == std::chrono::seconds(8));
+  CHECK(traits.prompt_tokens == 1460);
+  CHECK(traits.max_output_tokens == 80);
+  REQUIRE(traits.prompt.size() == 3);
+  CHECK(traits.prompt[2] == policy::PromptPart{0xe4402b7d, 250});
+}
+
+TEST_CASE("an upstream gets the caller's words, our own, and no key") {
+  proxy::UpstreamOrder order;
+  order.left = std::chrono::milliseconds(1500);
+  order.expected = UpstreamId("i-1");
+  order.account = ClientAccountId("u");
+  order.rank = 12;
+  order.by_prefix = true;
+  const http::RequestHead head =
+      PlatformDialect().ForUpstream(CallerHead(), order, 5);
+  const auto value = [&](const char* name) {
+    const std::string* found = head.fields.Find(name);
+    return found == nullptr ? std::string("-") : *found;
+  };
+  CHECK(head.target == "/x/1?q=2");
+  CHECK(value("X-Attempt-Id") == "id1");
+  CHECK(value("X-Prefix-Hash") == "5c1e07a2:800,91bd3f06:410, e4402b7d:250");
+  CHECK(value("X-Model") == "m");
+  CHECK(value("X-Deadline-Ms") == "1500");
+  CHECK(value("X-Tenant") == "u");
+  CHECK(value("X-Expect-Instance") == "i-1");
+  CHECK(value("X-Request-Priority") == "9");
+  CHECK(value("Content-Length") == "5");
+  CHECK(value("Authorization") == "-");
+  CHECK(value("X-Hold") == "-");
+  CHECK(value("Kv-From") == "-");
+  CHECK(value("X-Mine") == "-");
+}
+
+TEST_CASE("without an account no tenant is named, whatever the caller says") {
+  const http::RequestHead head =
+      PlatformDialect().ForUpstream(CallerHead(), {}, 0);
+  CHECK(head.fields.Find("X-Tenant") == nullptr);
+}
+
+TEST_CASE("an answer tells whether it is ours, signed, and not run") {
+  const PlatformDialect dialect;
+  http::ResponseHead head;
+  head.fields.Add("X-Attempt-Id", "id1");
+  CHECK(dialect.ReadAnswer(head, AttemptId("id1")).own);
+  CHECK_FALSE(dialect.ReadAnswer(head, AttemptId("id2")).own);
+  CHECK_FALSE(dialect.ReadAnswer(head, AttemptId("id1")).has_signature);
+  head.fields.Add("X-Server-Signature", "s");
+  CHECK(dialect.ReadAnswer(head, AttemptId("id1")).has_signature);
+  head.status = 503;
+  CHECK_FALSE(dialect.ReadAnswer(head, AttemptId("id1")).not_run);
+  head.fields.Add("X-Not-Executed", "1");
+  CHECK(dialect.ReadAnswer(head, AttemptId("id1")).not_run);
+}
+
+TEST_CASE("settings become the product's") {
+  const auto settings = DecodeSettings(R"({"node_name":"edge-1","role":"entry",
+   "zone":"z","ip":"10.1.0.40","listen":{"front":"10.1.0.40:8227",
+   "ready":"10.1.0.40:8220"},"internal_ports":[7340,7355],
+   "seeds":["10.1.0.43:8229","10.2.0.31:8229"],"first_start":true,
+   "limits":{"memory_mb":260,"max_fds":4100},"data_dir":null,
+   "heartbeat_ms":1200,"fault_tolerance":{"machines":2},
+   "bounds":{"revoke_ms":5000,"strict_revoke":true,"grace_s":8,
+   "retry_budget_ratio":0.2,"retry_slack":58,"retry_window_s":10},
+   "unknown":[1]})");
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().callers == Endpoint{"10.1.0.40", 8227});
+  CHECK(settings.value().control.port == 0);
+  CHECK(settings.value().peer_listen == Endpoint{"10.1.0.40", 7340});
+  CHECK(settings.value().seeds[1] == Endpoint{"10.2.0.31", 7340});
+  CHECK(settings.value().tolerated_losses == 2);
+  CHECK(settings.value().retries.window == std::chrono::seconds(10));
+  CHECK_FALSE(DecodeSettings("{").has_value());
+  CHECK_FALSE(DecodeSettings("{}").has_value());
+}
+
+}  // namespace rattanward::platform
