Keep tiers in order where long prompts wait

Ruled out: the queue's order (by rank already); refusals (none). Change: a pass over the queue begins no less urgent request of a service once a more urgent one has waited a tenth of its target, but for those that wait twice their own (no tier starves); the backlog that a long prompt accepts grows with its waiting, less for less urgent ranks.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -33,6 +33,9 @@
   std::vector<PromptPart> prompt;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  TimePoint arrived;
+  /// Time to the first event that its caller is promised.
+  Duration target{std::chrono::seconds(1)};
 
   friend bool operator==(const PlacementRequest&,
                          const PlacementRequest&) = default;
@@ -82,6 +85,9 @@
   /// A long prompt waits at the entry while its engine has more than this
   /// unread, so that short ones get through.
   std::uint64_t long_backlog = 2000;
+  /// Added to it for each time that the prompt has waited for its target; less
+  /// for less urgent ranks.
+  double backlog_growth = 15000;
   /// Whether what other entries placed is heeded.
   bool heed_placed = true;
 
@@ -182,8 +188,8 @@
   bool Holds(const Instance& instance, const PlacementRequest& request) const;
   static void Keep(Instance* instance, const PromptPart& part);
   bool Full(const Instance& instance, const Service& service) const;
-  bool MustWait(const Instance& instance,
-                const PlacementRequest& request) const;
+  bool MustWait(const Instance& instance, const PlacementRequest& request,
+                TimePoint now) const;
   std::uint32_t MissingTokens(const Instance& instance,
                               const PlacementRequest& request) const;
   void Index();
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -21,6 +21,8 @@
 /// Work that a kept token stands for when a home is chosen for a new part:
 /// its requests will come again.
 constexpr double kKeptShare = 0.1;
+/// The allowed backlog grows by 1 for ranks 0 and 1, 2/3 for 2, half for 3.
+constexpr double kRankDivisor = 2;
 /// Parts placed by this entry that are remembered for the others.
 constexpr std::size_t kMaxPlaced = 256;
 /// Load of an entry that did not report for this long is not counted.
@@ -166,11 +168,20 @@
 }
 
 /// Whether a long prompt should wait for its engine at the entry: on another
-/// one it would be read again, and here short ones still get past it.
-bool Placer::MustWait(const Instance& instance,
-                      const PlacementRequest& request) const {
-  return TotalLoad(instance).unread_tokens > options_.long_backlog &&
-         MissingTokens(instance, request) > options_.long_prompt;
+/// one it would be read again, and here short ones still get past it. The
+/// longer it has waited, the more it may find unread.
+bool Placer::MustWait(const Instance& instance, const PlacementRequest& request,
+                      TimePoint now) const {
+  if (MissingTokens(instance, request) <= options_.long_prompt) {
+    return false;
+  }
+  const std::chrono::duration<double> waited = now - request.arrived;
+  const std::chrono::duration<double> target = request.target;
+  const double share = target.count() > 0 ? waited.count() / target.count() : 0;
+  return static_cast<double>(TotalLoad(instance).unread_tokens) >
+         static_cast<double>(options_.long_backlog) +
+             options_.backlog_growth * share * kRankDivisor /
+                 (kRankDivisor + std::max(request.rank, 1U) - 1);
 }
 
 double Placer::ServiceScore(const Instance& instance,
@@ -245,7 +256,7 @@
       best_score = score;
     }
   }
-  if (best == nullptr || (engine && MustWait(*best, request))) {
+  if (best == nullptr || (engine && MustWait(*best, request, now))) {
     return std::nullopt;
   }
   return best->record.id;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -57,6 +57,8 @@
   placement_.prompt = request_.traits.prompt;
   placement_.prompt_tokens = request_.traits.prompt_tokens;
   placement_.max_output_tokens = request_.traits.max_output_tokens;
+  placement_.arrived = request_.request.arrived;
+  placement_.target = route.target;
   const Duration longest =
       std::min(route.timeout, request_.traits.deadline.value_or(route.timeout));
   deadline_ = request_.request.arrived + longest;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -8,6 +8,7 @@
 
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/policy/retry_advice.h"
+#include "rattanward/policy/tier_gate.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -319,8 +320,20 @@
 
 void Proxy::Drain() {
   std::set<ServiceName> full;
+  policy::TierGate gate;
+  const TimePoint now = MonotonicNow();
   queue_.Visit([&](const std::shared_ptr<Exchange>& exchange) {
-    return !exchange->waiting() || TryPlace(exchange, &full);
+    if (!exchange->waiting()) {
+      return true;
+    }
+    if (!gate.MayBegin(exchange->placement(), now)) {
+      return false;
+    }
+    const bool placed = TryPlace(exchange, &full);
+    if (!placed) {
+      gate.NoteWaiting(exchange->placement(), now);
+    }
+    return placed;
   });
 }
 
