--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,4 @@
 	bash scripts/lint
 
 format:
-	find include src apps tests bench -name '*.h' -o -name '*.cc' | xargs clang-format -i
+	find include src apps tests bench platform -name '*.h' -o -name '*.cc' | xargs clang-format -i
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -67,6 +67,9 @@
             const adapter::ReplyHandle& reply) override;
   void Changed() override;
 
+  /// @brief Counters and gauges as scrape text.
+  std::string ScrapeText() const;
+
   const membership::InstanceDirectory& directory() const { return directory_; }
   std::size_t entries() const { return entries_.size(); }
 
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -2,7 +2,6 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -38,6 +38,7 @@
   kUpstreamExpired = 3003,
   kUpstreamProbation = 3004,
   kUpstreamRestored = 3005,
+  kUpstreamBroke = 3008,
   kEntryPeerLost = 3006,
   kEntryPeerFound = 3007,
 
--- a/include/rattanward/http/client_connection.h
+++ b/include/rattanward/http/client_connection.h
@@ -82,6 +82,10 @@
     return body_ && sent_ == head_.size() + body_->size();
   }
   const Endpoint& peer() const { return peer_; }
+  /// @brief How long it was idle before the present request.
+  Duration idle_before() const { return idle_before_; }
+  /// @brief How long its peer keeps it, as far as it was named.
+  Duration keep_alive() const { return keep_alive_; }
 
   /// @brief Called when an idle connection turns out to be closed.
   std::function<void(ClientConnection&)> on_idle_closed;
@@ -112,6 +116,8 @@
   std::uint64_t exchanges_ = 0;
   TimePoint usable_until_;
   Duration keep_alive_{0};
+  Duration idle_before_{0};
+  TimePoint idle_since_;
   bool connected_ = false;
   bool connecting_ = false;
   bool closed_ = false;
--- a/include/rattanward/http/detail/socket_io.h
+++ b/include/rattanward/http/detail/socket_io.h
@@ -39,8 +39,7 @@
   thread_local std::array<char, kReadBytes> buffer;
   asio::error_code error;
   const std::size_t count = socket.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block ||
-      error == asio::error::try_again) {
+  if (error == asio::error::would_block || error == asio::error::try_again) {
     return {};
   }
   if (error) {
@@ -58,8 +57,7 @@
   asio::error_code error;
   const std::size_t count =
       socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-  if (error == asio::error::would_block ||
-      error == asio::error::try_again) {
+  if (error == asio::error::would_block || error == asio::error::try_again) {
     return {};
   }
   return {count, static_cast<bool>(error)};
--- a/include/rattanward/ledger/commands.h
+++ b/include/rattanward/ledger/commands.h
@@ -240,9 +240,9 @@
 };
 
 /// @note The order is the wire format: add at the end only.
-using Outcome = std::variant<Done, ConfigCommitted, ConfigConflict, ClaimTaken,
-                             ClaimRunning, ClaimStored, FencingTaken, Refused,
-                             RoutingHeld>;
+using Outcome =
+    std::variant<Done, ConfigCommitted, ConfigConflict, ClaimTaken,
+                 ClaimRunning, ClaimStored, FencingTaken, Refused, RoutingHeld>;
 
 /// @brief Encodes a command as msgpack, as carried by protocol::Propose.
 std::string Encode(const Command& command);
--- a/include/rattanward/policy/tier_gate.h
+++ b/include/rattanward/policy/tier_gate.h
@@ -26,8 +26,7 @@
 
   /// @brief Notes a request that could not begin.
   void NoteWaiting(const PlacementRequest& request, TimePoint now) {
-    const Duration patience =
-        request.target * kPatiencePercent / kWholePercent;
+    const Duration patience = request.target * kPatiencePercent / kWholePercent;
     if (now - request.arrived < patience) {
       return;
     }
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -64,8 +64,8 @@
   LoadTold told;
   told.entry = load.entry;
   for (const auto& [id, upstream] : load.upstreams) {
-    told.upstreams.push_back({id, upstream.running, upstream.unread_tokens,
-                              upstream.held_tokens});
+    told.upstreams.push_back(
+        {id, upstream.running, upstream.unread_tokens, upstream.held_tokens});
   }
   for (const auto& [id, parts] : load.placed) {
     told.placed.push_back({id, parts});
--- a/include/rattanward/proxy/event_splitter.h
+++ b/include/rattanward/proxy/event_splitter.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-
 #include <string>
 #include <string_view>
 
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -95,6 +95,8 @@
   const UpstreamId& upstream() const { return upstream_; }
   std::uint32_t attempts() const { return attempts_; }
   TimePoint deadline() const { return deadline_; }
+  /// @brief When the first event came, or else the whole answer.
+  TimePoint answered_at() const;
   bool waiting() const { return state_ == State::kWaiting; }
   bool over() const { return state_ == State::kOver; }
   bool streams() const { return request_.route->kind == RouteKind::kStream; }
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/adapter/latency_histogram.h"
 #include "rattanward/domain/routing.h"
 #include "rattanward/http/server.h"
 #include "rattanward/membership/instance_directory.h"
@@ -93,6 +94,9 @@
   void TakeLoad(const policy::EntryLoad& load);
 
   /// @brief Own load, with the parts of prompts placed within a time.
+  /// @brief Counters, gauges and histograms as scrape text.
+  std::string ScrapeText() const;
+
   policy::EntryLoad OwnLoad(Duration placed_within) const;
 
   /// @brief Whether the routes were confirmed within a time.
@@ -155,8 +159,7 @@
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
                 std::set<ServiceName>* full);
   void Upkeep(TimePoint now);
-  void Probe(const UpstreamId& upstream,
-             const protocol::CrashWitness& witness);
+  void Probe(const UpstreamId& upstream, const protocol::CrashWitness& witness);
 
   asio::io_context& io_;
   ProxyOptions options_;
@@ -177,6 +180,10 @@
   ConfigVersion required_;
   std::size_t entries_ = 1;
   ProxyCounters counters_;
+  /// Time to the whole answer, or to the first event of a stream.
+  std::map<RouteKind, adapter::LatencyHistogram> answer_times_;
+  /// Time that requests waited here before they were sent.
+  adapter::LatencyHistogram wait_times_;
   bool ever_confirmed_ = false;
   bool stopping_ = false;
   bool refusing_ = false;
--- a/src/adapter/line_log.cc
+++ b/src/adapter/line_log.cc
@@ -17,8 +17,8 @@
 
 std::string Quoted(const std::string& text) {
   constexpr int kNoIndent = -1;
-  return nlohmann::json(text).dump(
-      kNoIndent, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(text).dump(kNoIndent, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
 }
 
 std::int64_t UnixMicroseconds() {
@@ -93,9 +93,8 @@
 }
 
 port::EventSink LineLog::Sink() {
-  return [self = shared_from_this()](const Event& event) {
-    self->Write(event);
-  };
+  return
+      [self = shared_from_this()](const Event& event) { self->Write(event); };
 }
 
 }  // namespace rattanward::adapter
--- a/src/control/member_keeper.cc
+++ b/src/control/member_keeper.cc
@@ -34,8 +34,7 @@
   return std::any_of(
       progress.begin(), progress.end(), [&](const MemberProgress& other) {
         return other.member.id != member.member.id && IsVoter(other) &&
-               other.active &&
-               other.member.endpoint == member.member.endpoint;
+               other.active && other.member.endpoint == member.member.endpoint;
       });
 }
 
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -161,9 +161,8 @@
     entry.handle.Push(protocol::MessageKind::kInstancePush, body);
   }
   for (const InstanceRecord& record : news) {
-    events_({record.state == InstanceState::kReady
-                 ? EventId::kUpstreamAnnounced
-                 : EventId::kUpstreamDraining,
+    events_({record.state == InstanceState::kReady ? EventId::kUpstreamAnnounced
+                                                   : EventId::kUpstreamDraining,
              {{"upstream", record.id.str()},
               {"service", record.service.str()},
               {"endpoint", ToString(record.endpoint)},
@@ -307,31 +306,30 @@
   }
   if (daemon_.replica().ledger().routing().version >= version) {
     // Held already: only confirm that this is the newest state.
-    daemon_.replica().Read([this, version, done = std::move(done)](
-                               const Status& status) {
-      if (status) {
-        AfterCommit(version, done);
-      } else {
-        done(status);
-      }
-    });
+    daemon_.replica().Read(
+        [this, version, done = std::move(done)](const Status& status) {
+          if (status) {
+            AfterCommit(version, done);
+          } else {
+            done(status);
+          }
+        });
     return;
   }
-  daemon_.replica().Propose(
-      ledger::RoutingDeclare{version, std::move(text)},
-      [this, version, done = std::move(done)](
-          const Result<ledger::Outcome>& outcome) {
-        if (!outcome) {
-          done(outcome.error());
-          return;
-        }
-        AfterCommit(version, done);
-      });
+  daemon_.replica().Propose(ledger::RoutingDeclare{version, std::move(text)},
+                            [this, version, done = std::move(done)](
+                                const Result<ledger::Outcome>& outcome) {
+                              if (!outcome) {
+                                done(outcome.error());
+                                return;
+                              }
+                              AfterCommit(version, done);
+                            });
 }
 
 void RoutingHub::AfterCommit(ConfigVersion version, const Done& done) {
-  events_({EventId::kConfigCommitted,
-           {{"routes", std::to_string(version.value)}}});
+  events_(
+      {EventId::kConfigCommitted, {{"routes", std::to_string(version.value)}}});
   for (auto& [process, entry] : entries_) {
     PushRouting(entry);
   }
@@ -382,8 +380,8 @@
   const TimePoint silent = now - options_.entry_silence;
   std::vector<Done> ready;
   std::erase_if(waiters_, [&](Waiter& waiter) {
-    const bool heeded = std::all_of(
-        entries_.begin(), entries_.end(), [&](const auto& item) {
+    const bool heeded =
+        std::all_of(entries_.begin(), entries_.end(), [&](const auto& item) {
           const Entry& entry = item.second;
           return entry.heard < silent || !entry.handle.connected() ||
                  waiter.heeded(entry);
@@ -399,6 +397,25 @@
   }
 }
 
+std::string RoutingHub::ScrapeText() const {
+  std::string text;
+  const auto add = [&](const std::string& name, std::uint64_t value) {
+    text += "rattanward_control_" + name + ' ' + std::to_string(value) + '\n';
+  };
+  const consensus::Node& node = daemon_.replica().node();
+  add("leader", daemon_.replica().ConfirmedLeader() ? 1 : 0);
+  add("term", node.term());
+  add("commit_index", node.commit_index());
+  add("voters", consensus::VoterCount(node.membership()));
+  add("routes_version", daemon_.replica().ledger().routing().version.value);
+  add("entries", entries_.size());
+  add("upstreams", directory_.size());
+  add("pushes_total", push_number_);
+  add("acknowledgements_waiting", waiters_.size());
+  add("crashes_known", crashes_.size());
+  return text;
+}
+
 void RoutingHub::Tick(TimePoint now) {
   if (!beats_.empty()) {
     daemon_.voters().SendToAll(
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -51,8 +51,8 @@
                 if (!answer) {
                   return;
                 }
-                const auto hello = protocol::Decode<protocol::VoterHello>(
-                    answer.value().body);
+                const auto hello =
+                    protocol::Decode<protocol::VoterHello>(answer.value().body);
                 if (hello) {
                   Heard(hello.value());
                 }
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -37,6 +37,7 @@
       {EventId::kUpstreamExpired, "upstream-expired"},
       {EventId::kUpstreamProbation, "upstream-probation"},
       {EventId::kUpstreamRestored, "upstream-restored"},
+      {EventId::kUpstreamBroke, "upstream-broke"},
       {EventId::kEntryPeerLost, "entry-peer-lost"},
       {EventId::kEntryPeerFound, "entry-peer-found"},
       {EventId::kLeaderElected, "leader-elected"},
--- a/src/domain/routing.cc
+++ b/src/domain/routing.cc
@@ -116,8 +116,7 @@
   std::string key = PlaceKey(host, path);
   const std::size_t first = host.size() + 1;
   for (std::size_t end = key.find_last_of('/');
-       end != std::string::npos && end >= first;
-       end = key.find_last_of('/')) {
+       end != std::string::npos && end >= first; end = key.find_last_of('/')) {
     key.resize(end + 1);
     const auto found = routes_.find(key);
     if (found != routes_.end()) {
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -70,6 +70,7 @@
   parser_ = std::make_unique<ResponseParser>(
       ParserLimits{kMaxAnswerHeadBytes, kNoBodyLimit}, to_head_);
   if (connected_) {
+    idle_before_ = MonotonicNow() - idle_since_;
     TrySend();
   } else {
     Connect(connect_timeout);
@@ -117,13 +118,14 @@
     const std::size_t count = socket_.write_some(buffers, e);
     if (e == asio::error::would_block || e == asio::error::try_again) {
       writing_ = true;
-      socket_.async_wait(tcp::socket::wait_write,
-                         [self = shared_from_this()](const asio::error_code& w) {
-                           self->writing_ = false;
-                           if (!w && !self->closed_) {
-                             self->TrySend();
-                           }
-                         });
+      socket_.async_wait(
+          tcp::socket::wait_write,
+          [self = shared_from_this()](const asio::error_code& w) {
+            self->writing_ = false;
+            if (!w && !self->closed_) {
+              self->TrySend();
+            }
+          });
       return;
     }
     if (e) {
@@ -224,8 +226,7 @@
 void ClientConnection::TakeHead() {
   constexpr int kFirstFinalStatus = 200;
   const ResponseHead& head = parser_->head();
-  foreign_ =
-      head.status < kFirstFinalStatus || !handler_->IsOwnAnswer(head);
+  foreign_ = head.status < kFirstFinalStatus || !handler_->IsOwnAnswer(head);
   if (foreign_) {
     if (parser_->framing() == Framing::kUntilClose) {
       Fail(ClientFailure::kMalformed);
@@ -255,7 +256,8 @@
   ClientHandler* handler = std::exchange(handler_, nullptr);
   const bool clean = sent_all() && !peer_closes_ && input_.empty() &&
                      parser_->framing() != Framing::kUntilClose;
-  usable_until_ = MonotonicNow() + keep_alive_;
+  idle_since_ = MonotonicNow();
+  usable_until_ = idle_since_ + keep_alive_;
   if (!clean) {
     Close();
   }
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kOneConnection = {
-    "connection",       "keep-alive",          "proxy-connection",
-    "te",               "trailer",             "transfer-encoding",
-    "upgrade",          "proxy-authenticate",  "content-length"};
+    "connection",       "keep-alive",
+    "proxy-connection", "te",
+    "trailer",          "transfer-encoding",
+    "upgrade",          "proxy-authenticate",
+    "content-length"};
 
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -66,9 +68,8 @@
 
 const std::string* Fields::Find(std::string_view name) const {
   const auto found =
-      std::find_if(fields_.begin(), fields_.end(), [name](const Field& f) {
-        return SameName(f.name, name);
-      });
+      std::find_if(fields_.begin(), fields_.end(),
+                   [name](const Field& f) { return SameName(f.name, name); });
   return found == fields_.end() ? nullptr : &found->value;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -60,29 +60,28 @@
 }
 
 void Server::Accept() {
-  acceptor_.async_wait(tcp::acceptor::wait_read, [this](
-                                                     const asio::error_code&
-                                                         waited) {
-    if (waited || stopped_) {
-      return;
-    }
-    for (int i = 0; i < kMaxAcceptsAtOnce; ++i) {
-      asio::error_code e;
-      tcp::socket socket(io_);
-      acceptor_.accept(socket, e);
-      if (e == asio::error::would_block || e == asio::error::try_again) {
-        break;
-      }
-      if (e == asio::error::no_descriptors) {
-        AcceptLater();
-        return;
-      }
-      if (!e) {
-        Take(std::move(socket));
-      }
-    }
-    Accept();
-  });
+  acceptor_.async_wait(
+      tcp::acceptor::wait_read, [this](const asio::error_code& waited) {
+        if (waited || stopped_) {
+          return;
+        }
+        for (int i = 0; i < kMaxAcceptsAtOnce; ++i) {
+          asio::error_code e;
+          tcp::socket socket(io_);
+          acceptor_.accept(socket, e);
+          if (e == asio::error::would_block || e == asio::error::try_again) {
+            break;
+          }
+          if (e == asio::error::no_descriptors) {
+            AcceptLater();
+            return;
+          }
+          if (!e) {
+            Take(std::move(socket));
+          }
+        }
+        Accept();
+      });
 }
 
 /// Out of descriptors: waits instead of spinning.
@@ -101,7 +100,8 @@
                         "the server holds its largest number of connections"));
     return;
   }
-  auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
+  auto connection =
+      std::make_shared<ServerConnection>(std::move(socket), *this);
   connections_[connection.get()] = connection;
   connection->Start();
   if (closing_) {
@@ -125,8 +125,7 @@
   asio::error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
-  for (const auto& [key, connection] :
-       std::exchange(connections_, {})) {
+  for (const auto& [key, connection] : std::exchange(connections_, {})) {
     connection->Abort();
   }
 }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -88,8 +88,7 @@
     return;
   }
   if (parser_.head_done()) {
-    if (!had_head &&
-        parser_.head().fields.Lists("expect", "100-continue")) {
+    if (!had_head && parser_.head().fields.Lists("expect", "100-continue")) {
       output_ += "HTTP/1.1 100 Continue\r\n\r\n";
       Flush();
     }
@@ -220,8 +219,8 @@
 }
 
 void ServerConnection::TrySend() {
-  const auto sent = detail::WriteSome(
-      socket_, std::string_view(output_).substr(sent_));
+  const auto sent =
+      detail::WriteSome(socket_, std::string_view(output_).substr(sent_));
   if (sent.failed) {
     PeerLeft();
     return;
--- a/src/ledger/commands.cc
+++ b/src/ledger/commands.cc
@@ -113,9 +113,8 @@
   }
   if (command.text.size() > kMaxRoutingBytes) {
     return Malformed("declaration of routes has " +
-                     std::to_string(command.text.size()) +
-                     " bytes, at most " + std::to_string(kMaxRoutingBytes) +
-                     " are allowed");
+                     std::to_string(command.text.size()) + " bytes, at most " +
+                     std::to_string(kMaxRoutingBytes) + " are allowed");
   }
   return outcome::success();
 }
--- a/src/ledger/state_machine.cc
+++ b/src/ledger/state_machine.cc
@@ -218,9 +218,9 @@
 }
 
 std::string StateMachine::Snapshot() const {
-  return detail::EncodeValue(SnapshotData{kSnapshotFormat, time_, configs_,
-                                          commands_, claims_.claims(), fencing_,
-                                          drained_, quarantined_, entries_, routing_});
+  return detail::EncodeValue(SnapshotData{
+      kSnapshotFormat, time_, configs_, commands_, claims_.claims(), fencing_,
+      drained_, quarantined_, entries_, routing_});
 }
 
 Result<StateMachine> StateMachine::Restore(const std::string& bytes) {
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -148,8 +148,8 @@
   std::vector<UpstreamId> forgotten;
   std::erase_if(entries_, [&](const auto& item) {
     const Entry& entry = item.second;
-    const bool over = entry.record.silent ||
-                      entry.record.state == InstanceState::kGone;
+    const bool over =
+        entry.record.silent || entry.record.state == InstanceState::kGone;
     if (!over || entry.heard >= not_since) {
       return false;
     }
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -41,9 +41,9 @@
 double RendezvousRank(std::uint64_t key, const UpstreamId& id) {
   // 0 for the first choice of the key, up to 1 for the last.
   const std::uint64_t weight = RendezvousWeight(key, StableHash(id.str()));
-  return 1.0 - static_cast<double>(weight) /
-                   static_cast<double>(
-                       std::numeric_limits<std::uint64_t>::max());
+  return 1.0 -
+         static_cast<double>(weight) /
+             static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
 }  // namespace
@@ -184,8 +184,7 @@
                  (kRankDivisor + std::max(request.rank, 1U) - 1);
 }
 
-double Placer::ServiceScore(const Instance& instance,
-                            std::uint64_t key) const {
+double Placer::ServiceScore(const Instance& instance, std::uint64_t key) const {
   constexpr double kHopLoad = 0.5;
   const double slots = std::max(instance.record.slots, 1U);
   const bool far = instance.record.failure_domain != own_domain_;
@@ -247,10 +246,9 @@
       continue;
     }
     constexpr double kSilencePenalty = 1e7;
-    const double score =
-        (engine ? EngineScore(instance, request, key, kept)
-                : ServiceScore(instance, key)) +
-        (instance.record.silent ? kSilencePenalty : 0.0);
+    const double score = (engine ? EngineScore(instance, request, key, kept)
+                                 : ServiceScore(instance, key)) +
+                         (instance.record.silent ? kSilencePenalty : 0.0);
     if (best == nullptr || score < best_score) {
       best = &instance;
       best_score = score;
@@ -282,11 +280,9 @@
                       const std::set<UpstreamId>& excluded) const {
   const auto found = services_.find(service);
   return found != services_.end() &&
-         std::any_of(found->second.instances.begin(),
-                     found->second.instances.end(),
-                     [&](const UpstreamId& id) {
-                       return excluded.count(id) == 0;
-                     });
+         std::any_of(
+             found->second.instances.begin(), found->second.instances.end(),
+             [&](const UpstreamId& id) { return excluded.count(id) == 0; });
 }
 
 void Placer::Keep(Instance* instance, const PromptPart& part) {
@@ -384,12 +380,10 @@
     return 0;
   }
   const std::uint32_t all = service->second.declared.max_connections;
-  return std::max(kMinConnections,
-                  all / static_cast<std::uint32_t>(entries_));
+  return std::max(kMinConnections, all / static_cast<std::uint32_t>(entries_));
 }
 
-EntryLoad Placer::OwnLoad(const ProcessId& self,
-                          TimePoint placed_since) const {
+EntryLoad Placer::OwnLoad(const ProcessId& self, TimePoint placed_since) const {
   EntryLoad load;
   load.entry = self;
   for (const auto& [id, instance] : instances_) {
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -112,7 +112,8 @@
       if (push) {
         hooks_.instances(push.value().records);
         Control& control = controls_[endpoint];
-        control.push_heeded = std::max(control.push_heeded, push.value().number);
+        control.push_heeded =
+            std::max(control.push_heeded, push.value().number);
         ReportTo(endpoint, control);
       }
       break;
@@ -130,10 +131,9 @@
 }
 
 std::size_t ControlLink::connected() const {
-  return static_cast<std::size_t>(
-      std::count_if(controls_.begin(), controls_.end(), [](const auto& item) {
-        return item.second.client->connected();
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      controls_.begin(), controls_.end(),
+      [](const auto& item) { return item.second.client->connected(); }));
 }
 
 void ControlLink::Stop() {
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -83,10 +83,9 @@
       [this](const std::vector<membership::InstanceRecord>& records) {
         proxy_.TakeInstances(records);
       };
-  hooks.crashes =
-      [this](const std::vector<protocol::CrashWitness>& witnesses) {
-        proxy_.TakeCrashes(witnesses);
-      };
+  hooks.crashes = [this](const std::vector<protocol::CrashWitness>& witnesses) {
+    proxy_.TakeCrashes(witnesses);
+  };
   hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
     proxy_.Confirm(sent, committed);
   };
@@ -148,8 +147,7 @@
   far_peers_.clear();
   std::size_t near = 0;
   for (const protocol::EntryPeer& entry : entries) {
-    const bool is_near =
-        entry.failure_domain == options_.proxy.failure_domain;
+    const bool is_near = entry.failure_domain == options_.proxy.failure_domain;
     near += is_near ? 1 : 0;
     if (entry.endpoint != options_.peer_listen && entry.endpoint.port != 0) {
       (is_near ? near_peers_ : far_peers_).insert(entry.endpoint);
@@ -200,8 +198,8 @@
     closed_idle_ = true;
     proxy_.CloseIdle();
   }
-  const bool all_done = closed_idle_ && proxy_.idle() &&
-                        proxy_.connections() == 0;
+  const bool all_done =
+      closed_idle_ && proxy_.idle() && proxy_.connections() == 0;
   if (all_done || since >= options_.grace - kStopMargin) {
     timers_.Stop();
     stopped_();
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -70,6 +70,10 @@
          (route.kind == RouteKind::kStream && route.resumable);
 }
 
+TimePoint Exchange::answered_at() const {
+  return first_event_at_ == TimePoint() ? MonotonicNow() : first_event_at_;
+}
+
 Duration Exchange::Left() const { return deadline_ - MonotonicNow(); }
 
 void Exchange::Start() {
@@ -153,8 +157,7 @@
 void Exchange::OnHead(const http::ResponseHead& head, Framing /*framing*/,
                       std::uint64_t /*length*/) {
   owner_.NoteAnswered(*this);
-  answer_traits_ =
-      owner_.dialect().ReadAnswer(head, request_.traits.attempt);
+  answer_traits_ = owner_.dialect().ReadAnswer(head, request_.traits.attempt);
   if (!answer_traits_.not_run) {
     may_have_run_ = true;
   }
@@ -162,8 +165,8 @@
     answer_ = head;
     answer_.fields = EndToEnd(head.fields);
   }
-  event_stream_ = streams() && IsSuccess(head.status) &&
-                  answer_traits_.has_signature;
+  event_stream_ =
+      streams() && IsSuccess(head.status) && answer_traits_.has_signature;
   if (stream_started_ && !event_stream_) {
     // A resumed stream that the next upstream does not go on with.
     const auto self = shared_from_this();
@@ -251,8 +254,8 @@
 }
 
 void Exchange::AnswerWhole() {
-  const bool no_proof = IsSuccess(answer_.status) &&
-                        !answer_traits_.has_signature;
+  const bool no_proof =
+      IsSuccess(answer_.status) && !answer_traits_.has_signature;
   const bool worth_another =
       may_repeat() && (answer_.status >= kServerError || no_proof);
   if (worth_another && attempts_ < request_.route->max_attempts &&
@@ -320,11 +323,18 @@
   const std::string what = failure == ClientFailure::kMalformed
                                ? "the upstream's bytes are no answer"
                                : "the upstream broke off";
+  owner_.Log(EventId::kUpstreamBroke, *this,
+             {{"reason", what},
+              {"answer_begun", failure == ClientFailure::kCutOff ? "1" : "0"},
+              {"reused", connection_->reused() ? "1" : "0"},
+              {"idle_ms", Milliseconds(connection_->idle_before())},
+              {"kept_ms", Milliseconds(connection_->keep_alive())},
+              {"after_ms", Milliseconds(MonotonicNow() - sent_at_)}});
   excluded_.insert(upstream_);
   Release();
   splitter_.DropRest();
-  const Error error = MakeError(ErrorCode::kUpstreamBroken, what,
-                                Verdict::kMayHaveRun);
+  const Error error =
+      MakeError(ErrorCode::kUpstreamBroken, what, Verdict::kMayHaveRun);
   // Events of a stream without ids can't be gone on with.
   const bool can_go_on = !stream_started_ || !splitter_.last_id().empty();
   if (may_repeat() && can_go_on && attempts_ < request_.route->max_attempts &&
@@ -337,11 +347,11 @@
 
 void Exchange::TryAgain() {
   state_ = State::kWaiting;
-  owner_.Log(stream_started_ ? EventId::kStreamResumed
-                             : EventId::kRequestRetried,
-             *this,
-             {{"attempts", std::to_string(attempts_)},
-              {"left_ms", Milliseconds(Left())}});
+  owner_.Log(
+      stream_started_ ? EventId::kStreamResumed : EventId::kRequestRetried,
+      *this,
+      {{"attempts", std::to_string(attempts_)},
+       {"left_ms", Milliseconds(Left())}});
   owner_.Enqueue(shared_from_this());
 }
 
@@ -391,8 +401,8 @@
   if (state_ == State::kOver) {
     return;
   }
-  const bool sent = state_ == State::kSent && connection_ &&
-                    connection_->sent_any();
+  const bool sent =
+      state_ == State::kSent && connection_ && connection_->sent_any();
   may_have_run_ = may_have_run_ || sent;
   Fail(may_have_run_
            ? MakeError(ErrorCode::kUpstreamSilent,
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -45,6 +45,18 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+std::string_view KindName(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kIdempotent:
+      return "idempotent";
+    case RouteKind::kAtMostOnce:
+      return "at-most-once";
+    case RouteKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
 std::uint64_t Draw(const RequestTraits& traits) {
   return policy::StableHash(traits.attempt.str());
 }
@@ -95,10 +107,10 @@
   server_limits.header_timeout = limits.header_timeout;
   server_limits.idle_timeout = limits.idle_timeout;
   server_.SetLimits(server_limits);
-  hooks_.events({EventId::kConfigInForce,
-                 {{"routes", std::to_string(table_->version().value)},
-                  {"count", std::to_string(
-                                table_->declaration().routes.size())}}});
+  hooks_.events(
+      {EventId::kConfigInForce,
+       {{"routes", std::to_string(table_->version().value)},
+        {"count", std::to_string(table_->declaration().routes.size())}}});
   ScheduleDrain();
   return true;
 }
@@ -136,10 +148,9 @@
     auto& known = crashes_[witness.fingerprint];
     known.insert(witness);
     if (known.size() == kCrashesToRefuse) {
-      hooks_.events(
-          {EventId::kRequestQuarantined,
-           {{"fingerprint", std::to_string(witness.fingerprint)},
-            {"crashes", std::to_string(known.size())}}});
+      hooks_.events({EventId::kRequestQuarantined,
+                     {{"fingerprint", std::to_string(witness.fingerprint)},
+                      {"crashes", std::to_string(known.size())}}});
     }
   }
 }
@@ -155,8 +166,8 @@
     return;
   }
   if (!ever_confirmed_) {
-    hooks_.events({EventId::kEntryRejoined,
-                   {{"routes", std::to_string(newest.value)}}});
+    hooks_.events(
+        {EventId::kEntryRejoined, {{"routes", std::to_string(newest.value)}}});
   }
   ever_confirmed_ = true;
   confirmed_ = std::max(confirmed_, moment);
@@ -167,8 +178,8 @@
 }
 
 bool Proxy::Ready() const {
-  const bool has_upstreams = directory_.size() > 0 ||
-                             MonotonicNow() - started_ > kDirectoryPatience;
+  const bool has_upstreams =
+      directory_.size() > 0 || MonotonicNow() - started_ > kDirectoryPatience;
   return !stopping_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
 }
 
@@ -235,8 +246,8 @@
   if (ConfirmedWithin(options_.denial_lease)) {
     return MakeError(code, std::move(message));
   }
-  Error error = MakeError(ErrorCode::kIsolated,
-                          "the routes here may not be the newest");
+  Error error =
+      MakeError(ErrorCode::kIsolated, "the routes here may not be the newest");
   error.retry_after = kNoRoutesRetryAfter;
   return error;
 }
@@ -384,6 +395,7 @@
 }
 
 policy::PlacementCharge Proxy::NoteSent(const Exchange& exchange) {
+  wait_times_.Count(MonotonicNow() - exchange.routed().request.arrived);
   return placer_.Sent(exchange.upstream(), exchange.placement(),
                       MonotonicNow());
 }
@@ -408,9 +420,9 @@
 void Proxy::NoteUnreachable(const Exchange& exchange) {
   placer_.Failed(exchange.upstream(), true, MonotonicNow());
   pool_.Drop(exchange.upstream());
-  hooks_.events({EventId::kUpstreamProbation,
-                 {{"upstream", exchange.upstream().str()},
-                  {"reason", "no connection"}}});
+  hooks_.events(
+      {EventId::kUpstreamProbation,
+       {{"upstream", exchange.upstream().str()}, {"reason", "no connection"}}});
 }
 
 void Proxy::NoteAnswered(const Exchange& exchange) {
@@ -439,8 +451,7 @@
       return;
     }
     asio::error_code e;
-    const auto address =
-        asio::ip::make_address(record->endpoint.address, e);
+    const auto address = asio::ip::make_address(record->endpoint.address, e);
     auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
     auto done = std::make_shared<bool>(false);
     const auto conclude = [this, upstream, witness, socket,
@@ -465,12 +476,12 @@
 }
 
 Duration Proxy::RetryAfter(const Exchange& exchange) const {
-  return policy::RetryAdvice(kRetryAfter,
-                             exchange.deadline() - MonotonicNow());
+  return policy::RetryAdvice(kRetryAfter, exchange.deadline() - MonotonicNow());
 }
 
 /// What a caller is told whose request was refused before it was routed.
-Duration Proxy::AdviceFor(const Error& error, const RequestTraits& traits) const {
+Duration Proxy::AdviceFor(const Error& error,
+                          const RequestTraits& traits) const {
   const Duration left = traits.deadline.value_or(kUnnamedDeadline);
   return policy::RetryAdvice(error.retry_after.value_or(kRetryAfter), left);
 }
@@ -480,6 +491,8 @@
   switch (id) {
     case EventId::kRequestFinished:
       ++counters_.finished;
+      answer_times_[exchange.routed().route->kind].Count(
+          exchange.answered_at() - exchange.routed().request.arrived);
       break;
     case EventId::kRequestFailed:
       ++counters_.failed;
@@ -506,6 +519,36 @@
   hooks_.events({id, std::move(fields)});
 }
 
+std::string Proxy::ScrapeText() const {
+  std::string text;
+  const auto add = [&](const std::string& name, std::uint64_t value) {
+    text += "rattanward_" + name + ' ' + std::to_string(value) + '\n';
+  };
+  add("requests_arrived_total", counters_.arrived);
+  add("requests_finished_total", counters_.finished);
+  add("requests_failed_total", counters_.failed);
+  add("requests_refused_total", counters_.refused);
+  add("callers_left_total", counters_.caller_left);
+  add("requests_retried_total", counters_.retried);
+  add("streams_resumed_total", counters_.resumed);
+  add("messages_malformed_total", counters_.malformed);
+  add("upstream_connections_opened_total", pool_.opened());
+  add("upstream_connections", pool_.open());
+  add("caller_connections", server_.connections());
+  add("requests_open", exchanges_.size());
+  add("requests_waiting", queue_.size());
+  add("upstreams_known", directory_.size());
+  add("entries_known", entries_);
+  add("routes_version", routing_version().value);
+  add("ready", Ready() ? 1 : 0);
+  for (const auto& [kind, times] : answer_times_) {
+    text += times.Scrape("rattanward_answer_seconds",
+                         "kind=\"" + std::string(KindName(kind)) + '"');
+  }
+  text += wait_times_.Scrape("rattanward_wait_seconds", "");
+  return text;
+}
+
 void Proxy::Forget(const std::shared_ptr<Exchange>& exchange) {
   exchanges_.erase(exchange);
 }
--- a/tests/fakes/loopback_peer.h
+++ b/tests/fakes/loopback_peer.h
@@ -56,8 +56,8 @@
  private:
   void Read() {
     socket_.async_read_some(
-        asio::buffer(buffer_), [self = shared_from_this()](
-                                   const std::error_code& e, std::size_t n) {
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const std::error_code& e, std::size_t n) {
           self->received_.append(self->buffer_.data(), n);
           if (e) {
             self->ended_ = true;
@@ -130,8 +130,8 @@
     const std::size_t field = text.find("Content-Length: ");
     std::size_t length = 0;
     if (field != std::string::npos && field < head) {
-      length = std::stoul(text.substr(field + std::string("Content-Length: ")
-                                                  .size()));
+      length = std::stoul(
+          text.substr(field + std::string("Content-Length: ").size()));
     }
     if (text.size() < head + kBlankLine + length) {
       return;
--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -186,8 +186,8 @@
   void Send(Entry* entry, std::uint64_t number, const UpstreamId& id) {
     const Request& request = requests_[number];
     Engine& engine = engines_[std::stoul(id.str().substr(1))];
-    const double ready =
-        std::max(now_, engine.busy_until) + Read(&engine, request) / kTokensPerMs;
+    const double ready = std::max(now_, engine.busy_until) +
+                         Read(&engine, request) / kTokensPerMs;
     engine.busy_until = ready;
     const auto charge = std::make_shared<policy::PlacementCharge>(
         entry->placer.Sent(id, request.placement, Now()));
@@ -211,7 +211,8 @@
         continue;
       }
       tokens += prompt[i].tokens;
-      if (i + 1 < prompt.size() && !read_anywhere_.insert(prompt[i].id).second) {
+      if (i + 1 < prompt.size() &&
+          !read_anywhere_.insert(prompt[i].id).second) {
         reread_tokens_ += prompt[i].tokens;
       }
     }
--- a/tests/src/fuzz-http.cc
+++ b/tests/src/fuzz-http.cc
@@ -78,8 +78,8 @@
     const std::string text =
         "HTTP/1.1 200 OK\r\n" +
         std::string(chunked ? "Transfer-Encoding: chunked\r\n\r\n"
-                            : "Content-Length: " +
-                                  std::to_string(body.size()) + "\r\n\r\n") +
+                            : "Content-Length: " + std::to_string(body.size()) +
+                                  "\r\n\r\n") +
         (chunked ? Chunked(body) : body);
     const auto cut = static_cast<std::size_t>(
         *rc::gen::inRange<int>(0, static_cast<int>(text.size())));
@@ -112,8 +112,8 @@
   limits.max_header_bytes = 200;
   limits.max_body_bytes = 10;
   RequestParser head(limits);
-  const auto large = head.Feed("GET / HTTP/1.1\r\nlong: " +
-                               std::string(500, 'x') + "\r\n");
+  const auto large =
+      head.Feed("GET / HTTP/1.1\r\nlong: " + std::string(500, 'x') + "\r\n");
   REQUIRE_FALSE(large.has_value());
   CHECK(large.error().code == ErrorCode::kHeadersTooLarge);
   RequestParser body(limits);
--- a/tests/src/fuzz-instance_directory.cc
+++ b/tests/src/fuzz-instance_directory.cc
@@ -67,7 +67,8 @@
     }
     for (const auto& [id, call] : newest) {
       if (call.state == InstanceState::kReady &&
-          gone.count({id, call.born}) == 0 && owner[call.address] == call.born) {
+          gone.count({id, call.born}) == 0 &&
+          owner[call.address] == call.born) {
         ready.insert("i" + std::to_string(id));
       }
     }
--- a/tests/src/unit-line-log.cc
+++ b/tests/src/unit-line-log.cc
@@ -27,7 +27,8 @@
     fcntl(ends[0], F_SETFL, O_NONBLOCK);
     std::string text;
     std::array<char, 65536> buffer{};
-    for (ssize_t n = 0; (n = read(ends[0], buffer.data(), buffer.size())) > 0;) {
+    for (ssize_t n = 0;
+         (n = read(ends[0], buffer.data(), buffer.size())) > 0;) {
       text.append(buffer.data(), static_cast<std::size_t>(n));
     }
     return text;
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -97,7 +97,8 @@
   CHECK(held.short_p90 < unheld.short_p90);
 }
 
-TEST_CASE("a plain service is used in the own failure domain until it is busy") {
+TEST_CASE(
+    "a plain service is used in the own failure domain until it is busy") {
   Placer placer = PlainService();
   const TimePoint now;
   CHECK(placer.Choose(Plain(), {}, now) == UpstreamId("n"));
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -124,7 +124,8 @@
     CAPTURE(field);
     CHECK_FALSE(DecodeHeartbeat("i-1", object.dump()).has_value());
   }
-  for (const char* field : {"service", "address", "zone", "state", "sequence"}) {
+  for (const char* field :
+       {"service", "address", "zone", "state", "sequence"}) {
     nlohmann::json object = Parsed(kHeartbeat);
     object.erase(field);
     CAPTURE(field);
