Bound the bodies of all callers together

Cause: each body was bounded, their sum was not; 4,000 callers with 4 MB each would end the process at its memory limit. Change: connections of a server share a budget; a body over it is refused with 503 and not run; a request gives its part back when its body is dropped. Test: unit-proxy, two callers that hold 1.8 of 2 MB (refused, then given back).

--- a/include/rattanward/http/parser.h
+++ b/include/rattanward/http/parser.h
@@ -42,6 +42,8 @@
   bool keep_alive() const;
 
   const RequestHead& head() const;
+  /// @brief Bytes of the body that wait to be handed over.
+  std::size_t body_bytes() const;
   /// @brief Hands over the body taken since the last call.
   std::string TakeBody();
   RequestHead TakeHead();
--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -50,7 +50,7 @@
   std::size_t busy() const;
 
   ServerLimits Limits() const override { return limits_; }
-  bool HasRoomFor(std::size_t bytes) override;
+  std::shared_ptr<BodyBudget> Bodies() override { return bodies_; }
   void OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  ServerRequest request) override;
   void OnRefused(const Error& error) override;
@@ -70,6 +70,7 @@
   Options options_;
   RequestHandler handler_;
   ServerLimits limits_;
+  std::shared_ptr<BodyBudget> bodies_;
   Endpoint bound_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
       connections_;
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -32,6 +32,12 @@
   TimePoint arrived;
 };
 
+/// @brief Memory that the bodies of requests may take together.
+struct BodyBudget {
+  std::size_t limit = 0;
+  std::size_t used = 0;
+};
+
 class ServerConnection;
 
 /// @brief What the owner of server connections does with requests.
@@ -43,8 +49,9 @@
   /// @brief Limits for the next message of a connection.
   virtual ServerLimits Limits() const = 0;
 
-  /// @brief Bytes that bodies of requests may take together from now on.
-  virtual bool HasRoomFor(std::size_t bytes) = 0;
+  /// @brief What bodies take of all connections; a request gives its part back
+  /// when its body is dropped.
+  virtual std::shared_ptr<BodyBudget> Bodies() = 0;
 
   /// @brief Takes a request; it is answered on the connection, now or later.
   virtual void OnRequest(const std::shared_ptr<ServerConnection>& connection,
@@ -63,6 +70,9 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(asio::ip::tcp::socket socket, ServerHandler& handler);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
 
   /// @brief Starts to read.
   void Start();
@@ -114,6 +124,8 @@
   void TakeInput();
   void StartMessage();
   void HandOver();
+  bool HoldBody();
+  void ReleaseBody();
   void Refuse(const Error& error);
   void EndResponse();
   void AddConnectionField(ResponseHead* head);
@@ -136,6 +148,9 @@
   std::string input_;
   std::string output_;
   std::size_t sent_ = 0;
+  std::shared_ptr<BodyBudget> bodies_;
+  /// Bytes of the present body that are counted in bodies_.
+  std::size_t held_ = 0;
   Watcher watcher_;
   State state_ = State::kReading;
   TimePoint first_byte_;
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -182,6 +182,7 @@
 bool RequestParser::done() const { return impl_->is_done(); }
 bool RequestParser::keep_alive() const { return impl_->keep_alive(); }
 const RequestHead& RequestParser::head() const { return impl_->head; }
+std::size_t RequestParser::body_bytes() const { return impl_->body.size(); }
 std::string RequestParser::TakeBody() {
   return std::exchange(impl_->body, std::string());
 }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -29,7 +29,9 @@
       acceptor_(io),
       retry_timer_(io),
       options_(options),
-      handler_(std::move(handler)) {}
+      handler_(std::move(handler)),
+      bodies_(std::make_shared<BodyBudget>(
+          BodyBudget{options.max_body_bytes, 0})) {}
 
 Status Server::Listen(const Endpoint& endpoint) {
   asio::error_code e;
@@ -136,10 +138,6 @@
                     [](const auto& c) { return c.second->busy(); }));
 }
 
-bool Server::HasRoomFor(std::size_t bytes) {
-  return bytes <= options_.max_body_bytes;
-}
-
 void Server::OnRequest(const std::shared_ptr<ServerConnection>& connection,
                        ServerRequest request) {
   handler_(connection, std::move(request));
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -24,7 +24,22 @@
       timer_(socket_.get_executor()),
       handler_(handler),
       limits_(handler.Limits()),
-      parser_(limits_.parser) {}
+      parser_(limits_.parser),
+      bodies_(handler.Bodies()) {}
+
+ServerConnection::~ServerConnection() { ReleaseBody(); }
+
+/// Counts what the parser holds of the body; false if there is no room.
+bool ServerConnection::HoldBody() {
+  bodies_->used += parser_.body_bytes() - held_;
+  held_ = parser_.body_bytes();
+  return bodies_->used <= bodies_->limit;
+}
+
+void ServerConnection::ReleaseBody() {
+  bodies_->used -= held_;
+  held_ = 0;
+}
 
 void ServerConnection::Start() {
   detail::PrepareSocket(socket_);
@@ -83,6 +98,11 @@
     return;
   }
   input_.erase(0, taken.value());
+  if (!HoldBody()) {
+    Refuse(MakeError(ErrorCode::kTooManyOpenRequests,
+                     "no room for the body of the request"));
+    return;
+  }
   if (parser_.done()) {
     HandOver();
     return;
@@ -92,11 +112,6 @@
       output_ += "HTTP/1.1 100 Continue\r\n\r\n";
       Flush();
     }
-    if (!handler_.HasRoomFor(input_.size())) {
-      Refuse(MakeError(ErrorCode::kTooManyOpenRequests,
-                       "no room for the body of the request"));
-      return;
-    }
   }
   RaiseInputDeadline();
 }
@@ -108,7 +123,13 @@
   old_version_ = parser_.head().version < 11;
   to_head_ = parser_.head().method == "HEAD";
   ServerRequest request;
-  request.body = std::make_shared<const std::string>(parser_.TakeBody());
+  request.body = std::shared_ptr<const std::string>(
+      new std::string(parser_.TakeBody()),
+      [bodies = bodies_](const std::string* body) {
+        bodies->used -= body->size();
+        delete body;
+      });
+  held_ = 0;
   request.head = parser_.TakeHead();
   request.arrived = first_byte_;
   SetDeadline(TimePoint::max());
@@ -121,6 +142,8 @@
   message_begun_ = false;
   close_requested_ = true;
   input_.clear();
+  ReleaseBody();
+  parser_ = RequestParser(limits_.parser);
   ResponseHead head;
   head.status = HttpStatus(error.code);
   Respond(std::move(head), error.message + "\n");
@@ -304,6 +327,8 @@
   asio::error_code ignored;
   socket_.close(ignored);
   input_ = std::string();
+  ReleaseBody();
+  parser_ = RequestParser(limits_.parser);
   handler_.OnClosed(*this);
 }
 
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -56,6 +56,7 @@
     options.failure_domain = FailureDomain("d");
     options.listen = {"127.0.0.1", 0};
     options.retries.fixed = 100;
+    options.max_body_bytes = 2U << 20U;
     options.key_lease = key_lease;
     ProxyHooks hooks;
     hooks.witness = [this](const protocol::CrashWitness& witness) {
@@ -461,6 +462,30 @@
   CHECK(entry.Arrivals() == 0);
 }
 
+TEST_CASE("bodies of all callers together are bounded, and given back") {
+  Entry entry;
+  entry.AddUpstream([](LoopbackPeer& peer, const std::string& request) {
+    peer.Send(Answer(Has(request, "id: 3") ? "3" : "1", "ok"));
+  });
+  constexpr std::size_t kHeld = 900U << 10U;
+  const std::string half(kHeld, 'x');
+  const auto request = [&](const std::string& id) {
+    return Request("/once/", id, half + half);
+  };
+  // 1.8 MB of 2 MB are held by a caller that does not finish.
+  const auto slow = entry.Caller();
+  slow->Send(request("1").substr(0, 2 * kHeld));
+  entry.Until([&] { return false; }, std::chrono::milliseconds(200));
+  const auto other = entry.Caller();
+  other->Send(request("2").substr(0, kHeld));
+  CHECK(Gets(entry, other, "HTTP/1.1 503"));
+  slow->Close();
+  entry.Until([&] { return false; }, std::chrono::milliseconds(50));
+  const auto third = entry.Caller();
+  third->Send(request("3"));
+  CHECK(Gets(entry, third, "ok"));
+}
+
 TEST_CASE("smuggled and malformed requests change nothing") {
   const std::vector<std::string> bad = {
       "GET /once/ HTTP/1.1\r\nHost: h\r\nkey: k\r\nContent-Length: 3\r\n"
