Give played requests their arrival and target

Cause: the model left them at the epoch, so the allowed backlog grew without bound and the test of short prompts failed (3,838 ms against 3,059).

--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -27,6 +27,7 @@
   std::uint32_t shared_tokens = 0;
   std::uint32_t own_tokens = 0;
   std::uint32_t output_tokens = 100;
+  Duration target{std::chrono::seconds(1)};
 };
 
 /// @brief What callers got of one kind of requests.
@@ -161,6 +162,9 @@
         {1'000'000'000'000ULL + requests_.size(), kind.own_tokens}};
     request.placement.prompt_tokens = kind.shared_tokens + kind.own_tokens;
     request.placement.max_output_tokens = kind.output_tokens;
+    request.placement.arrived =
+        TimePoint() + Duration(static_cast<Duration::rep>(at * 1000));
+    request.placement.target = kind.target;
     const std::uint64_t number = requests_.size();
     requests_.push_back(request);
     At(at, [this, number] {
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -19,8 +19,10 @@
 /// A burst of long summaries beside short questions, near what twelve engines
 /// can read if they read each shared part once.
 std::vector<PlayedKind> Burst(double summaries_per_second) {
-  return {{"summary", 2, summaries_per_second, 66, 13300, 3720, 120},
-          {"question", 0, 15, 148, 350, 1110, 171}};
+  using std::chrono::milliseconds;
+  return {{"summary", 2, summaries_per_second, 66, 13300, 3720, 120,
+           milliseconds(2500)},
+          {"question", 0, 15, 148, 350, 1110, 171, milliseconds(400)}};
 }
 
 struct Totals {
