--- a/src/adapter/latency_histogram.cc
+++ b/src/adapter/latency_histogram.cc
@@ -35,18 +35,17 @@
 std::string LatencyHistogram::Scrape(const std::string& name,
                                      const std::string& labels) const {
   constexpr double kMsPerSecond = 1000;
-  const std::string comma = labels.empty() ? "" : ",";
+  std::string prefix = labels;
+  prefix += labels.empty() ? "le=\"" : ",le=\"";
   std::string text;
   std::uint64_t below = 0;
   for (std::size_t i = 0; i < kBoundsMs.size(); ++i) {
     below += buckets_[i];
     const std::string bound =
         Seconds(static_cast<double>(kBoundsMs[i]) / kMsPerSecond);
-    text += Line(name + "_bucket", labels + comma + "le=\"" + bound + '"',
-                 std::to_string(below));
+    text += Line(name + "_bucket", prefix + bound + '"', std::to_string(below));
   }
-  text += Line(name + "_bucket", labels + comma + "le=\"+Inf\"",
-               std::to_string(count_));
+  text += Line(name + "_bucket", prefix + "+Inf\"", std::to_string(count_));
   const std::chrono::duration<double> sum = sum_;
   text += Line(name + "_sum", labels, Seconds(sum.count()));
   text += Line(name + "_count", labels, std::to_string(count_));
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -30,8 +30,9 @@
       retry_timer_(io),
       options_(options),
       handler_(std::move(handler)),
-      bodies_(std::make_shared<BodyBudget>(
-          BodyBudget{options.max_body_bytes, 0})) {}
+      bodies_(
+          std::make_shared<BodyBudget>(BodyBudget{options.max_body_bytes, 0})) {
+}
 
 Status Server::Listen(const Endpoint& endpoint) {
   asio::error_code e;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -242,8 +242,8 @@
 }
 
 void ServerConnection::TrySend() {
-  const auto sent =
-      detail::WriteSome(socket_, std::string_view(output_).substr(sent_));
+  const std::string_view output = output_;
+  const auto sent = detail::WriteSome(socket_, output.substr(sent_));
   if (sent.failed) {
     PeerLeft();
     return;
--- a/tests/src/fuzz-http.cc
+++ b/tests/src/fuzz-http.cc
@@ -151,8 +151,10 @@
     const std::string line_end = *rc::gen::arbitrary<bool>() ? "\n" : "\r\n";
     std::string text;
     for (int i = 0; i < events; ++i) {
-      text += "id: " + std::to_string(i) + line_end + "data: " + DrawBody() +
-              line_end + line_end;
+      text += "id: " + std::to_string(i);
+      text += line_end + "data: ";
+      text += DrawBody();
+      text += line_end + line_end;
     }
     const std::string rest = "id: 99" + line_end + "da";
     proxy::EventSplitter splitter;
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -89,9 +89,10 @@
       {"/routes/1/path_prefix", "/x/"},
       {"/routes/1/host", 5},
       {"/tenants/0/api_keys", "k1"}};
-  for (const auto& [where, value] : wrong) {
+  for (const auto& one : wrong) {
+    const char* where = one.first;
     nlohmann::json object = Parsed(kConfiguration);
-    object[nlohmann::json::json_pointer(where)] = value;
+    object[nlohmann::json::json_pointer(where)] = one.second;
     CAPTURE(where);
     CHECK_FALSE(DecodeConfiguration(object.dump()).has_value());
   }
@@ -118,9 +119,10 @@
       {"state", "resting"}, {"sequence", "4"},       {"sequence", -1},
       {"slots", "many"},    {"address", "10.1.0.9"}, {"address", 5},
       {"zone", nullptr},    {"born", "yesterday"},   {"born", 1.5}};
-  for (const auto& [field, value] : wrong) {
+  for (const auto& one : wrong) {
+    const char* field = one.first;
     nlohmann::json object = Parsed(kHeartbeat);
-    object[field] = value;
+    object[field] = one.second;
     CAPTURE(field);
     CHECK_FALSE(DecodeHeartbeat("i-1", object.dump()).has_value());
   }
