--- a/tests/process/test-control-operator-race.sh
+++ b/tests/process/test-control-operator-race.sh
@@ -28,4 +28,5 @@
   [ "$codes" = "3 4" ] || [ "$codes" = "4 3" ] || fail "round $round: exit codes $codes, not one winner"
 done
 ctl config history | sed -n 's/^ *\(anna-.*\|bold-.*\)/\1/p' | sort | uniq -d | grep . && fail "a command was applied twice"
-grep -h '3$' "$DIR/anna.codes" | wc -l | xargs echo "passed: $ROUNDS versions, won by the first operator:"
+# All rounds were checked above; one operator may win every one of them.
+echo "passed: $ROUNDS versions, won by the first operator: $(grep -c '3$' "$DIR/anna.codes")"
