Let the route's rank decide among accounts of one rank

Cause: an account's rank replaced the route's. On the platform every account has one (0 or 1), so long summaries of a rank-0 account stood equal with short questions of the same account: entries queued and engines admitted them first come, first served. Change: RoutingTable::RankOf orders by the account, then by the route, dense; the queue, the gate and the engine's priority all take it. The dispatch line names the rank.

--- a/include/rattanward/domain/routing.h
+++ b/include/rattanward/domain/routing.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "rattanward/domain/ids.h"
@@ -97,7 +98,7 @@
 struct RoutedAccount {
   ClientAccountId id;
   std::vector<std::string> keys;
-  /// Goes before the rank of the route.
+  /// Goes before the rank of the route, which then decides among equals.
   std::optional<std::uint32_t> rank;
 
   friend bool operator==(const RoutedAccount&, const RoutedAccount&) = default;
@@ -143,6 +144,13 @@
   /// @brief The account that a key belongs to, or null.
   const RoutedAccount* FindAccount(const std::string& key) const;
 
+  /// @brief How urgent a request is among all that the declaration allows; 0
+  /// is the most urgent. The account's rank goes first, then the route's.
+  /// @param account Null for a request without a key.
+  /// @note Dense: ranks that no request can have are skipped.
+  /// Complexity: logarithmic in the number of ranks.
+  std::uint32_t RankOf(const Route& route, const RoutedAccount* account) const;
+
   /// @brief The service of a name, or null.
   const RoutedService* FindService(const ServiceName& name) const;
 
@@ -152,6 +160,8 @@
   std::unordered_map<std::string, const Route*> routes_;
   std::unordered_map<std::string, const RoutedAccount*> accounts_;
   std::map<ServiceName, const RoutedService*> services_;
+  /// The pairs of ranks that requests can have, in order.
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> ranks_;
 };
 
 /// @brief The service that serves a request, by the weights of its route.
--- a/src/domain/routing.cc
+++ b/src/domain/routing.cc
@@ -70,6 +70,32 @@
   return outcome::success();
 }
 
+/// The rank of an account and of a route; without the first, the route's own
+/// stands for both.
+std::pair<std::uint32_t, std::uint32_t> RankPair(const Route& route,
+                                                 const RoutedAccount* account) {
+  return {account != nullptr ? account->rank.value_or(route.rank) : route.rank,
+          route.rank};
+}
+
+std::vector<std::pair<std::uint32_t, std::uint32_t>> AllRanks(
+    const RoutingDeclaration& declaration) {
+  std::set<std::uint32_t> of_accounts;
+  for (const RoutedAccount& account : declaration.accounts) {
+    if (account.rank) {
+      of_accounts.insert(*account.rank);
+    }
+  }
+  std::set<std::pair<std::uint32_t, std::uint32_t>> ranks;
+  for (const Route& route : declaration.routes) {
+    ranks.insert(RankPair(route, nullptr));
+    for (const std::uint32_t of_account : of_accounts) {
+      ranks.emplace(of_account, route.rank);
+    }
+  }
+  return {ranks.begin(), ranks.end()};
+}
+
 }  // namespace
 
 Status Check(const RoutingDeclaration& declaration) {
@@ -95,7 +121,7 @@
 }
 
 RoutingTable::RoutingTable(RoutingDeclaration declaration)
-    : declaration_(std::move(declaration)) {
+    : declaration_(std::move(declaration)), ranks_(AllRanks(declaration_)) {
   for (const Route& route : declaration_.routes) {
     routes_.emplace(PlaceKey(route.host, route.path_prefix), &route);
   }
@@ -132,6 +158,13 @@
   return found == accounts_.end() ? nullptr : found->second;
 }
 
+std::uint32_t RoutingTable::RankOf(const Route& route,
+                                   const RoutedAccount* account) const {
+  const auto found = std::lower_bound(ranks_.begin(), ranks_.end(),
+                                      RankPair(route, account));
+  return static_cast<std::uint32_t>(found - ranks_.begin());
+}
+
 const RoutedService* RoutingTable::FindService(const ServiceName& name) const {
   const auto found = services_.find(name);
   return found == services_.end() ? nullptr : found->second;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -51,9 +51,7 @@
   const Route& route = *request_.route;
   placement_.service = request_.service;
   placement_.kind = route.kind;
-  placement_.rank = request_.account != nullptr && request_.account->rank
-                        ? *request_.account->rank
-                        : route.rank;
+  placement_.rank = request_.table->RankOf(route, request_.account);
   placement_.prompt = request_.traits.prompt;
   placement_.prompt_tokens = request_.traits.prompt_tokens;
   placement_.max_output_tokens = request_.traits.max_output_tokens;
@@ -141,6 +139,7 @@
               {"running", std::to_string(load.running)},
               {"unread", std::to_string(load.unread_tokens)},
               {"missing", std::to_string(charge_.unread_tokens)},
+              {"rank", std::to_string(placement_.rank)},
               {"part", std::to_string(policy::PrefixKey(placement_))}});
   connection_->SetToHead(request_.request.head.method == "HEAD");
   connection_->Send(
--- a/tests/src/unit-routing.cc
+++ b/tests/src/unit-routing.cc
@@ -87,6 +87,26 @@
   CHECK(table.FindAccount("") == nullptr);
 }
 
+TEST_CASE("the account's rank goes first, the route's decides among equals") {
+  auto declaration = MakeDeclaration();
+  declaration.routes[0].rank = 2;
+  declaration.routes[1].rank = 0;
+  declaration.accounts[0].rank = 1;
+  declaration.accounts.push_back({ClientAccountId("three"), {"k4"}, 0});
+  const RoutingTable table(declaration);
+  const Route& slow = table.declaration().routes[0];
+  const Route& urgent = table.declaration().routes[1];
+  const RoutedAccount* second = table.FindAccount("k1");
+  const RoutedAccount* unranked = table.FindAccount("k3");
+  const RoutedAccount* first = table.FindAccount("k4");
+  CHECK(table.RankOf(urgent, first) < table.RankOf(slow, first));
+  CHECK(table.RankOf(slow, first) < table.RankOf(urgent, second));
+  CHECK(table.RankOf(urgent, second) < table.RankOf(slow, second));
+  CHECK(table.RankOf(slow, second) < table.RankOf(slow, unranked));
+  CHECK(table.RankOf(urgent, unranked) == table.RankOf(urgent, nullptr));
+  CHECK(table.RankOf(urgent, first) == 0);
+}
+
 TEST_CASE("services are chosen by weight, equally for equal draws") {
   Route route = MakeRoute("a.example", "/x/");
   route.split = {{ServiceName("s"), 3}, {ServiceName("t"), 1}};
