Tell loads to other failure domains through relays

Cause: with more than 16 entries, an entry heard only those of its failure domain. Change: control names one entry of each other failure domain in each report, another one each time; a load told to it is passed on there once. The report names only near entries, the count of all and the relays. The sum of others' loads is kept, so that a choice costs no more with more entries.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -99,6 +99,7 @@
   void TakeCrashes(const adapter::InboundMessage& message);
   void Tell(const std::vector<protocol::CrashWitness>& witnesses);
   protocol::ControlReport ReportFor(const Entry& entry) const;
+  void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void PushRouting(Entry& entry);
   void PushAll(Entry& entry);
   void PushNews();
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -62,6 +62,19 @@
   /// Tokens of prompts and answers that running requests hold at most.
   std::uint64_t held_tokens = 0;
 
+  UpstreamLoad& operator+=(const UpstreamLoad& other) {
+    running += other.running;
+    unread_tokens += other.unread_tokens;
+    held_tokens += other.held_tokens;
+    return *this;
+  }
+  UpstreamLoad& operator-=(const UpstreamLoad& other) {
+    running -= other.running;
+    unread_tokens -= other.unread_tokens;
+    held_tokens -= other.held_tokens;
+    return *this;
+  }
+
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
@@ -170,6 +183,8 @@
     membership::InstanceRecord record;
     UpstreamLoad own;
     std::map<ProcessId, UpstreamLoad> others;
+    /// Sum of the loads of others.
+    UpstreamLoad others_total;
     /// Parts of prompts that were sent there, by any entry that told.
     std::set<std::uint64_t> parts;
     /// Tokens of these parts.
@@ -181,7 +196,9 @@
   };
 
   bool Usable(const Instance& instance, TimePoint now) const;
-  UpstreamLoad TotalLoad(const Instance& instance) const;
+  static UpstreamLoad TotalLoad(const Instance& instance);
+  static void SetOther(Instance* instance, const ProcessId& entry,
+                       const UpstreamLoad& load);
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool kept_elsewhere) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -28,9 +28,11 @@
   friend bool operator==(const PartsPlaced&, const PartsPlaced&) = default;
 };
 
-/// @brief Entry to the other entries of its failure domain.
+/// @brief Entry to other entries.
 struct LoadTold {
   ProcessId entry;
+  /// Whether the receiver passes it on to the entries of its failure domain.
+  bool relay = false;
   std::vector<UpstreamLoadTold> upstreams;
   std::vector<PartsPlaced> placed;
 
@@ -56,7 +58,7 @@
 
 template <>
 struct FieldsOf<LoadTold> {
-  static auto Tie(auto& m) { return std::tie(m.entry, m.upstreams, m.placed); }
+  static auto Tie(auto& m) { return std::tie(m.entry, m.relay, m.upstreams, m.placed); }
 };
 
 /// @brief The load as a message.
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -58,8 +58,14 @@
   ConfigVersion committed;
   /// Every control VM that this one knows.
   std::vector<Endpoint> control;
-  /// Entries that were heard here lately, the asking one included.
+  /// Entries that were heard here lately and are talked to directly, the asking
+  /// one included: all of them, or those of its failure domain.
   std::vector<EntryPeer> entries;
+  /// Number of all entries that were heard here lately.
+  std::uint32_t entry_count = 0;
+  /// Entries of other failure domains that pass on what they are told there;
+  /// empty where all entries are talked to.
+  std::vector<Endpoint> relays;
 
   friend bool operator==(const ControlReport&, const ControlReport&) = default;
 };
@@ -120,7 +126,8 @@
 template <>
 struct FieldsOf<ControlReport> {
   static auto Tie(auto& m) {
-    return std::tie(m.leader, m.committed, m.control, m.entries);
+    return std::tie(m.leader, m.committed, m.control, m.entries, m.entry_count,
+                    m.relays);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -26,7 +26,8 @@
   std::function<void(const std::vector<protocol::CrashWitness>&)> crashes;
   /// A confirmed leader has answered a report that was sent at that moment.
   std::function<void(TimePoint sent, ConfigVersion committed)> confirmed;
-  std::function<void(const std::vector<protocol::EntryPeer>&)> entries;
+  /// Which entries there are, by the newest report of a confirmed leader.
+  std::function<void(const protocol::ControlReport&)> entries;
   port::EventSink events;
 };
 
--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -53,7 +53,7 @@
  private:
   ControlLinkHooks LinkHooks();
   void TakeRouting(const protocol::RoutingPush& push);
-  void TakeEntries(const std::vector<protocol::EntryPeer>& entries);
+  void TakeEntries(const protocol::ControlReport& report);
   void AnswerReady(const std::shared_ptr<http::ServerConnection>& connection,
                    const http::ServerRequest& request);
   void CheckStopped();
@@ -70,6 +70,7 @@
   TimePoint stop_ordered_;
   std::set<Endpoint> near_peers_;
   std::set<Endpoint> far_peers_;
+  std::set<Endpoint> relays_;
   std::uint32_t load_turn_ = 0;
   Duration load_period_{std::chrono::milliseconds(100)};
   bool closed_idle_ = false;
--- a/include/rattanward/proxy/load_exchange.h
+++ b/include/rattanward/proxy/load_exchange.h
@@ -6,14 +6,17 @@
 #include <functional>
 #include <set>
 #include <string>
-#include <vector>
+#include <string_view>
+#include <utility>
 
 #include "rattanward/domain/result.h"
 #include "rattanward/policy/placer.h"
+#include "rattanward/protocol/load_messages.h"
 
 namespace rattanward::proxy {
 
-/// @brief Tells other entries of a failure domain the own load, in datagrams.
+/// @brief Tells other entries the own load, in datagrams: directly, or by
+/// relays that pass it on to the entries of their failure domain.
 /// @note A lost one is made good by the next; nothing waits for it. Each bears
 /// a keyed digest, so that strangers' datagrams are not taken.
 class LoadExchange {
@@ -26,21 +29,40 @@
   /// Errors: kDisconnected.
   Status Start(const Endpoint& endpoint);
 
+  /// @brief The bound address.
+  Endpoint endpoint() const;
+
+  /// @brief Takes the entries to which loads are passed on.
+  void SetNear(std::set<Endpoint> near) { near_ = std::move(near); }
+
   /// @brief Sends a load to some entries.
   void Tell(const policy::EntryLoad& load, const std::set<Endpoint>& peers);
 
+  /// @brief Sends a load to relays, which pass it on.
+  void TellThrough(const policy::EntryLoad& load,
+                   const std::set<Endpoint>& relays);
+
+  /// @brief Datagrams that were not taken.
   std::uint64_t refused() const { return refused_; }
+  /// @brief Datagrams that could not be sent; the next ones make up for them.
+  std::uint64_t unsent() const { return unsent_; }
+  /// @brief Loads that were passed on.
+  std::uint64_t relayed() const { return relayed_; }
 
  private:
   void Receive();
   void TakeDatagram(std::string_view datagram);
+  void Send(const protocol::LoadTold& told, const std::set<Endpoint>& peers);
 
   asio::ip::udp::socket socket_;
   std::string secret_;
   Taker taker_;
   std::array<char, 16U << 10U> buffer_{};
   asio::ip::udp::endpoint sender_;
+  std::set<Endpoint> near_;
   std::uint64_t refused_ = 0;
+  std::uint64_t unsent_ = 0;
+  std::uint64_t relayed_ = 0;
 };
 
 }  // namespace rattanward::proxy
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "rattanward/membership/relay_choice.h"
+#include "rattanward/policy/rendezvous.h"
 #include "rattanward/protocol/message_fields.h"
 
 namespace rattanward::control {
@@ -26,8 +28,7 @@
 /// An entry that did not report for this long is forgotten.
 constexpr Duration kForgetEntryAfter{std::chrono::seconds(10)};
 constexpr std::size_t kMaxCrashes = 4096;
-/// Up to this many entries tell their load to all others, not only to those of
-/// their failure domain.
+/// Up to this many entries talk to all others; more go through relays.
 constexpr std::size_t kFullMeshEntries = 16;
 
 template <class M>
@@ -113,18 +114,32 @@
   if (!report.leader) {
     return report;
   }
+  AddEntries(entry, &report);
+  return report;
+}
+
+/// Tells an entry which others there are: all, or beyond a number of them those
+/// of its failure domain and a few that pass messages on in the others.
+void RoutingHub::AddEntries(const Entry& entry,
+                            protocol::ControlReport* report) const {
   const TimePoint alive_since = MonotonicNow() - 2 * options_.entry_silence;
+  std::vector<membership::RelayCandidate> candidates;
   for (const auto& [process, other] : entries_) {
-    if (other.heard >= alive_since) {
-      // Of those that are not talked to, only the number matters.
-      const bool near = entries_.size() <= kFullMeshEntries ||
-                        other.failure_domain == entry.failure_domain;
-      report.entries.push_back({near ? process : ProcessId(),
-                                other.failure_domain,
-                                near ? other.peer_endpoint : Endpoint()});
+    if (other.heard < alive_since) {
+      continue;
+    }
+    ++report->entry_count;
+    if (entries_.size() <= kFullMeshEntries ||
+        other.failure_domain == entry.failure_domain) {
+      report->entries.push_back(
+          {process, other.failure_domain, other.peer_endpoint});
+    } else if (other.peer_endpoint.port != 0) {
+      candidates.push_back({other.failure_domain, other.peer_endpoint});
     }
   }
-  return report;
+  report->relays = membership::ChooseRelays(
+      candidates, entry.failure_domain,
+      policy::RendezvousWeight(entry.incarnation, entry.sequence));
 }
 
 void RoutingHub::PushRouting(Entry& entry) {
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -108,11 +108,8 @@
   entry_loads_heard_[load.entry] = now;
   for (auto& [id, instance] : instances_) {
     const auto told = load.upstreams.find(id);
-    if (told == load.upstreams.end()) {
-      instance.others.erase(load.entry);
-    } else {
-      instance.others[load.entry] = told->second;
-    }
+    SetOther(&instance, load.entry,
+             told == load.upstreams.end() ? UpstreamLoad() : told->second);
     const auto placed = load.placed.find(id);
     if (options_.heed_placed && placed != load.placed.end()) {
       for (const PromptPart& part : placed->second) {
@@ -125,7 +122,7 @@
       return false;
     }
     for (auto& [id, instance] : instances_) {
-      instance.others.erase(heard.first);
+      SetOther(&instance, heard.first, {});
     }
     return true;
   });
@@ -136,16 +133,26 @@
          now >= instance.avoid_until;
 }
 
-UpstreamLoad Placer::TotalLoad(const Instance& instance) const {
+UpstreamLoad Placer::TotalLoad(const Instance& instance) {
   UpstreamLoad total = instance.own;
-  for (const auto& [entry, load] : instance.others) {
-    total.running += load.running;
-    total.unread_tokens += load.unread_tokens;
-    total.held_tokens += load.held_tokens;
-  }
+  total += instance.others_total;
   return total;
 }
 
+/// Takes what another entry has at an upstream; a load of nothing forgets it.
+void Placer::SetOther(Instance* instance, const ProcessId& entry,
+                      const UpstreamLoad& load) {
+  const auto known = instance->others.find(entry);
+  if (known != instance->others.end()) {
+    instance->others_total -= known->second;
+    instance->others.erase(known);
+  }
+  if (load != UpstreamLoad()) {
+    instance->others.emplace(entry, load);
+    instance->others_total += load;
+  }
+}
+
 std::uint32_t Placer::MissingTokens(const Instance& instance,
                                     const PlacementRequest& request) const {
   std::uint32_t kept = 0;
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -92,7 +92,7 @@
   }
   if (report.value().leader) {
     hooks_.confirmed(sent, report.value().committed);
-    hooks_.entries(report.value().entries);
+    hooks_.entries(report.value());
   }
 }
 
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -13,6 +13,7 @@
 constexpr Duration kMinLoadPeriod{std::chrono::milliseconds(30)};
 constexpr Duration kLoadPeriodPerPeer{std::chrono::milliseconds(10)};
 constexpr std::uint32_t kFarTurns = 4;
+constexpr std::uint32_t kRelayTurns = 2;
 /// Datagrams that tell of the same placement; some are lost.
 constexpr int kPlacedTells = 3;
 constexpr Duration kStopCheckPeriod{std::chrono::milliseconds(100)};
@@ -89,8 +90,8 @@
   hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
     proxy_.Confirm(sent, committed);
   };
-  hooks.entries = [this](const std::vector<protocol::EntryPeer>& entries) {
-    TakeEntries(entries);
+  hooks.entries = [this](const protocol::ControlReport& report) {
+    TakeEntries(report);
   };
   hooks.events = events_;
   return hooks;
@@ -119,10 +120,15 @@
 /// Other failure domains are told less often: bytes to them cost more.
 void EntryNode::TellLoad() {
   loads_.Tell(proxy_.OwnLoad(kPlacedTells * load_period_), near_peers_);
-  if (++load_turn_ % kFarTurns == 0) {
+  ++load_turn_;
+  if (load_turn_ % kFarTurns == 0) {
     loads_.Tell(proxy_.OwnLoad(kPlacedTells * kFarTurns * load_period_),
                 far_peers_);
   }
+  if (load_turn_ % kRelayTurns == 0) {
+    loads_.TellThrough(
+        proxy_.OwnLoad(kPlacedTells * kRelayTurns * load_period_), relays_);
+  }
   timers_.After(load_period_, [this](TimePoint) { TellLoad(); });
 }
 
@@ -142,11 +148,11 @@
   link_.SetRouting(proxy_.routing_version());
 }
 
-void EntryNode::TakeEntries(const std::vector<protocol::EntryPeer>& entries) {
+void EntryNode::TakeEntries(const protocol::ControlReport& report) {
   near_peers_.clear();
   far_peers_.clear();
   std::size_t near = 0;
-  for (const protocol::EntryPeer& entry : entries) {
+  for (const protocol::EntryPeer& entry : report.entries) {
     const bool is_near = entry.failure_domain == options_.proxy.failure_domain;
     near += is_near ? 1 : 0;
     if (entry.endpoint != options_.peer_listen && entry.endpoint.port != 0) {
@@ -156,7 +162,9 @@
   load_period_ =
       std::max(kMinLoadPeriod,
                kLoadPeriodPerPeer * static_cast<int>(near_peers_.size()));
-  proxy_.SetEntries(entries.size(), near);
+  relays_ = {report.relays.begin(), report.relays.end()};
+  loads_.SetNear(near_peers_);
+  proxy_.SetEntries(report.entry_count, near);
 }
 
 void EntryNode::AnswerReady(
--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -53,6 +53,11 @@
   return outcome::success();
 }
 
+Endpoint LoadExchange::endpoint() const {
+  const udp::endpoint local = socket_.local_endpoint();
+  return {local.address().to_string(), local.port()};
+}
+
 void LoadExchange::Receive() {
   socket_.async_receive_from(
       asio::buffer(buffer_), sender_,
@@ -83,14 +88,32 @@
     return;
   }
   taker_(protocol::ToEntryLoad(told.value()));
+  if (told.value().relay) {
+    protocol::LoadTold passed_on = told.value();
+    passed_on.relay = false;
+    ++relayed_;
+    Send(passed_on, near_);
+  }
 }
 
 void LoadExchange::Tell(const policy::EntryLoad& load,
                         const std::set<Endpoint>& peers) {
+  Send(protocol::ToMessage(load), peers);
+}
+
+void LoadExchange::TellThrough(const policy::EntryLoad& load,
+                               const std::set<Endpoint>& relays) {
+  protocol::LoadTold told = protocol::ToMessage(load);
+  told.relay = true;
+  Send(told, relays);
+}
+
+void LoadExchange::Send(const protocol::LoadTold& told,
+                        const std::set<Endpoint>& peers) {
   if (peers.empty()) {
     return;
   }
-  const std::string body = protocol::Encode(protocol::ToMessage(load));
+  const std::string body = protocol::Encode(told);
   const std::string datagram = Digest(secret_, body) + body;
   for (const Endpoint& peer : peers) {
     asio::error_code e;
@@ -98,6 +121,9 @@
     if (!e) {
       socket_.send_to(asio::buffer(datagram), to, 0, e);
     }
+    if (e) {
+      ++unsent_;
+    }
   }
 }
 
--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -54,9 +54,11 @@
   static constexpr double kOutputTokenMs = 8;
   static constexpr double kGossipMs = 120;
 
+  /// @param groups Entries hear only those of their group.
   PlacingModel(std::size_t entries, std::size_t engines,
-               policy::PlacerOptions options, std::uint64_t seed)
-      : random_(seed) {
+               policy::PlacerOptions options, std::uint64_t seed,
+               std::size_t groups = 1)
+      : groups_(groups), random_(seed) {
     RoutedService service;
     service.name = ServiceName("s");
     service.max_connections = 1000;
@@ -231,7 +233,7 @@
       const policy::EntryLoad load = entries_[from]->placer.OwnLoad(
           ProcessId("e" + std::to_string(from)), since);
       for (std::size_t to = 0; to < entries_.size(); ++to) {
-        if (to != from) {
+        if (to != from && to % groups_ == from % groups_) {
           entries_[to]->placer.SetEntryLoad(load, Now());
         }
       }
@@ -241,6 +243,7 @@
     }
   }
 
+  std::size_t groups_;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<Entry>> entries_;
   std::vector<Engine> engines_;
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -31,12 +31,13 @@
   double long_p90 = 0;
 };
 
-Totals Play(PlacerOptions options, double summaries_per_second = 36) {
+Totals Play(PlacerOptions options, double summaries_per_second = 36,
+            std::size_t groups = 1) {
   constexpr int kSeeds = 5;
   Totals totals;
   for (int seed = 1; seed <= kSeeds; ++seed) {
     PlacingModel model(kEntries, kEngines, options,
-                       static_cast<std::uint64_t>(seed));
+                       static_cast<std::uint64_t>(seed), groups);
     const auto results = model.Play(Burst(summaries_per_second), kSeconds);
     totals.reread += static_cast<double>(model.reread_tokens()) / kSeeds;
     totals.short_p90 += results.at("question").Quantile(0.9) / kSeeds;
@@ -109,6 +110,14 @@
   CHECK(placer.Choose(Plain(), {}, now) == UpstreamId("f"));
 }
 
+TEST_CASE("entries that hear all others read shared parts again less often") {
+  constexpr std::size_t kDomains = 3;
+  const Totals all = Play({});
+  const Totals own_domain_only = Play({}, 36, kDomains);
+  CHECK(2 * all.reread < own_domain_only.reread);
+  CHECK(all.long_p90 < own_domain_only.long_p90);
+}
+
 TEST_CASE("load of other entries counts, until they fall silent") {
   Placer placer = PlainService();
   EntryLoad other;
