Give upstreams that failed lately fewer requests

Cause: an upstream that fails part of its requests, with a good health check, kept its full share: fast failures even make it look idle. Change: how requests ended (answer, 5xx, refusal, break, silence of a plain service) is counted for each upstream, fades by half in 3 s, is told to the other entries beside the load, and its failing share weighs in the choice. Tests: unit-placer plays three upstreams of which one fails two in five calls: fewer than half of the failures of the choice without it; it is tried again.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -61,17 +61,25 @@
   std::uint64_t unread_tokens = 0;
   /// Tokens of prompts and answers that running requests hold at most.
   std::uint64_t held_tokens = 0;
+  /// Requests that ended well and badly there lately, in thousandths; they fade
+  /// with time.
+  std::uint64_t good_milli = 0;
+  std::uint64_t bad_milli = 0;
 
   UpstreamLoad& operator+=(const UpstreamLoad& other) {
     running += other.running;
     unread_tokens += other.unread_tokens;
     held_tokens += other.held_tokens;
+    good_milli += other.good_milli;
+    bad_milli += other.bad_milli;
     return *this;
   }
   UpstreamLoad& operator-=(const UpstreamLoad& other) {
     running -= other.running;
     unread_tokens -= other.unread_tokens;
     held_tokens -= other.held_tokens;
+    good_milli -= other.good_milli;
+    bad_milli -= other.bad_milli;
     return *this;
   }
 
@@ -101,6 +109,10 @@
   /// Added to it for each time that the prompt has waited for its target; less
   /// for less urgent ranks.
   double backlog_growth = 15000;
+  /// Weight of the share of requests that lately failed at an upstream: for a
+  /// plain service in parts of its slots, for an engine in prompt tokens.
+  double failing_slots = 3;
+  double failing_tokens = 15000;
   /// Whether what other entries placed is heeded.
   bool heed_placed = true;
 
@@ -164,6 +176,9 @@
   /// @brief Notes that an upstream answered.
   void Answered(const UpstreamId& id);
 
+  /// @brief Notes how a request ended that an upstream was working on.
+  void Ended(const UpstreamId& id, bool well);
+
   /// @brief Load of an upstream, of all entries as far as it is known.
   UpstreamLoad LoadOf(const UpstreamId& id) const;
 
@@ -171,8 +186,9 @@
   std::uint32_t ConnectionShare(const UpstreamId& id) const;
 
   /// @brief Own load, for the other entries, with the parts placed since a
-  /// moment.
-  EntryLoad OwnLoad(const ProcessId& self, TimePoint placed_since) const;
+  /// moment. How requests ended fades from call to call.
+  EntryLoad OwnLoad(const ProcessId& self, TimePoint placed_since,
+                    TimePoint now);
 
  private:
   struct Service {
@@ -196,6 +212,7 @@
   };
 
   bool Usable(const Instance& instance, TimePoint now) const;
+  void FadeOutcomes(TimePoint now);
   static UpstreamLoad TotalLoad(const Instance& instance);
   static void SetOther(Instance* instance, const ProcessId& entry,
                        const UpstreamLoad& load);
@@ -216,6 +233,7 @@
   std::map<ServiceName, Service> services_;
   std::map<UpstreamId, Instance> instances_;
   std::map<ProcessId, TimePoint> entry_loads_heard_;
+  TimePoint faded_;
   std::size_t entries_ = 1;
   std::size_t domain_entries_ = 1;
 };
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -15,6 +15,8 @@
   std::uint32_t running = 0;
   std::uint64_t unread_tokens = 0;
   std::uint64_t held_tokens = 0;
+  std::uint64_t good_milli = 0;
+  std::uint64_t bad_milli = 0;
 
   friend bool operator==(const UpstreamLoadTold&,
                          const UpstreamLoadTold&) = default;
@@ -42,7 +44,8 @@
 template <>
 struct FieldsOf<UpstreamLoadTold> {
   static auto Tie(auto& m) {
-    return std::tie(m.upstream, m.running, m.unread_tokens, m.held_tokens);
+    return std::tie(m.upstream, m.running, m.unread_tokens, m.held_tokens,
+                    m.good_milli, m.bad_milli);
   }
 };
 
@@ -58,7 +61,9 @@
 
 template <>
 struct FieldsOf<LoadTold> {
-  static auto Tie(auto& m) { return std::tie(m.entry, m.relay, m.upstreams, m.placed); }
+  static auto Tie(auto& m) {
+    return std::tie(m.entry, m.relay, m.upstreams, m.placed);
+  }
 };
 
 /// @brief The load as a message.
@@ -66,8 +71,9 @@
   LoadTold told;
   told.entry = load.entry;
   for (const auto& [id, upstream] : load.upstreams) {
-    told.upstreams.push_back(
-        {id, upstream.running, upstream.unread_tokens, upstream.held_tokens});
+    told.upstreams.push_back({id, upstream.running, upstream.unread_tokens,
+                              upstream.held_tokens, upstream.good_milli,
+                              upstream.bad_milli});
   }
   for (const auto& [id, parts] : load.placed) {
     told.placed.push_back({id, parts});
@@ -81,7 +87,8 @@
   load.entry = told.entry;
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {one.running, one.unread_tokens,
-                                    one.held_tokens};
+                                    one.held_tokens, one.good_milli,
+                                    one.bad_milli};
   }
   for (const PartsPlaced& one : told.placed) {
     load.placed[one.upstream] = one.parts;
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -47,6 +47,9 @@
   /// @brief The connection broke while the upstream had the request.
   virtual void NoteBroken(const Exchange& exchange) = 0;
   virtual void NoteAnswered(const Exchange& exchange) = 0;
+  /// @brief What the upstream made of the request is known.
+  /// @param well False if it failed, refused, broke off or stayed silent.
+  virtual void NoteEnded(const Exchange& exchange, bool well) = 0;
   /// @brief When a refused caller should come again.
   virtual Duration RetryAfter(const Exchange& exchange) const = 0;
   virtual void Log(EventId id, const Exchange& exchange,
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -93,11 +93,11 @@
   /// @brief Takes the load of another entry of the failure domain.
   void TakeLoad(const policy::EntryLoad& load);
 
-  /// @brief Own load, with the parts of prompts placed within a time.
   /// @brief Counters, gauges and histograms as scrape text.
   std::string ScrapeText() const;
 
-  policy::EntryLoad OwnLoad(Duration placed_within) const;
+  /// @brief Own load, with the parts of prompts placed within a time.
+  policy::EntryLoad OwnLoad(Duration placed_within);
 
   /// @brief Whether the routes were confirmed within a time.
   bool ConfirmedWithin(Duration time) const;
@@ -140,6 +140,7 @@
   void NoteUnreachable(const Exchange& exchange) override;
   void NoteBroken(const Exchange& exchange) override;
   void NoteAnswered(const Exchange& exchange) override;
+  void NoteEnded(const Exchange& exchange, bool well) override;
   Duration RetryAfter(const Exchange& exchange) const override;
   void Log(EventId id, const Exchange& exchange,
            std::vector<EventField> fields) override;
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -1,6 +1,7 @@
 #include "rattanward/policy/placer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "rattanward/policy/rendezvous.h"
@@ -37,6 +38,21 @@
 /// Parts of prompts remembered of one upstream.
 constexpr std::size_t kMaxParts = 4096;
 constexpr std::uint32_t kMinConnections = 4;
+/// Requests that ended lately fade by half in this time.
+constexpr Duration kOutcomeHalfLife{std::chrono::seconds(3)};
+constexpr std::uint64_t kOneOutcome = 1000;
+/// Good ends that each upstream is given, so that one failure tells little.
+constexpr double kPriorGood = 2 * kOneOutcome;
+
+/// Share of the requests that ended lately which ended badly.
+double FailingShare(const UpstreamLoad& load) {
+  const auto bad = static_cast<double>(load.bad_milli);
+  return bad / (bad + static_cast<double>(load.good_milli) + kPriorGood);
+}
+
+std::uint64_t Faded(std::uint64_t milli, double factor) {
+  return static_cast<std::uint64_t>(static_cast<double>(milli) * factor);
+}
 
 double RendezvousRank(std::uint64_t key, const UpstreamId& id) {
   // 0 for the first choice of the key, up to 1 for the last.
@@ -195,7 +211,9 @@
   constexpr double kHopLoad = 0.5;
   const double slots = std::max(instance.record.slots, 1U);
   const bool far = instance.record.failure_domain != own_domain_;
-  return TotalLoad(instance).running / slots + (far ? kHopLoad : 0.0) +
+  const UpstreamLoad total = TotalLoad(instance);
+  return total.running / slots + (far ? kHopLoad : 0.0) +
+         options_.failing_slots * FailingShare(total) +
          RendezvousRank(key, instance.record.id) / slots;
 }
 
@@ -209,7 +227,8 @@
   const double shared_missing = missing > own_part ? missing - own_part : 0;
   const bool far = instance.record.failure_domain != own_domain_;
   double score = static_cast<double>(total.unread_tokens) + missing +
-                 kTokensPerRunning * total.running;
+                 kTokensPerRunning * total.running +
+                 options_.failing_tokens * FailingShare(total);
   if (far) {
     score += kTokensPerDomainHop + kHopSharePerToken * request.prompt_tokens;
   }
@@ -344,7 +363,27 @@
   own.held_tokens -= std::min(own.held_tokens, charge.held_tokens);
   own.unread_tokens -= std::min(own.unread_tokens, charge.unread_tokens);
   if (own.running == 0) {
-    own = UpstreamLoad();
+    own.unread_tokens = 0;
+    own.held_tokens = 0;
+  }
+}
+
+void Placer::Ended(const UpstreamId& id, bool well) {
+  const auto found = instances_.find(id);
+  if (found != instances_.end()) {
+    UpstreamLoad& own = found->second.own;
+    (well ? own.good_milli : own.bad_milli) += kOneOutcome;
+  }
+}
+
+void Placer::FadeOutcomes(TimePoint now) {
+  const std::chrono::duration<double> passed = now - faded_;
+  const std::chrono::duration<double> half_life = kOutcomeHalfLife;
+  const double factor = std::exp2(-passed.count() / half_life.count());
+  faded_ = now;
+  for (auto& [id, instance] : instances_) {
+    instance.own.good_milli = Faded(instance.own.good_milli, factor);
+    instance.own.bad_milli = Faded(instance.own.bad_milli, factor);
   }
 }
 
@@ -390,11 +429,13 @@
   return std::max(kMinConnections, all / static_cast<std::uint32_t>(entries_));
 }
 
-EntryLoad Placer::OwnLoad(const ProcessId& self, TimePoint placed_since) const {
+EntryLoad Placer::OwnLoad(const ProcessId& self, TimePoint placed_since,
+                          TimePoint now) {
+  FadeOutcomes(now);
   EntryLoad load;
   load.entry = self;
   for (const auto& [id, instance] : instances_) {
-    if (instance.own.running > 0) {
+    if (instance.own.running > 0 || instance.own.bad_milli > 0) {
       load.upstreams[id] = instance.own;
     }
     for (auto it = instance.placed.rbegin();
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -13,7 +13,7 @@
 constexpr Duration kMinLoadPeriod{std::chrono::milliseconds(30)};
 constexpr Duration kLoadPeriodPerPeer{std::chrono::milliseconds(10)};
 constexpr std::uint32_t kFarTurns = 4;
-constexpr std::uint32_t kRelayTurns = 2;
+
 /// Datagrams that tell of the same placement; some are lost.
 constexpr int kPlacedTells = 3;
 constexpr Duration kStopCheckPeriod{std::chrono::milliseconds(100)};
@@ -120,14 +120,11 @@
 /// Other failure domains are told less often: bytes to them cost more.
 void EntryNode::TellLoad() {
   loads_.Tell(proxy_.OwnLoad(kPlacedTells * load_period_), near_peers_);
-  ++load_turn_;
-  if (load_turn_ % kFarTurns == 0) {
-    loads_.Tell(proxy_.OwnLoad(kPlacedTells * kFarTurns * load_period_),
-                far_peers_);
-  }
-  if (load_turn_ % kRelayTurns == 0) {
-    loads_.TellThrough(
-        proxy_.OwnLoad(kPlacedTells * kRelayTurns * load_period_), relays_);
+  if (++load_turn_ % kFarTurns == 0) {
+    const policy::EntryLoad load =
+        proxy_.OwnLoad(kPlacedTells * kFarTurns * load_period_);
+    loads_.Tell(load, far_peers_);
+    loads_.TellThrough(load, relays_);
   }
   timers_.After(load_period_, [this](TimePoint) { TellLoad(); });
 }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -240,6 +240,7 @@
 }
 
 void Exchange::FinishStream() {
+  owner_.NoteEnded(*this, true);
   StartStream();
   request_.caller->Write(splitter_.TakeRest());
   Release();
@@ -253,6 +254,7 @@
 }
 
 void Exchange::AnswerWhole() {
+  owner_.NoteEnded(*this, answer_.status < kServerError);
   const bool no_proof =
       IsSuccess(answer_.status) && !answer_traits_.has_signature;
   const bool worth_another =
@@ -281,6 +283,7 @@
 }
 
 void Exchange::RefusedThere() {
+  owner_.NoteEnded(*this, false);
   owner_.NoteRefusedThere(*this);
   excluded_.insert(upstream_);
   Release();
@@ -318,6 +321,7 @@
 
 void Exchange::Broken(ClientFailure failure) {
   may_have_run_ = true;
+  owner_.NoteEnded(*this, false);
   owner_.NoteBroken(*this);
   const std::string what = failure == ClientFailure::kMalformed
                                ? "the upstream's bytes are no answer"
@@ -403,6 +407,9 @@
   const bool sent =
       state_ == State::kSent && connection_ && connection_->sent_any();
   may_have_run_ = may_have_run_ || sent;
+  if (sent && !streams()) {
+    owner_.NoteEnded(*this, false);
+  }
   Fail(may_have_run_
            ? MakeError(ErrorCode::kUpstreamSilent,
                        "no answer within the time of the request",
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -195,8 +195,9 @@
   }
 }
 
-policy::EntryLoad Proxy::OwnLoad(Duration placed_within) const {
-  return placer_.OwnLoad(options_.process, MonotonicNow() - placed_within);
+policy::EntryLoad Proxy::OwnLoad(Duration placed_within) {
+  const TimePoint now = MonotonicNow();
+  return placer_.OwnLoad(options_.process, now - placed_within, now);
 }
 
 void Proxy::BeginShutdown() { stopping_ = true; }
@@ -430,6 +431,10 @@
   placer_.Answered(exchange.upstream());
 }
 
+void Proxy::NoteEnded(const Exchange& exchange, bool well) {
+  placer_.Ended(exchange.upstream(), well);
+}
+
 /// A connection that broke tells little; whether the process behind it is
 /// gone, a new connection tells.
 void Proxy::NoteBroken(const Exchange& exchange) {
--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -231,7 +231,7 @@
     const TimePoint since = Now() - std::chrono::milliseconds(400);
     for (std::size_t from = 0; from < entries_.size(); ++from) {
       const policy::EntryLoad load = entries_[from]->placer.OwnLoad(
-          ProcessId("e" + std::to_string(from)), since);
+          ProcessId("e" + std::to_string(from)), since, Now());
       for (std::size_t to = 0; to < entries_.size(); ++to) {
         if (to != from && to % groups_ == from % groups_) {
           entries_[to]->placer.SetEntryLoad(load, Now());
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <limits>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,50 @@
   return record;
 }
 
+/// Failed calls of 300 to a plain service of three upstreams over 20 s, from
+/// three entries that tell each other their load; for a while one upstream
+/// fails two in five of its calls.
+int FailedCalls(PlacerOptions options) {
+  constexpr int kCalls = 300;
+  constexpr int kCallers = 3;
+  constexpr std::uint64_t kFailingOfFive = 2;
+  std::mt19937_64 random(7);
+  std::vector<Placer> placers;
+  for (int i = 0; i < kCallers; ++i) {
+    placers.emplace_back(FailureDomain("near"), options);
+    placers.back().SetServices({{ServiceName("s"), 30, std::nullopt}});
+    placers.back().SetInstance(Record("u1", 1, "near"));
+    placers.back().SetInstance(Record("u2", 2, "near"));
+    placers.back().SetInstance(Record("u3", 3, "near"));
+  }
+  int failed = 0;
+  for (int call = 0; call < kCalls; ++call) {
+    const TimePoint now = TimePoint() + call * std::chrono::milliseconds(66);
+    Placer& placer = placers[static_cast<std::size_t>(random() % kCallers)];
+    PlacementRequest request;
+    request.service = ServiceName("s");
+    request.prompt = {{random(), 0}};
+    const auto chosen = placer.Choose(request, {}, now);
+    REQUIRE(chosen.has_value());
+    const auto charge = placer.Sent(*chosen, request, now);
+    const bool fails = *chosen == UpstreamId("u2") && call >= kCalls / 4 &&
+                       call < kCalls * 3 / 4 && random() % 5 < kFailingOfFive;
+    placer.Ended(*chosen, !fails);
+    placer.Finished(*chosen, charge);
+    failed += fails ? 1 : 0;
+    for (int from = 0; from < kCallers; ++from) {
+      const EntryLoad load = placers[static_cast<std::size_t>(from)].OwnLoad(
+          ProcessId("e" + std::to_string(from)), now, now);
+      for (int to = 0; to < kCallers; ++to) {
+        if (to != from) {
+          placers[static_cast<std::size_t>(to)].SetEntryLoad(load, now);
+        }
+      }
+    }
+  }
+  return failed;
+}
+
 /// Two upstreams of a plain service, one in each of two failure domains.
 Placer PlainService() {
   Placer placer(FailureDomain("near"));
@@ -144,6 +189,24 @@
   CHECK(placer.Choose(Plain(), {}, later) == UpstreamId("n"));
 }
 
+TEST_CASE("an upstream that fails part of its calls gets few of them") {
+  PlacerOptions blind;
+  blind.failing_slots = 0;
+  CHECK(FailedCalls({}) * 2 < FailedCalls(blind));
+}
+
+TEST_CASE("failures fade, and the upstream is tried again") {
+  Placer placer = PlainService();
+  TimePoint now;
+  for (int i = 0; i < 4; ++i) {
+    placer.Ended(UpstreamId("n"), false);
+  }
+  CHECK(placer.Choose(Plain(), {}, now) == UpstreamId("f"));
+  now += std::chrono::seconds(30);
+  placer.OwnLoad(ProcessId("e1"), now, now);
+  CHECK(placer.Choose(Plain(), {}, now) == UpstreamId("n"));
+}
+
 TEST_CASE("an upstream that drains, or is another's, is not chosen") {
   Placer placer = PlainService();
   membership::InstanceRecord draining = Record("n", 1, "near");
