--- a/include/rattanward/membership/relay_choice.h
+++ b/include/rattanward/membership/relay_choice.h
@@ -32,6 +32,7 @@
     }
   }
   std::vector<Endpoint> relays;
+  relays.reserve(by_domain.size());
   for (const auto& [domain, endpoints] : by_domain) {
     relays.push_back(endpoints[turn % endpoints.size()]);
   }
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -86,9 +86,15 @@
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
+/// @brief Share of the requests that ended lately at an upstream which ended
+/// badly; some good ends are added, so that one failure tells little.
+double FailingShare(const UpstreamLoad& load);
+
 /// @brief Load of one entry at the upstreams that it uses.
 struct EntryLoad {
   ProcessId entry;
+  /// How long it counts unless a newer one comes; some are lost on the way.
+  Duration valid_for{std::chrono::milliseconds(1500)};
   std::map<UpstreamId, UpstreamLoad> upstreams;
   /// Parts of prompts that were lately sent there.
   std::map<UpstreamId, std::vector<PromptPart>> placed;
@@ -232,7 +238,8 @@
   PlacerOptions options_;
   std::map<ServiceName, Service> services_;
   std::map<UpstreamId, Instance> instances_;
-  std::map<ProcessId, TimePoint> entry_loads_heard_;
+  /// Until when the load of each other entry counts.
+  std::map<ProcessId, TimePoint> others_valid_until_;
   TimePoint faded_;
   std::size_t entries_ = 1;
   std::size_t domain_entries_ = 1;
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -35,6 +35,7 @@
   ProcessId entry;
   /// Whether the receiver passes it on to the entries of its failure domain.
   bool relay = false;
+  std::uint32_t valid_ms = 0;
   std::vector<UpstreamLoadTold> upstreams;
   std::vector<PartsPlaced> placed;
 
@@ -62,7 +63,7 @@
 template <>
 struct FieldsOf<LoadTold> {
   static auto Tie(auto& m) {
-    return std::tie(m.entry, m.relay, m.upstreams, m.placed);
+    return std::tie(m.entry, m.relay, m.valid_ms, m.upstreams, m.placed);
   }
 };
 
@@ -70,6 +71,9 @@
 inline LoadTold ToMessage(const policy::EntryLoad& load) {
   LoadTold told;
   told.entry = load.entry;
+  told.valid_ms = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(load.valid_for)
+          .count());
   for (const auto& [id, upstream] : load.upstreams) {
     told.upstreams.push_back({id, upstream.running, upstream.unread_tokens,
                               upstream.held_tokens, upstream.good_milli,
@@ -85,6 +89,7 @@
 inline policy::EntryLoad ToEntryLoad(const LoadTold& told) {
   policy::EntryLoad load;
   load.entry = told.entry;
+  load.valid_for = std::chrono::milliseconds(told.valid_ms);
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {one.running, one.unread_tokens,
                                     one.held_tokens, one.good_milli,
--- a/src/domain/routing.cc
+++ b/src/domain/routing.cc
@@ -160,8 +160,8 @@
 
 std::uint32_t RoutingTable::RankOf(const Route& route,
                                    const RoutedAccount* account) const {
-  const auto found = std::lower_bound(ranks_.begin(), ranks_.end(),
-                                      RankPair(route, account));
+  const auto found =
+      std::lower_bound(ranks_.begin(), ranks_.end(), RankPair(route, account));
   return static_cast<std::uint32_t>(found - ranks_.begin());
 }
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -26,8 +26,6 @@
 constexpr double kRankDivisor = 2;
 /// Parts placed by this entry that are remembered for the others.
 constexpr std::size_t kMaxPlaced = 256;
-/// Load of an entry that did not report for this long is not counted.
-constexpr Duration kLoadExpiry{std::chrono::milliseconds(1500)};
 /// Avoidance of an upstream after a failure; doubles with each one more.
 constexpr Duration kFirstAvoidance{std::chrono::milliseconds(300)};
 constexpr std::uint32_t kMaxDoublings = 4;
@@ -44,12 +42,6 @@
 /// Good ends that each upstream is given, so that one failure tells little.
 constexpr double kPriorGood = 2 * kOneOutcome;
 
-/// Share of the requests that ended lately which ended badly.
-double FailingShare(const UpstreamLoad& load) {
-  const auto bad = static_cast<double>(load.bad_milli);
-  return bad / (bad + static_cast<double>(load.good_milli) + kPriorGood);
-}
-
 std::uint64_t Faded(std::uint64_t milli, double factor) {
   return static_cast<std::uint64_t>(static_cast<double>(milli) * factor);
 }
@@ -64,6 +56,11 @@
 
 }  // namespace
 
+double FailingShare(const UpstreamLoad& load) {
+  const auto bad = static_cast<double>(load.bad_milli);
+  return bad / (bad + static_cast<double>(load.good_milli) + kPriorGood);
+}
+
 std::uint64_t PrefixKey(const PlacementRequest& request) {
   // The last part is the request's own, or its session's.
   const PromptPart* longest = nullptr;
@@ -121,7 +118,7 @@
 }
 
 void Placer::SetEntryLoad(const EntryLoad& load, TimePoint now) {
-  entry_loads_heard_[load.entry] = now;
+  others_valid_until_[load.entry] = now + load.valid_for;
   for (auto& [id, instance] : instances_) {
     const auto told = load.upstreams.find(id);
     SetOther(&instance, load.entry,
@@ -133,12 +130,12 @@
       }
     }
   }
-  std::erase_if(entry_loads_heard_, [&](const auto& heard) {
-    if (now - heard.second < kLoadExpiry) {
+  std::erase_if(others_valid_until_, [&](const auto& other) {
+    if (now < other.second) {
       return false;
     }
     for (auto& [id, instance] : instances_) {
-      SetOther(&instance, heard.first, {});
+      SetOther(&instance, other.first, {});
     }
     return true;
   });
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -121,8 +121,9 @@
 void EntryNode::TellLoad() {
   loads_.Tell(proxy_.OwnLoad(kPlacedTells * load_period_), near_peers_);
   if (++load_turn_ % kFarTurns == 0) {
-    const policy::EntryLoad load =
-        proxy_.OwnLoad(kPlacedTells * kFarTurns * load_period_);
+    const Duration three_turns = kPlacedTells * kFarTurns * load_period_;
+    policy::EntryLoad load = proxy_.OwnLoad(three_turns);
+    load.valid_for = std::max(load.valid_for, three_turns);
     loads_.Tell(load, far_peers_);
     loads_.TellThrough(load, relays_);
   }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -1,6 +1,7 @@
 #include "rattanward/proxy/exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "rattanward/adapter/asio_timer_service.h"
@@ -43,6 +44,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string Permille(double share) {
+  constexpr double kPermille = 1000;
+  return std::to_string(std::lround(share * kPermille));
+}
+
 }  // namespace
 
 Exchange::Exchange(asio::io_context& io, ExchangeOwner& owner,
@@ -138,6 +144,7 @@
               {"left_ms", Milliseconds(Left())},
               {"running", std::to_string(load.running)},
               {"unread", std::to_string(load.unread_tokens)},
+              {"failing", Permille(policy::FailingShare(load))},
               {"missing", std::to_string(charge_.unread_tokens)},
               {"rank", std::to_string(placement_.rank)},
               {"part", std::to_string(policy::PrefixKey(placement_))}});
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -177,6 +177,20 @@
   CHECK(placer.Choose(Plain(), {}, later) == UpstreamId("n"));
 }
 
+TEST_CASE("load of an entry that tells it seldom counts for longer") {
+  Placer placer = PlainService();
+  EntryLoad other;
+  other.entry = ProcessId("e2");
+  other.valid_for = std::chrono::seconds(8);
+  other.upstreams[UpstreamId("n")].running = 3;
+  placer.SetEntryLoad(other, TimePoint());
+  EntryLoad third;
+  third.entry = ProcessId("e3");
+  const TimePoint later = TimePoint() + std::chrono::seconds(3);
+  placer.SetEntryLoad(third, later);
+  CHECK(placer.Choose(Plain(), {}, later) == UpstreamId("f"));
+}
+
 TEST_CASE("an upstream that can't be reached is avoided for a while") {
   Placer placer = PlainService();
   const TimePoint now;
