--- /dev/null
+++ b/tests/fakes/proxy_entry.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakes/loopback_peer.h"
+#include "fakes/test_dialect.h"
+#include "rattanward/proxy/proxy.h"
+
+namespace rattanward::fakes {
+
+/// @brief Longest time that a test waits for something to happen.
+inline constexpr Duration kTestLimit{std::chrono::seconds(10)};
+
+/// @brief A route of host h to service s.
+inline Route MakeRoute(const std::string& prefix, RouteKind kind) {
+  Route route;
+  route.name = prefix;
+  route.host = "h";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.timeout = std::chrono::seconds(5);
+  route.target = std::chrono::seconds(1);
+  route.split = {{ServiceName("s"), 1}};
+  route.max_attempts = 2;
+  return route;
+}
+
+/// @brief Routes of each kind for account a with key k.
+inline RoutingDeclaration MakeDeclaration() {
+  RoutingDeclaration declaration;
+  declaration.version = ConfigVersion{1};
+  declaration.services = {{ServiceName("s"), 100, std::nullopt}};
+  declaration.accounts = {{ClientAccountId("a"), {"k"}, std::nullopt}};
+  declaration.routes = {MakeRoute("/safe/", RouteKind::kIdempotent),
+                        MakeRoute("/once/", RouteKind::kAtMostOnce),
+                        MakeRoute("/stream/", RouteKind::kStream),
+                        MakeRoute("/resume/", RouteKind::kStream),
+                        MakeRoute("/quick/", RouteKind::kAtMostOnce)};
+  declaration.routes[3].resumable = true;
+  declaration.routes[4].timeout = std::chrono::milliseconds(150);
+  return declaration;
+}
+
+/// @brief An entry's data path on loopback, with upstreams that a test scripts.
+class ProxyEntry {
+ public:
+  explicit ProxyEntry(Duration key_lease = std::chrono::seconds(4)) {
+    proxy::ProxyOptions options;
+    options.process = ProcessId("entry");
+    options.failure_domain = FailureDomain("d");
+    options.listen = {"127.0.0.1", 0};
+    options.retries.fixed = 100;
+    options.max_body_bytes = 2U << 20U;
+    options.key_lease = key_lease;
+    proxy::ProxyHooks hooks;
+    hooks.witness = [this](const protocol::CrashWitness& witness) {
+      witnesses.push_back(witness);
+    };
+    hooks.events = [this](const Event& event) { events.push_back(event); };
+    data_path = std::make_unique<proxy::Proxy>(io, options, dialect, hooks);
+    REQUIRE(data_path->Start().has_value());
+    data_path->SetRouting(
+        std::make_shared<const RoutingTable>(MakeDeclaration()));
+    data_path->Confirm(adapter::MonotonicNow(), ConfigVersion{1});
+  }
+
+  LoopbackUpstream& AddUpstream(LoopbackUpstream::Handler handler) {
+    upstreams.push_back(
+        std::make_unique<LoopbackUpstream>(io, std::move(handler)));
+    membership::InstanceRecord record;
+    record.id = UpstreamId("u" + std::to_string(upstreams.size()));
+    record.stamp = {upstreams.size(), 1};
+    record.service = ServiceName("s");
+    record.endpoint = upstreams.back()->endpoint();
+    record.failure_domain = FailureDomain("d");
+    record.slots = 4;
+    data_path->TakeInstances({record});
+    return *upstreams.back();
+  }
+
+  std::shared_ptr<LoopbackPeer> Caller() {
+    return LoopbackPeer::Connect(io, data_path->endpoint());
+  }
+
+  bool Until(const std::function<bool()>& done, Duration limit = kTestLimit) {
+    const TimePoint end = adapter::MonotonicNow() + limit;
+    while (!done() && adapter::MonotonicNow() < end) {
+      io.run_one_for(std::chrono::milliseconds(5));
+    }
+    return done();
+  }
+
+  std::size_t Arrivals() const {
+    std::size_t count = 0;
+    for (const auto& upstream : upstreams) {
+      count += upstream->requests().size();
+    }
+    return count;
+  }
+
+  asio::io_context io;
+  TestDialect dialect;
+  std::vector<protocol::CrashWitness> witnesses;
+  std::vector<Event> events;
+  std::unique_ptr<proxy::Proxy> data_path;
+  std::vector<std::unique_ptr<LoopbackUpstream>> upstreams;
+};
+
+/// @brief A caller's request, as bytes.
+inline std::string Request(const std::string& path, const std::string& id,
+                           const std::string& body = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: h\r\nkey: k\r\nid: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+/// @brief An upstream's answer, as bytes.
+inline std::string Answer(const std::string& id, const std::string& body,
+                          const std::string& more = "signed: x\r\n",
+                          const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nid: " + id + "\r\n" + more +
+         "Keep-Alive: timeout=5\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// @brief The head of an upstream's stream, as bytes.
+inline std::string StreamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nid: " + id +
+         "\r\nsigned: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+inline bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+/// @brief Whether a caller gets some bytes within the limit of a test.
+inline bool Gets(ProxyEntry& entry, const std::shared_ptr<LoopbackPeer>& caller,
+                 const std::string& part) {
+  return entry.Until([&] { return Has(caller->received(), part); });
+}
+
+}  // namespace rattanward::fakes
