Choose homes by place in the rendezvous order

Cause: entries that have not heard of each other should choose alike homes for a new part. The preference was a share of the whole order: 250 tokens between neighbours among 12 engines, 21 among 140, less than the load of one request.

Ruled out: order alone, without load (docs/design/placing.md, failed tries).

Change: 250 tokens for each place, whatever the number of engines.

Tests: unit-placer, 'entries that have not heard of each other choose like homes': two entries agree on 47% of new parts among 12 engines; among 140 on 10% before and on 50% after.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -223,7 +223,8 @@
   static void SetOther(Instance* instance, const ProcessId& entry,
                        const UpstreamLoad& load);
   double EngineScore(const Instance& instance, const PlacementRequest& request,
-                     std::uint64_t key, bool kept_elsewhere) const;
+                     std::uint64_t key, bool kept_elsewhere,
+                     std::size_t engines) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
   bool Holds(const Instance& instance, const PlacementRequest& request) const;
   static void Keep(Instance* instance, const PromptPart& part);
--- a/src/domain/text_difference.cc
+++ b/src/domain/text_difference.cc
@@ -18,7 +18,8 @@
 /// The piece that a text begins with.
 std::string_view FirstPiece(std::string_view text) {
   const std::size_t end = text.find_first_of("}\n");
-  const std::size_t length = end == std::string_view::npos ? text.size() : end + 1;
+  const std::size_t length =
+      end == std::string_view::npos ? text.size() : end + 1;
   return text.substr(0, std::min(length, kMaxPieceBytes));
 }
 
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -29,7 +29,8 @@
 bool IsServiceCall(const http::ServerRequest& request) {
   const std::string_view path = PathOf(request);
   const auto& methods = kServiceMethods;
-  return path.size() > kServicesPath.size() && path.starts_with(kServicesPath) &&
+  return path.size() > kServicesPath.size() &&
+         path.starts_with(kServicesPath) &&
          std::find(methods.begin(), methods.end(), request.head.method) !=
              methods.end();
 }
@@ -127,9 +128,10 @@
   }
   const auto snapshot = core_.Snapshot();
   if (const Status open = core_.MayStart(); !open || !snapshot) {
-    const Error error = open ? MakeError(ErrorCode::kNoConfiguration,
-                                         "no configuration is in force here yet")
-                             : open.error();
+    const Error error = open
+                            ? MakeError(ErrorCode::kNoConfiguration,
+                                        "no configuration is in force here yet")
+                            : open.error();
     caller->CloseWhenIdle();
     CallerAnswer(caller, std::move(common)).Fail(error);
     return;
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -19,7 +19,8 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-Result<std::string> Header(const http::ServerRequest& request, const char* name) {
+Result<std::string> Header(const http::ServerRequest& request,
+                           const char* name) {
   std::string value = FieldOf(request, name);
   if (value.size() > kMaxHeaderValueBytes) {
     return MakeError(ErrorCode::kMalformedHeader,
@@ -129,8 +130,7 @@
 
 }  // namespace
 
-std::string FieldOf(const http::ServerRequest& request,
-                    std::string_view name) {
+std::string FieldOf(const http::ServerRequest& request, std::string_view name) {
   const std::string* value = request.head.fields.Find(name);
   return value == nullptr ? std::string() : *value;
 }
--- a/src/entry/claim_desk.cc
+++ b/src/entry/claim_desk.cc
@@ -56,9 +56,9 @@
       sink(MaySend{});
       return;
     }
-    attempt_ = desk_.Begin(
-        claim_, [self = shared_from_this(),
-                 sink = std::move(sink)](const ledger::ClaimDecision& decision) {
+    attempt_ =
+        desk_.Begin(claim_, [self = shared_from_this(), sink = std::move(sink)](
+                                const ledger::ClaimDecision& decision) {
           sink(self->Taken(decision));
         });
   }
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -21,8 +21,7 @@
 }  // namespace
 
 Exchange::Exchange(EntryCore& core, const RequestRecorder& recorder,
-                   ExchangePlan plan, CallerAnswer answer,
-                   OverSink on_over)
+                   ExchangePlan plan, CallerAnswer answer, OverSink on_over)
     : core_(core),
       recorder_(recorder),
       plan_(std::move(plan)),
--- a/src/entry/http_answers.cc
+++ b/src/entry/http_answers.cc
@@ -26,7 +26,8 @@
 }
 
 http::Response ErrorAnswer(const Error& error) {
-  http::Response answer = JsonAnswer(HttpStatus(error.code), ErrorToJson(error));
+  http::Response answer =
+      JsonAnswer(HttpStatus(error.code), ErrorToJson(error));
   SetVerdict(error.verdict, &answer.head);
   if (error.retry_after) {
     const auto seconds =
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -84,7 +84,8 @@
               {[self](const auto& answer) {
                  self->status_ = answer.status;
                  const std::string id = RequestIdOf(answer);
-                 self->own_answer_ = id.empty() || id == self->request_.id.str();
+                 self->own_answer_ =
+                     id.empty() || id == self->request_.id.str();
                  self->answer_.content_type = ContentTypeOf(answer);
                  return true;
                },
@@ -232,8 +233,7 @@
       Head("GET", StreamPath() + "?from=" + std::to_string(assembler_.next())),
       std::string(),
       {[self](const auto& answer) {
-         return self->TakeSentHead(answer) &&
-                self->status_ < kFirstErrorStatus;
+         return self->TakeSentHead(answer) && self->status_ < kFirstErrorStatus;
        },
        [self](std::string_view bytes) { return self->TakeBytes(bytes); },
        [self](CallEnd end) { self->Resumed(end); }});
--- a/src/entry/upstream_front.cc
+++ b/src/entry/upstream_front.cc
@@ -25,12 +25,12 @@
                              std::string token)
     : sink_(std::move(sink)),
       token_(std::move(token)),
-      server_(io, {kMaxConnections, kMaxBodyBytesTogether},
-              [this](const auto& connection,
-                     const http::ServerRequest& request) {
-                http::Response answer = Take(request);
-                connection->Respond(std::move(answer.head), answer.body);
-              }) {
+      server_(
+          io, {kMaxConnections, kMaxBodyBytesTogether},
+          [this](const auto& connection, const http::ServerRequest& request) {
+            http::Response answer = Take(request);
+            connection->Respond(std::move(answer.head), answer.body);
+          }) {
   http::ServerLimits limits;
   limits.parser.max_body_bytes = kMaxBodyBytes;
   server_.SetLimits(limits);
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -16,9 +16,11 @@
 /// fixed part, and one for each token of the prompt that crosses.
 constexpr double kTokensPerDomainHop = 500;
 constexpr double kHopSharePerToken = 0.06;
-/// Preference among upstreams that all lack a prompt, in prompt tokens, by
-/// rendezvous rank: entries that don't know of each other choose alike.
-constexpr double kTokensPerRank = 3000;
+/// Preference among upstreams that all lack a prompt, in prompt tokens for each
+/// place further down in their rendezvous order: entries that don't know of
+/// each other choose alike. A share of the whole order would hardly tell
+/// neighbours among many upstreams apart.
+constexpr double kTokensPerPlace = 250;
 /// Work that a kept token stands for when a home is chosen for a new part:
 /// its requests will come again.
 constexpr double kKeptShare = 0.1;
@@ -216,7 +218,7 @@
 
 double Placer::EngineScore(const Instance& instance,
                            const PlacementRequest& request, std::uint64_t key,
-                           bool kept_elsewhere) const {
+                           bool kept_elsewhere, std::size_t engines) const {
   const UpstreamLoad total = TotalLoad(instance);
   const std::uint32_t missing = MissingTokens(instance, request);
   const std::uint32_t own_part =
@@ -232,7 +234,8 @@
   if (kept_elsewhere) {
     score += (options_.reread_weight - 1) * shared_missing;
   } else {
-    score += kTokensPerRank * RendezvousRank(key, instance.record.id) +
+    score += kTokensPerPlace * static_cast<double>(engines) *
+                 RendezvousRank(key, instance.record.id) +
              kKeptShare * static_cast<double>(instance.kept_tokens);
   }
   return score;
@@ -269,9 +272,10 @@
       continue;
     }
     constexpr double kSilencePenalty = 1e7;
-    const double score = (engine ? EngineScore(instance, request, key, kept)
-                                 : ServiceScore(instance, key)) +
-                         (instance.record.silent ? kSilencePenalty : 0.0);
+    const double score =
+        (engine ? EngineScore(instance, request, key, kept, ids.size())
+                : ServiceScore(instance, key)) +
+        (instance.record.silent ? kSilencePenalty : 0.0);
     if (best == nullptr || score < best_score) {
       best = &instance;
       best_score = score;
--- a/tests/src/unit-entry-exchange.cc
+++ b/tests/src/unit-entry-exchange.cc
@@ -180,8 +180,7 @@
   Entry entry(Silent);
   const auto first = entry.Caller();
   first->Send(Completion());
-  REQUIRE(
-      entry.Until([&] { return entry.upstream.requests().size() == 1; }));
+  REQUIRE(entry.Until([&] { return entry.upstream.requests().size() == 1; }));
   const auto second = entry.Caller();
   second->Send(Completion());
   REQUIRE(entry.Until([&] { return entry.front.open_requests() == 2; }));
@@ -195,8 +194,7 @@
   Entry entry(Silent);
   const auto caller = entry.Caller();
   caller->Send(Post("/services/plugs/read", "{}"));
-  REQUIRE(
-      entry.Until([&] { return entry.upstream.requests().size() == 1; }));
+  REQUIRE(entry.Until([&] { return entry.upstream.requests().size() == 1; }));
   caller->Close();
   CHECK(entry.Until([&] { return entry.upstream.connections()[0]->ended(); }));
   CHECK(entry.Until([&] { return entry.front.open_requests() == 0; }));
@@ -206,8 +204,7 @@
 TEST_CASE("a streamed answer settles the claim of its key, once, as run") {
   Entry entry(Streams);
   const auto caller = entry.Caller();
-  caller->Send(
-      Completion("X-Request-Class: once\r\nIdempotency-Key: k-1\r\n"));
+  caller->Send(Completion("X-Request-Class: once\r\nIdempotency-Key: k-1\r\n"));
   REQUIRE(entry.Until([&] { return Has(caller->received(), "[DONE]"); }));
   REQUIRE(entry.Until([&] { return entry.front.open_requests() == 0; }));
   CHECK(entry.guard->asked == 1);
@@ -219,8 +216,7 @@
   Entry entry(Streams);
   entry.guard->hold = true;
   const auto caller = entry.Caller();
-  caller->Send(
-      Completion("X-Request-Class: once\r\nIdempotency-Key: k-1\r\n"));
+  caller->Send(Completion("X-Request-Class: once\r\nIdempotency-Key: k-1\r\n"));
   REQUIRE(entry.Until([&] { return entry.guard->held != nullptr; }));
   caller->Close();
   // The close is seen in some turn of the loop before the claim is answered.
@@ -239,8 +235,7 @@
   caller->Forget();
   // The connection is of further use.
   caller->Send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
-  CHECK(entry.Until(
-      [&] { return Has(caller->received(), "\"ready\":true"); }));
+  CHECK(entry.Until([&] { return Has(caller->received(), "\"ready\":true"); }));
 }
 
 }  // namespace rattanward::entry
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -47,6 +47,20 @@
   return totals;
 }
 
+constexpr TimePoint kMoment{std::chrono::seconds(10)};
+
+/// A prompt with one shared part before its own.
+PlacementRequest PromptOf(std::uint64_t part, std::uint32_t shared_tokens) {
+  constexpr std::uint32_t kOwnTokens = 1000;
+  PlacementRequest request;
+  request.service = ServiceName("s");
+  request.kind = RouteKind::kStream;
+  request.prompt = {{part, shared_tokens}, {part + 1, kOwnTokens}};
+  request.prompt_tokens = shared_tokens + kOwnTokens;
+  request.arrived = kMoment;
+  return request;
+}
+
 membership::InstanceRecord Record(const std::string& id, std::uint16_t port,
                                   const std::string& domain) {
   membership::InstanceRecord record;
@@ -263,4 +277,55 @@
   CHECK(placer.LoadOf(UpstreamId("n")) == UpstreamLoad());
 }
 
+/// Work that an entry has of its own at some engines, of which others have not
+/// heard.
+void AddOwnWork(int engines, std::uint64_t seed, Placer* placer) {
+  std::mt19937_64 random(seed);
+  for (int i = 0; i < engines; ++i) {
+    const PlacementRequest question = PromptOf(1000000 + random() % 9999, 350);
+    for (std::uint64_t n = random() % 9; n > 0; --n) {
+      const UpstreamId engine("e" + std::to_string(i));
+      PlacementCharge charge = placer->Sent(engine, question, kMoment);
+      placer->PromptRead(engine, &charge);
+    }
+  }
+}
+
+/// Share of new parts for which two entries that have not heard of each other
+/// choose the same home.
+double AgreeingShare(int engines) {
+  std::vector<Placer> placers(2, Placer(FailureDomain("a")));
+  std::uint64_t seed = 0;
+  for (Placer& placer : placers) {
+    RoutedService service;
+    service.name = ServiceName("s");
+    service.engine = EngineDeclaration{64, 500'000, 3};
+    placer.SetServices({service});
+    for (int i = 0; i < engines; ++i) {
+      membership::InstanceRecord record =
+          Record("e" + std::to_string(i), 1, "a");
+      record.slots = 64;
+      placer.SetInstance(record);
+    }
+    AddOwnWork(engines, ++seed, &placer);
+  }
+  constexpr int kParts = 300;
+  int agreed = 0;
+  for (std::uint64_t part = 1; part <= kParts; ++part) {
+    const PlacementRequest summary =
+        PromptOf(part * 0x9e3779b97f4a7c15ULL, 13000);
+    const auto first = placers[0].Choose(summary, {}, kMoment);
+    agreed += first && first == placers[1].Choose(summary, {}, kMoment) ? 1 : 0;
+  }
+  return static_cast<double>(agreed) / kParts;
+}
+
+TEST_CASE("entries that have not heard of each other choose like homes") {
+  // Chance alone would give 1 in 12, and 1 in 140.
+  const double among_few = AgreeingShare(12);
+  const double among_many = AgreeingShare(140);
+  MESSAGE("of 12: " << among_few << ", of 140: " << among_many);
+  CHECK(among_many >= 0.8 * among_few);
+}
+
 }  // namespace rattanward::policy
--- a/tests/src/unit-routing-push.cc
+++ b/tests/src/unit-routing-push.cc
@@ -22,7 +22,8 @@
 }
 
 std::string RoutesText(int version, int count) {
-  std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
+  std::string text =
+      "{\"version\":" + std::to_string(version) + ",\"routes\":[";
   for (int i = 0; i < count; ++i) {
     text += (i > 0 ? "," : "") + RouteText(i);
   }
