Choose among upstreams with less processor time

Ruled out: the queue's own work (a map in order, linear).

Change: a service points at its ready upstreams instead of looking each up by id, twice; an upstream's hash is kept; what another entry told is held in one place, so that a load message touches only the upstreams that it names. A placer can no longer be copied, only moved.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "rattanward/domain/ids.h"
@@ -135,6 +136,13 @@
   explicit Placer(FailureDomain own_domain, PlacerOptions options = {})
       : own_domain_(std::move(own_domain)), options_(options) {}
 
+  // Services point at instances: a copy would point into the original.
+  Placer(const Placer&) = delete;
+  Placer& operator=(const Placer&) = delete;
+  Placer(Placer&&) noexcept = default;
+  Placer& operator=(Placer&&) noexcept = default;
+  ~Placer() = default;
+
   /// @brief Takes the declared services; upstreams of others are not used.
   void SetServices(const std::vector<RoutedService>& services);
 
@@ -197,18 +205,15 @@
                     TimePoint now);
 
  private:
-  struct Service {
-    RoutedService declared;
-    std::vector<UpstreamId> instances;
-  };
   struct Instance {
     membership::InstanceRecord record;
+    /// Of its id.
+    std::uint64_t hash = 0;
     UpstreamLoad own;
-    std::map<ProcessId, UpstreamLoad> others;
-    /// Sum of the loads of others.
+    /// Sum of what the other entries told.
     UpstreamLoad others_total;
     /// Parts of prompts that were sent there, by any entry that told.
-    std::set<std::uint64_t> parts;
+    std::unordered_set<std::uint64_t> parts;
     /// Tokens of these parts.
     std::uint64_t kept_tokens = 0;
     /// The newest of these that this entry sent.
@@ -216,17 +221,26 @@
     std::uint32_t failures = 0;
     TimePoint avoid_until;
   };
+  struct Service {
+    RoutedService declared;
+    /// Its ready upstreams; they stay in place in instances_.
+    std::vector<const Instance*> instances;
+  };
+  /// What another entry told last.
+  struct Other {
+    TimePoint valid_until;
+    std::map<UpstreamId, UpstreamLoad> upstreams;
+  };
 
   bool Usable(const Instance& instance, TimePoint now) const;
   void FadeOutcomes(TimePoint now);
   static UpstreamLoad TotalLoad(const Instance& instance);
-  static void SetOther(Instance* instance, const ProcessId& entry,
-                       const UpstreamLoad& load);
+  void Forget(const Other& other);
+  void ForgetOthersAt(const UpstreamId& id);
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool kept_elsewhere,
                      std::size_t engines) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
-  bool Holds(const Instance& instance, const PlacementRequest& request) const;
   static void Keep(Instance* instance, const PromptPart& part);
   bool Full(const Instance& instance, const Service& service) const;
   bool MustWait(const Instance& instance, const PlacementRequest& request,
@@ -239,8 +253,7 @@
   PlacerOptions options_;
   std::map<ServiceName, Service> services_;
   std::map<UpstreamId, Instance> instances_;
-  /// Until when the load of each other entry counts.
-  std::map<ProcessId, TimePoint> others_valid_until_;
+  std::map<ProcessId, Other> others_;
   TimePoint faded_;
   std::size_t entries_ = 1;
   std::size_t domain_entries_ = 1;
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -48,9 +48,9 @@
   return static_cast<std::uint64_t>(static_cast<double>(milli) * factor);
 }
 
-double RendezvousRank(std::uint64_t key, const UpstreamId& id) {
+double RendezvousRank(std::uint64_t key, std::uint64_t upstream_hash) {
   // 0 for the first choice of the key, up to 1 for the last.
-  const std::uint64_t weight = RendezvousWeight(key, StableHash(id.str()));
+  const std::uint64_t weight = RendezvousWeight(key, upstream_hash);
   return 1.0 -
          static_cast<double>(weight) /
              static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -91,13 +91,16 @@
   const bool restarted = instance.record.stamp.born != record.stamp.born;
   if (restarted) {
     instance = Instance();
+    ForgetOthersAt(record.id);
   }
   instance.record = record;
+  instance.hash = StableHash(record.id.str());
   Index();
 }
 
 void Placer::RemoveInstance(const UpstreamId& id) {
   instances_.erase(id);
+  ForgetOthersAt(id);
   Index();
 }
 
@@ -109,7 +112,7 @@
     const auto service = services_.find(instance.record.service);
     if (service != services_.end() &&
         instance.record.state == membership::InstanceState::kReady) {
-      service->second.instances.push_back(id);
+      service->second.instances.push_back(&instance);
     }
   }
 }
@@ -120,29 +123,53 @@
 }
 
 void Placer::SetEntryLoad(const EntryLoad& load, TimePoint now) {
-  others_valid_until_[load.entry] = now + load.valid_for;
-  for (auto& [id, instance] : instances_) {
-    const auto told = load.upstreams.find(id);
-    SetOther(&instance, load.entry,
-             told == load.upstreams.end() ? UpstreamLoad() : told->second);
-    const auto placed = load.placed.find(id);
-    if (options_.heed_placed && placed != load.placed.end()) {
-      for (const PromptPart& part : placed->second) {
-        Keep(&instance, part);
-      }
+  Other& other = others_[load.entry];
+  Forget(other);
+  other.upstreams.clear();
+  other.valid_until = now + load.valid_for;
+  for (const auto& [id, told] : load.upstreams) {
+    const auto found = instances_.find(id);
+    if (found != instances_.end()) {
+      other.upstreams.emplace(id, told);
+      found->second.others_total += told;
     }
   }
-  std::erase_if(others_valid_until_, [&](const auto& other) {
-    if (now < other.second) {
-      return false;
+  if (options_.heed_placed) {
+    for (const auto& [id, placed] : load.placed) {
+      const auto found = instances_.find(id);
+      if (found != instances_.end()) {
+        for (const PromptPart& part : placed) {
+          Keep(&found->second, part);
+        }
+      }
     }
-    for (auto& [id, instance] : instances_) {
-      SetOther(&instance, other.first, {});
+  }
+  std::erase_if(others_, [&](const auto& item) {
+    const bool over = now >= item.second.valid_until;
+    if (over) {
+      Forget(item.second);
     }
-    return true;
+    return over;
   });
 }
 
+/// Takes what another entry told off the sums again.
+void Placer::Forget(const Other& other) {
+  for (const auto& [id, told] : other.upstreams) {
+    const auto found = instances_.find(id);
+    if (found != instances_.end()) {
+      found->second.others_total -= told;
+    }
+  }
+}
+
+/// An upstream that started anew, or is gone, has none of the work told.
+void Placer::ForgetOthersAt(const UpstreamId& id) {
+  for (auto& [entry, other] : others_) {
+    other.upstreams.erase(id);
+  }
+}
+
 bool Placer::Usable(const Instance& instance, TimePoint now) const {
   return instance.record.state == membership::InstanceState::kReady &&
          now >= instance.avoid_until;
@@ -154,20 +181,6 @@
   return total;
 }
 
-/// Takes what another entry has at an upstream; a load of nothing forgets it.
-void Placer::SetOther(Instance* instance, const ProcessId& entry,
-                      const UpstreamLoad& load) {
-  const auto known = instance->others.find(entry);
-  if (known != instance->others.end()) {
-    instance->others_total -= known->second;
-    instance->others.erase(known);
-  }
-  if (load != UpstreamLoad()) {
-    instance->others.emplace(entry, load);
-    instance->others_total += load;
-  }
-}
-
 std::uint32_t Placer::MissingTokens(const Instance& instance,
                                     const PlacementRequest& request) const {
   std::uint32_t kept = 0;
@@ -213,7 +226,7 @@
   const UpstreamLoad total = TotalLoad(instance);
   return total.running / slots + (far ? kHopLoad : 0.0) +
          options_.failing_slots * FailingShare(total) +
-         RendezvousRank(key, instance.record.id) / slots;
+         RendezvousRank(key, instance.hash) / slots;
 }
 
 double Placer::EngineScore(const Instance& instance,
@@ -235,19 +248,12 @@
     score += (options_.reread_weight - 1) * shared_missing;
   } else {
     score += kTokensPerPlace * static_cast<double>(engines) *
-                 RendezvousRank(key, instance.record.id) +
+                 RendezvousRank(key, instance.hash) +
              kKeptShare * static_cast<double>(instance.kept_tokens);
   }
   return score;
 }
 
-/// Whether the engine has read, or is about to read, a shared part.
-bool Placer::Holds(const Instance& instance,
-                   const PlacementRequest& request) const {
-  const std::uint64_t key = PrefixKey(request);
-  return instance.parts.count(key) > 0;
-}
-
 std::optional<UpstreamId> Placer::Choose(const PlacementRequest& request,
                                          const std::set<UpstreamId>& excluded,
                                          TimePoint now) const {
@@ -257,23 +263,22 @@
   }
   const bool engine = service->second.declared.engine.has_value();
   const std::uint64_t key = PrefixKey(request);
-  const std::vector<UpstreamId>& ids = service->second.instances;
+  const std::vector<const Instance*>& all = service->second.instances;
   const bool kept =
-      engine && std::any_of(ids.begin(), ids.end(), [&](const UpstreamId& id) {
-        const Instance& instance = instances_.at(id);
-        return Usable(instance, now) && Holds(instance, request);
+      engine && std::any_of(all.begin(), all.end(), [&](const Instance* one) {
+        return one->parts.count(key) > 0 && Usable(*one, now);
       });
   const Instance* best = nullptr;
   double best_score = 0;
-  for (const UpstreamId& id : ids) {
-    const Instance& instance = instances_.at(id);
-    if (excluded.count(id) > 0 || !Usable(instance, now) ||
-        Full(instance, service->second)) {
+  for (const Instance* one : all) {
+    const Instance& instance = *one;
+    if (!Usable(instance, now) || Full(instance, service->second) ||
+        excluded.count(instance.record.id) > 0) {
       continue;
     }
     constexpr double kSilencePenalty = 1e7;
     const double score =
-        (engine ? EngineScore(instance, request, key, kept, ids.size())
+        (engine ? EngineScore(instance, request, key, kept, all.size())
                 : ServiceScore(instance, key)) +
         (instance.record.silent ? kSilencePenalty : 0.0);
     if (best == nullptr || score < best_score) {
@@ -291,10 +296,8 @@
   const auto found = services_.find(service);
   return found == services_.end() ||
          std::all_of(found->second.instances.begin(),
-                     found->second.instances.end(), [&](const UpstreamId& id) {
-                       const Instance& instance = instances_.at(id);
-                       return !Usable(instance, now) ||
-                              Full(instance, found->second);
+                     found->second.instances.end(), [&](const Instance* one) {
+                       return !Usable(*one, now) || Full(*one, found->second);
                      });
 }
 
@@ -307,9 +310,10 @@
                       const std::set<UpstreamId>& excluded) const {
   const auto found = services_.find(service);
   return found != services_.end() &&
-         std::any_of(
-             found->second.instances.begin(), found->second.instances.end(),
-             [&](const UpstreamId& id) { return excluded.count(id) == 0; });
+         std::any_of(found->second.instances.begin(),
+                     found->second.instances.end(), [&](const Instance* one) {
+                       return excluded.count(one->record.id) == 0;
+                     });
 }
 
 void Placer::Keep(Instance* instance, const PromptPart& part) {
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -294,7 +294,9 @@
 /// Share of new parts for which two entries that have not heard of each other
 /// choose the same home.
 double AgreeingShare(int engines) {
-  std::vector<Placer> placers(2, Placer(FailureDomain("a")));
+  std::vector<Placer> placers;
+  placers.emplace_back(FailureDomain("a"));
+  placers.emplace_back(FailureDomain("a"));
   std::uint64_t seed = 0;
   for (Placer& placer : placers) {
     RoutedService service;
