Split the data path: meter, crash memory, reachability; count told loads

Change: counting and scrape text are ProxyMeter, crashes are CrashMemory, the question on a new connection is AskReachable. EntryNode::ScrapeText adds connected control VMs and load messages relayed, unsent and refused. No decision changed.

Tests: unit-proxy, unit-proxy-answers, unit-platform, unit-load-exchange as before.

--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -48,6 +48,10 @@
   void Shutdown(std::function<void()> done);
 
   Proxy& proxy() { return proxy_; }
+
+  /// @brief Counters, gauges and histograms as scrape text.
+  std::string ScrapeText() const;
+
   adapter::AsioTimerService& timers() { return timers_; }
 
  private:
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "rattanward/adapter/asio_timer_service.h"
-#include "rattanward/adapter/latency_histogram.h"
 #include "rattanward/domain/routing.h"
 #include "rattanward/http/server.h"
+#include "rattanward/membership/crash_memory.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/policy/placer.h"
 #include "rattanward/policy/request_queue.h"
@@ -21,6 +21,7 @@
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
 #include "rattanward/proxy/exchange.h"
+#include "rattanward/proxy/proxy_meter.h"
 #include "rattanward/proxy/upstream_pool.h"
 
 namespace rattanward::proxy {
@@ -42,20 +43,6 @@
   Duration denial_lease{std::chrono::milliseconds(1500)};
 };
 
-/// @brief Totals of a data path since its start.
-struct ProxyCounters {
-  std::uint64_t arrived = 0;
-  std::uint64_t finished = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t caller_left = 0;
-  std::uint64_t retried = 0;
-  std::uint64_t resumed = 0;
-  std::uint64_t malformed = 0;
-
-  friend bool operator==(const ProxyCounters&, const ProxyCounters&) = default;
-};
-
 /// @brief What a data path asks of the rest of the entry.
 struct ProxyHooks {
   /// A request was running at an upstream that seems to have crashed.
@@ -112,7 +99,7 @@
   bool idle() const { return exchanges_.empty(); }
 
   ConfigVersion routing_version() const;
-  const ProxyCounters& counters() const { return counters_; }
+  const ProxyCounters& counters() const { return meter_.counters(); }
   std::size_t open_requests() const { return exchanges_.size(); }
   std::size_t waiting() const { return queue_.size(); }
   std::size_t connections() const { return server_.connections(); }
@@ -154,7 +141,6 @@
       const RequestTraits& traits, http::ServerRequest request);
   Duration AdviceFor(const Error& error, const RequestTraits& traits) const;
   Error Denied(ErrorCode code, std::string message) const;
-  bool IsCrasher(std::uint64_t fingerprint) const;
   void ScheduleDrain();
   void Drain();
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
@@ -175,16 +161,12 @@
   std::map<ServiceName, policy::RetryAllowance> allowances_;
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<const RoutingTable> table_;
-  std::unordered_map<std::uint64_t, std::set<protocol::CrashWitness>> crashes_;
+  membership::CrashMemory crashes_;
   TimePoint confirmed_;
   TimePoint started_;
   ConfigVersion required_;
   std::size_t entries_ = 1;
-  ProxyCounters counters_;
-  /// Time to the whole answer, or to the first event of a stream.
-  std::map<RouteKind, adapter::LatencyHistogram> answer_times_;
-  /// Time that requests waited here before they were sent.
-  adapter::LatencyHistogram wait_times_;
+  ProxyMeter meter_;
   bool ever_confirmed_ = false;
   bool stopping_ = false;
   bool refusing_ = false;
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -190,6 +190,14 @@
   proxy_.SetEntries(report.entry_count, near);
 }
 
+std::string EntryNode::ScrapeText() const {
+  return proxy_.ScrapeText() +
+         ScrapeLine("controls_connected", link_.connected()) +
+         ScrapeLine("loads_relayed_total", loads_.relayed()) +
+         ScrapeLine("loads_unsent_total", loads_.unsent()) +
+         ScrapeLine("loads_refused_total", loads_.refused());
+}
+
 void EntryNode::AnswerReady(
     const std::shared_ptr<http::ServerConnection>& connection,
     const http::ServerRequest& request) {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -9,6 +9,7 @@
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/policy/retry_advice.h"
 #include "rattanward/policy/tier_gate.h"
+#include "rattanward/proxy/reachability.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -24,9 +25,6 @@
 constexpr Duration kStoppingRetryAfter{std::chrono::milliseconds(20)};
 constexpr Duration kUnnamedDeadline{std::chrono::seconds(10)};
 constexpr Duration kCrasherRetryAfter{std::chrono::seconds(30)};
-/// Upstreams that one request has crashed before it is not run any more.
-constexpr std::size_t kCrashesToRefuse = 3;
-constexpr std::size_t kMaxFingerprints = 8192;
 /// An entry that starts waits this long for the first upstreams.
 constexpr Duration kDirectoryPatience{std::chrono::seconds(3)};
 constexpr Duration kReadyLease{std::chrono::milliseconds(2500)};
@@ -45,18 +43,6 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
-std::string_view KindName(RouteKind kind) {
-  switch (kind) {
-    case RouteKind::kIdempotent:
-      return "idempotent";
-    case RouteKind::kAtMostOnce:
-      return "at-most-once";
-    case RouteKind::kStream:
-      return "stream";
-  }
-  return "unknown";
-}
-
 std::uint64_t Draw(const RequestTraits& traits) {
   return policy::StableHash(traits.attempt.str());
 }
@@ -79,7 +65,7 @@
       placer_(options_.failure_domain),
       started_(MonotonicNow()) {
   server_.on_refused = [this](const Error& error) {
-    ++counters_.malformed;
+    meter_.Malformed();
     hooks_.events({EventId::kRequestShed,
                    {{"error", std::string(ErrorName(error.code))},
                     {"reason", error.message}}});
@@ -141,25 +127,14 @@
 
 void Proxy::TakeCrashes(const std::vector<protocol::CrashWitness>& witnesses) {
   for (const protocol::CrashWitness& witness : witnesses) {
-    if (crashes_.size() >= kMaxFingerprints &&
-        crashes_.count(witness.fingerprint) == 0) {
-      crashes_.clear();
-    }
-    auto& known = crashes_[witness.fingerprint];
-    known.insert(witness);
-    if (known.size() == kCrashesToRefuse) {
+    if (crashes_.Note(witness)) {
       hooks_.events({EventId::kRequestQuarantined,
                      {{"fingerprint", std::to_string(witness.fingerprint)},
-                      {"crashes", std::to_string(known.size())}}});
+                      {"last_upstream", witness.upstream.str()}}});
     }
   }
 }
 
-bool Proxy::IsCrasher(std::uint64_t fingerprint) const {
-  const auto found = crashes_.find(fingerprint);
-  return found != crashes_.end() && found->second.size() >= kCrashesToRefuse;
-}
-
 void Proxy::Confirm(TimePoint moment, ConfigVersion newest) {
   required_ = std::max(required_, newest);
   if (!table_ || table_->version() < required_) {
@@ -213,7 +188,7 @@
 
 void Proxy::OnRequest(const std::shared_ptr<http::ServerConnection>& caller,
                       http::ServerRequest request) {
-  ++counters_.arrived;
+  meter_.Arrived();
   if (stopping_) {
     caller->CloseWhenIdle();
   }
@@ -221,7 +196,7 @@
   const RequestTraits traits = dialect_.Read(request.head);
   auto routed = Routed(caller, traits, std::move(request));
   if (!routed) {
-    ++counters_.refused;
+    meter_.Refused();
     Error error = routed.error();
     if (error.retry_after) {
       error.retry_after = AdviceFor(error, traits);
@@ -283,7 +258,7 @@
   }
   routed.service = ChooseService(*routed.route, Draw(routed.traits));
   routed.fingerprint = Fingerprint(request, routed.account);
-  if (IsCrasher(routed.fingerprint)) {
+  if (crashes_.IsCrasher(routed.fingerprint)) {
     Error error = MakeError(ErrorCode::kNoUpstream,
                             "this request has crashed its upstreams");
     error.retry_after = kCrasherRetryAfter;
@@ -356,7 +331,7 @@
   if (full->count(service) > 0) {
     return false;
   }
-  if (IsCrasher(exchange->routed().fingerprint)) {
+  if (crashes_.IsCrasher(exchange->routed().fingerprint)) {
     exchange->Refuse(MakeError(ErrorCode::kNoUpstream,
                                "this request has crashed its upstreams"));
     return true;
@@ -397,7 +372,7 @@
 }
 
 policy::PlacementCharge Proxy::NoteSent(const Exchange& exchange) {
-  wait_times_.Count(MonotonicNow() - exchange.routed().request.arrived);
+  meter_.WaitTime(MonotonicNow() - exchange.routed().request.arrived);
   return placer_.Sent(exchange.upstream(), exchange.placement(),
                       MonotonicNow());
 }
@@ -456,28 +431,15 @@
       hooks_.witness(witness);
       return;
     }
-    asio::error_code e;
-    const auto address = asio::ip::make_address(record->endpoint.address, e);
-    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
-    auto done = std::make_shared<bool>(false);
-    const auto conclude = [this, upstream, witness, socket,
-                           done](bool reached) {
-      if (std::exchange(*done, true)) {
-        return;
-      }
-      asio::error_code ignored;
-      socket->close(ignored);
-      if (!reached) {
-        placer_.Failed(upstream, true, MonotonicNow());
-        pool_.Drop(upstream);
-        TakeCrashes({witness});
-        hooks_.witness(witness);
-      }
-    };
-    socket->async_connect(
-        asio::ip::tcp::endpoint(address, record->endpoint.port),
-        [conclude](const asio::error_code& failed) { conclude(!failed); });
-    timers_.After(kProbeTimeout, [conclude](TimePoint) { conclude(false); });
+    AskReachable(io_, record->endpoint, kProbeTimeout,
+                 [this, upstream, witness](bool reached) {
+                   if (!reached) {
+                     placer_.Failed(upstream, true, MonotonicNow());
+                     pool_.Drop(upstream);
+                     TakeCrashes({witness});
+                     hooks_.witness(witness);
+                   }
+                 });
   });
 }
 
@@ -494,29 +456,11 @@
 
 void Proxy::Log(EventId id, const Exchange& exchange,
                 std::vector<EventField> fields) {
-  switch (id) {
-    case EventId::kRequestFinished:
-      ++counters_.finished;
-      answer_times_[exchange.routed().route->kind].Count(
-          exchange.answered_at() - exchange.routed().request.arrived);
-      break;
-    case EventId::kRequestFailed:
-      ++counters_.failed;
-      break;
-    case EventId::kRequestShed:
-      ++counters_.refused;
-      break;
-    case EventId::kCallerLeft:
-      ++counters_.caller_left;
-      break;
-    case EventId::kRequestRetried:
-      ++counters_.retried;
-      break;
-    case EventId::kStreamResumed:
-      ++counters_.resumed;
-      break;
-    default:
-      break;
+  meter_.Count(id);
+  if (id == EventId::kRequestFinished) {
+    meter_.AnswerTime(
+        exchange.routed().route->kind,
+        exchange.answered_at() - exchange.routed().request.arrived);
   }
   fields.insert(fields.begin(),
                 {{"request", exchange.routed().traits.attempt.str()},
@@ -526,33 +470,16 @@
 }
 
 std::string Proxy::ScrapeText() const {
-  std::string text;
-  const auto add = [&](const std::string& name, std::uint64_t value) {
-    text += "rattanward_" + name + ' ' + std::to_string(value) + '\n';
-  };
-  add("requests_arrived_total", counters_.arrived);
-  add("requests_finished_total", counters_.finished);
-  add("requests_failed_total", counters_.failed);
-  add("requests_refused_total", counters_.refused);
-  add("callers_left_total", counters_.caller_left);
-  add("requests_retried_total", counters_.retried);
-  add("streams_resumed_total", counters_.resumed);
-  add("messages_malformed_total", counters_.malformed);
-  add("upstream_connections_opened_total", pool_.opened());
-  add("upstream_connections", pool_.open());
-  add("caller_connections", server_.connections());
-  add("requests_open", exchanges_.size());
-  add("requests_waiting", queue_.size());
-  add("upstreams_known", directory_.size());
-  add("entries_known", entries_);
-  add("routes_version", routing_version().value);
-  add("ready", Ready() ? 1 : 0);
-  for (const auto& [kind, times] : answer_times_) {
-    text += times.Scrape("rattanward_answer_seconds",
-                         "kind=\"" + std::string(KindName(kind)) + '"');
-  }
-  text += wait_times_.Scrape("rattanward_wait_seconds", "");
-  return text;
+  return meter_.ScrapeText() +
+         ScrapeLine("upstream_connections_opened_total", pool_.opened()) +
+         ScrapeLine("upstream_connections", pool_.open()) +
+         ScrapeLine("caller_connections", server_.connections()) +
+         ScrapeLine("requests_open", exchanges_.size()) +
+         ScrapeLine("requests_waiting", queue_.size()) +
+         ScrapeLine("upstreams_known", directory_.size()) +
+         ScrapeLine("entries_known", entries_) +
+         ScrapeLine("routes_version", routing_version().value) +
+         ScrapeLine("ready", Ready() ? 1 : 0);
 }
 
 void Proxy::Forget(const std::shared_ptr<Exchange>& exchange) {
--- /dev/null
+++ b/src/proxy/proxy_meter.cc
@@ -0,0 +1,66 @@
+#include "rattanward/proxy/proxy_meter.h"
+
+namespace rattanward::proxy {
+namespace {
+
+std::string_view KindName(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kIdempotent:
+      return "idempotent";
+    case RouteKind::kAtMostOnce:
+      return "at-most-once";
+    case RouteKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+std::string ScrapeLine(std::string_view name, std::uint64_t value) {
+  return "rattanward_" + std::string(name) + ' ' + std::to_string(value) + '\n';
+}
+
+void ProxyMeter::Count(EventId event) {
+  switch (event) {
+    case EventId::kRequestFinished:
+      ++counters_.finished;
+      break;
+    case EventId::kRequestFailed:
+      ++counters_.failed;
+      break;
+    case EventId::kRequestShed:
+      ++counters_.refused;
+      break;
+    case EventId::kCallerLeft:
+      ++counters_.caller_left;
+      break;
+    case EventId::kRequestRetried:
+      ++counters_.retried;
+      break;
+    case EventId::kStreamResumed:
+      ++counters_.resumed;
+      break;
+    default:
+      break;
+  }
+}
+
+std::string ProxyMeter::ScrapeText() const {
+  std::string text =
+      ScrapeLine("requests_arrived_total", counters_.arrived) +
+      ScrapeLine("requests_finished_total", counters_.finished) +
+      ScrapeLine("requests_failed_total", counters_.failed) +
+      ScrapeLine("requests_refused_total", counters_.refused) +
+      ScrapeLine("callers_left_total", counters_.caller_left) +
+      ScrapeLine("requests_retried_total", counters_.retried) +
+      ScrapeLine("streams_resumed_total", counters_.resumed) +
+      ScrapeLine("messages_malformed_total", counters_.malformed);
+  for (const auto& [kind, times] : answer_times_) {
+    text += times.Scrape("rattanward_answer_seconds",
+                         "kind=\"" + std::string(KindName(kind)) + '"');
+  }
+  return text + wait_times_.Scrape("rattanward_wait_seconds", "");
+}
+
+}  // namespace rattanward::proxy
--- /dev/null
+++ b/src/proxy/reachability.cc
@@ -0,0 +1,50 @@
+#include "rattanward/proxy/reachability.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <utility>
+
+namespace rattanward::proxy {
+namespace {
+
+using asio::ip::tcp;
+
+/// A connection attempt and its timer; the first to end tells.
+struct Attempt {
+  explicit Attempt(asio::io_context& io) : socket(io), timer(io) {}
+
+  void Tell(bool reached) {
+    if (const auto told = std::exchange(done, nullptr)) {
+      asio::error_code ignored;
+      socket.close(ignored);
+      timer.cancel();
+      told(reached);
+    }
+  }
+
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::function<void(bool)> done;
+};
+
+}  // namespace
+
+void AskReachable(asio::io_context& io, const Endpoint& endpoint,
+                  Duration longest, std::function<void(bool reached)> done) {
+  const auto attempt = std::make_shared<Attempt>(io);
+  attempt->done = std::move(done);
+  asio::error_code e;
+  const auto address = asio::ip::make_address(endpoint.address, e);
+  attempt->socket.async_connect(
+      tcp::endpoint(address, endpoint.port),
+      [attempt](const asio::error_code& failed) { attempt->Tell(!failed); });
+  attempt->timer.expires_after(longest);
+  attempt->timer.async_wait([attempt](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      attempt->Tell(false);
+    }
+  });
+}
+
+}  // namespace rattanward::proxy
