--- a/include/rattanward/control/push_plan.h
+++ b/include/rattanward/control/push_plan.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
@@ -12,23 +13,38 @@
 /// routes.
 enum class RoutingPushKind : std::uint8_t { kNothing, kDifference, kWhole };
 
+/// @brief A push that is due, and the version that a difference starts from.
+struct RoutingPushStep {
+  RoutingPushKind kind = RoutingPushKind::kNothing;
+  ConfigVersion base;
+
+  friend bool operator==(const RoutingPushStep&,
+                         const RoutingPushStep&) = default;
+};
+
 /// @brief Decides when one control VM pushes routes to one entry.
 /// @note Pure. Every control VM is connected to every entry; the leader pushes
-/// at once, the others only to an entry that stays behind. What had no effect
-/// is sent again as whole text.
+/// at once, the others only to an entry that stays behind. A push on its way is
+/// what the next difference starts from; what had no effect is sent again as
+/// whole text.
 class PushPlan {
  public:
   /// @brief Says what to send now, and notes it as sent.
   /// @param newest Version of the newest routes.
   /// @param runs Version that the entry says it runs.
   /// @param leads Whether this control VM leads.
-  RoutingPushKind Next(ConfigVersion newest, ConfigVersion runs, bool leads,
+  RoutingPushStep Next(ConfigVersion newest, ConfigVersion runs, bool leads,
                        TimePoint now);
 
  private:
+  RoutingPushStep Push(RoutingPushKind kind, ConfigVersion base,
+                       ConfigVersion newest, TimePoint now);
+
   std::optional<TimePoint> behind_since_;
+  /// Versions that the entry may run while pushes are on their way; empty if
+  /// none is.
+  std::set<ConfigVersion> expected_;
   ConfigVersion pushed_;
-  ConfigVersion pushed_base_;
   TimePoint pushed_at_;
 };
 
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -54,6 +54,7 @@
   kOrderDone = 4010,
   kEntryIsolated = 4011,
   kEntryRejoined = 4012,
+  kRoutesNotTaken = 4013,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/src/control/push_plan.cc
+++ b/src/control/push_plan.cc
@@ -10,26 +10,40 @@
 
 }  // namespace
 
-RoutingPushKind PushPlan::Next(ConfigVersion newest, ConfigVersion runs,
+RoutingPushStep PushPlan::Next(ConfigVersion newest, ConfigVersion runs,
                                bool leads, TimePoint now) {
   if (runs >= newest) {
     behind_since_.reset();
-    return RoutingPushKind::kNothing;
+    expected_.clear();
+    return {};
   }
   if (!behind_since_) {
     behind_since_ = now;
   }
-  const bool same = pushed_ == newest && pushed_base_ == runs;
-  if (same && now - pushed_at_ < kNoEffect) {
-    return RoutingPushKind::kNothing;
-  }
   if (!leads && now - *behind_since_ < kLeaderGoesFirst) {
-    return RoutingPushKind::kNothing;
+    return {};
+  }
+  const bool none_on_its_way = expected_.empty();
+  const bool others_pushed = !none_on_its_way && expected_.count(runs) == 0;
+  if (none_on_its_way || others_pushed) {
+    expected_ = {runs};
+    return Push(RoutingPushKind::kDifference, runs, newest, now);
+  }
+  if (now - pushed_at_ >= kNoEffect) {
+    return Push(RoutingPushKind::kWhole, ConfigVersion{}, newest, now);
   }
+  if (pushed_ < newest) {
+    return Push(RoutingPushKind::kDifference, pushed_, newest, now);
+  }
+  return {};
+}
+
+RoutingPushStep PushPlan::Push(RoutingPushKind kind, ConfigVersion base,
+                               ConfigVersion newest, TimePoint now) {
+  expected_.insert(newest);
   pushed_ = newest;
-  pushed_base_ = runs;
   pushed_at_ = now;
-  return same ? RoutingPushKind::kWhole : RoutingPushKind::kDifference;
+  return {kind, base};
 }
 
 }  // namespace rattanward::control
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -159,14 +159,14 @@
 }
 
 void RoutingHub::PushRouting(Entry& entry, bool leads, TimePoint now) {
-  const RoutingPushKind kind = entry.routing_pushes.Next(
+  const RoutingPushStep step = entry.routing_pushes.Next(
       routing_texts_.newest(), entry.routing, leads, now);
-  if (kind == RoutingPushKind::kNothing) {
+  if (step.kind == RoutingPushKind::kNothing) {
     return;
   }
-  const std::string& push = kind == RoutingPushKind::kWhole
+  const std::string& push = step.kind == RoutingPushKind::kWhole
                                 ? routing_texts_.PushWhole()
-                                : routing_texts_.PushFrom(entry.routing);
+                                : routing_texts_.PushFrom(step.base);
   entry.handle.Push(protocol::MessageKind::kRoutingPush, push);
 }
 
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -52,6 +52,7 @@
       {EventId::kOrderDone, "order-done"},
       {EventId::kEntryIsolated, "entry-isolated"},
       {EventId::kEntryRejoined, "entry-rejoined"},
+      {EventId::kRoutesNotTaken, "routes-not-taken"},
       {EventId::kSnapshotWritten, "snapshot-written"},
       {EventId::kTornTailCut, "torn-tail-cut"},
       {EventId::kDamagedRecordFound, "damaged-record-found"},
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -165,7 +165,7 @@
 }
 
 void EntryNode::RejectRouting(ConfigVersion version, const Error& error) {
-  events_({EventId::kSettingsRejected,
+  events_({EventId::kRoutesNotTaken,
            {{"routes", std::to_string(version.value)},
             {"runs", std::to_string(proxy_.routing_version().value)},
             {"reason", error.message}}});
--- a/tests/src/unit-routing-push.cc
+++ b/tests/src/unit-routing-push.cc
@@ -36,6 +36,7 @@
   std::string text;
   std::size_t bytes = 0;
   int pushes = 0;
+  int refused = 0;
 
   void Take(const std::string& encoded) {
     ++pushes;
@@ -48,6 +49,7 @@
     if (push.value().base == ConfigVersion{}) {
       text = push.value().text;
     } else if (push.value().base != runs) {
+      ++refused;
       return;
     } else {
       const auto made = Apply(push.value().difference, text);
@@ -67,12 +69,13 @@
   bool connected = true;
 
   void Tick(EntrySide& entry, TimePoint now) {
-    const RoutingPushKind kind = plan.Next(texts.newest(), heard, leads, now);
-    if (kind == RoutingPushKind::kNothing || !connected) {
+    const RoutingPushStep step = plan.Next(texts.newest(), heard, leads, now);
+    if (step.kind == RoutingPushKind::kNothing || !connected) {
       return;
     }
-    entry.Take(kind == RoutingPushKind::kWhole ? texts.PushWhole()
-                                               : texts.PushFrom(heard));
+    entry.Take(step.kind == RoutingPushKind::kWhole
+                   ? texts.PushWhole()
+                   : texts.PushFrom(step.base));
   }
 };
 
@@ -179,6 +182,24 @@
   CHECK(deployment.entry.bytes < 1'000);
 }
 
+TEST_CASE("changes in quick succession are each of use to the entry") {
+  Deployment deployment;
+  deployment.Commit(100);
+  for (int i = 0; i < 20; ++i) {
+    deployment.Step();
+  }
+  ControlSide& leader = deployment.controls[0];
+  for (int change = 0; change < 3; ++change) {
+    // The entry's reports of the changes before are still on their way.
+    deployment.Commit(101 + change);
+    leader.texts.Note(deployment.newest, deployment.text);
+    leader.Tick(deployment.entry, deployment.now);
+    CHECK(deployment.entry.runs == deployment.newest);
+  }
+  CHECK(deployment.entry.refused == 0);
+  CHECK(deployment.entry.text == deployment.text);
+}
+
 TEST_CASE("an entry that the leader does not reach gets it from the others") {
   Deployment deployment;
   deployment.controls[0].connected = false;
