--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 SEED ?= 1
 ROUNDS ?= 200
 KEEP ?= 0
+MINUTES ?= 1
 
-.PHONY: run test build sanitize fuzz bench capacity lint format
+.PHONY: run test build sanitize fuzz bench capacity lint format soak
 
 build:
 	bash scripts/packages
@@ -32,3 +33,7 @@
 
 format:
 	find include src apps tests bench platform -name '*.h' -o -name '*.cc' | xargs clang-format -i
+
+# Real processes under faults from outside; see scripts/soak.
+soak: build
+	SEED=$(SEED) MINUTES=$(MINUTES) bash scripts/soak
--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -8,6 +8,7 @@
 
 #include "rattanward/domain/time.h"
 #include "rattanward/entry/caller_answer.h"
+#include "rattanward/entry/completion_builder.h"
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/run_guard.h"
@@ -34,21 +35,6 @@
   std::shared_ptr<RunGuard> guard;
 };
 
-/// @brief Builds the whole answer of a completion from the events of its
-/// stream.
-class CompletionBuilder {
- public:
-  /// @return False if an event is not the JSON that the shape demands.
-  bool Add(const std::string& event);
-
-  WholeAnswer Build(const RequestId& id, std::uint32_t tokens) const;
-
- private:
-  std::string content_;
-  std::string finish_reason_ = "stop";
-  std::string model_;
-};
-
 /// @brief One caller's request from its arrival to its final answer.
 /// @note All calls are on the core's loop; it never blocks.
 class Exchange : public std::enable_shared_from_this<Exchange> {
--- a/src/entry/completion_builder.cc
+++ b/src/entry/completion_builder.cc
@@ -1,6 +1,6 @@
-#include <nlohmann/json.hpp>
+#include "rattanward/entry/completion_builder.h"
 
-#include "rattanward/entry/exchange.h"
+#include <nlohmann/json.hpp>
 
 namespace rattanward::entry {
 namespace {
