Own attempts and calls one way

Ruled out: ending open exchanges when the front is destroyed: the call that takes the work away would itself be left over.

Change: the exchange owns the attempt and the attempt its call; callbacks the other way hold weakly. A call that nobody waits for lives by its timer.

Tests: unit-entry-exchange under the address sanitizer: 4,465 bytes in 26 blocks left before, none after; unit-upstream-attempt, unit-proxy, unit-proxy-answers clean.

--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -74,6 +74,13 @@
  private:
   http::RequestHead PostHead() const;
   std::shared_ptr<UpstreamCall> NewCall(Duration longest_silence);
+  UpstreamCall::Watcher Watch(bool (*on_head)(UpstreamAttempt&,
+                                              const http::ResponseHead&),
+                              bool (*on_bytes)(UpstreamAttempt&,
+                                               std::string_view),
+                              void (UpstreamAttempt::*on_end)(CallEnd));
+  bool TakeWholeHead(const http::ResponseHead& head);
+  bool Collect(std::string_view bytes);
   bool TakeSentHead(const http::ResponseHead& head);
   void StreamEnded(CallEnd end);
   bool SaysNotRun(int status) const;
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -114,9 +114,12 @@
   }
   attempt_ = std::make_shared<UpstreamAttempt>(core_.context(), start_,
                                                plan_.request, plan_.silence);
-  const auto self = shared_from_this();
-  const auto ended = [self](const AttemptResult& result) {
-    self->AttemptEnded(result);
+  // Held weakly: this exchange owns the attempt.
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  const auto ended = [weak](const AttemptResult& result) {
+    if (const auto self = weak.lock()) {
+      self->AttemptEnded(result);
+    }
   };
   if (plan_.shape == AnswerShape::kService) {
     attempt_->RunWhole(ended);
@@ -124,7 +127,10 @@
   }
   completion_ = CompletionBuilder();
   attempt_->RunStream(
-      [self](const StreamPieces& pieces) { return self->TakePieces(pieces); },
+      [weak](const StreamPieces& pieces) {
+        const auto self = weak.lock();
+        return self && self->TakePieces(pieces);
+      },
       ended);
 }
 
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -65,35 +65,28 @@
   http::RequestHead head = PostHead();
   head.fields.Set("X-Stream-Id", stream_id_);
   head.fields.Set("X-Rattanward-Priority", std::to_string(start_.tier.value));
-  const auto self = shared_from_this();
   call_ = NewCall(silence_);
   call_->Send(
       std::move(head), request_.body,
-      {[self](const auto& answer) { return self->TakeSentHead(answer); },
-       [self](std::string_view bytes) {
-         return self->status_ >= kFirstErrorStatus || self->TakeBytes(bytes);
-       },
-       [self](CallEnd end) { self->StreamEnded(end); }});
+      Watch([](UpstreamAttempt& self,
+               const auto& answer) { return self.TakeSentHead(answer); },
+            [](UpstreamAttempt& self, std::string_view bytes) {
+              return self.status_ >= kFirstErrorStatus || self.TakeBytes(bytes);
+            },
+            &UpstreamAttempt::StreamEnded));
 }
 
 void UpstreamAttempt::RunWhole(AttemptSink ended) {
   on_end_ = std::move(ended);
-  const auto self = shared_from_this();
   call_ = NewCall(kServiceTimeout);
-  call_->Send(PostHead(), request_.body,
-              {[self](const auto& answer) {
-                 self->status_ = answer.status;
-                 const std::string id = RequestIdOf(answer);
-                 self->own_answer_ =
-                     id.empty() || id == self->request_.id.str();
-                 self->answer_.content_type = ContentTypeOf(answer);
-                 return true;
-               },
-               [self](std::string_view bytes) {
-                 self->body_.append(bytes);
-                 return self->body_.size() <= kMaxWholeAnswerBytes;
-               },
-               [self](CallEnd end) { self->WholeEnded(end); }});
+  call_->Send(
+      PostHead(), request_.body,
+      Watch([](UpstreamAttempt& self,
+               const auto& answer) { return self.TakeWholeHead(answer); },
+            [](UpstreamAttempt& self, std::string_view bytes) {
+              return self.Collect(bytes);
+            },
+            &UpstreamAttempt::WholeEnded));
 }
 
 void UpstreamAttempt::CallerLeft() {
@@ -141,6 +134,40 @@
   return std::make_shared<UpstreamCall>(io_, start_.endpoint, longest_silence);
 }
 
+/// A watcher that holds the attempt weakly: the attempt owns the call.
+UpstreamCall::Watcher UpstreamAttempt::Watch(
+    bool (*on_head)(UpstreamAttempt&, const http::ResponseHead&),
+    bool (*on_bytes)(UpstreamAttempt&, std::string_view),
+    void (UpstreamAttempt::*on_end)(CallEnd)) {
+  const std::weak_ptr<UpstreamAttempt> weak = weak_from_this();
+  return {[weak, on_head](const http::ResponseHead& head) {
+            const auto self = weak.lock();
+            return self && on_head(*self, head);
+          },
+          [weak, on_bytes](std::string_view bytes) {
+            const auto self = weak.lock();
+            return self && on_bytes(*self, bytes);
+          },
+          [weak, on_end](CallEnd end) {
+            if (const auto self = weak.lock()) {
+              (self.get()->*on_end)(end);
+            }
+          }};
+}
+
+bool UpstreamAttempt::TakeWholeHead(const http::ResponseHead& head) {
+  status_ = head.status;
+  const std::string id = RequestIdOf(head);
+  own_answer_ = id.empty() || id == request_.id.str();
+  answer_.content_type = ContentTypeOf(head);
+  return true;
+}
+
+bool UpstreamAttempt::Collect(std::string_view bytes) {
+  body_.append(bytes);
+  return body_.size() <= kMaxWholeAnswerBytes;
+}
+
 bool UpstreamAttempt::TakeSentHead(const http::ResponseHead& head) {
   status_ = head.status;
   own_answer_ = RequestIdOf(head) == request_.id.str();
@@ -192,15 +219,13 @@
 }
 
 void UpstreamAttempt::Ask() {
-  const auto self = shared_from_this();
   call_ = NewCall(kStatusTimeout);
   call_->Send(Head("GET", StreamPath() + "/status"), std::string(),
-              {nullptr,
-               [self](std::string_view bytes) {
-                 self->body_.append(bytes);
-                 return self->body_.size() <= kMaxWholeAnswerBytes;
-               },
-               [self](CallEnd end) { self->Asked(end); }});
+              Watch([](UpstreamAttempt&, const auto&) { return true; },
+                    [](UpstreamAttempt& self, std::string_view bytes) {
+                      return self.Collect(bytes);
+                    },
+                    &UpstreamAttempt::Asked));
 }
 
 void UpstreamAttempt::Asked(CallEnd end) {
@@ -230,16 +255,19 @@
 void UpstreamAttempt::ResumeStream() {
   assembler_.BeginConnection();
   ++resumes_;
-  const auto self = shared_from_this();
   call_ = NewCall(silence_);
   call_->Send(
       Head("GET", StreamPath() + "?from=" + std::to_string(assembler_.next())),
       std::string(),
-      {[self](const auto& answer) {
-         return self->TakeSentHead(answer) && self->status_ < kFirstErrorStatus;
-       },
-       [self](std::string_view bytes) { return self->TakeBytes(bytes); },
-       [self](CallEnd end) { self->Resumed(end); }});
+      Watch(
+          [](UpstreamAttempt& self, const auto& answer) {
+            return self.TakeSentHead(answer) &&
+                   self.status_ < kFirstErrorStatus;
+          },
+          [](UpstreamAttempt& self, std::string_view bytes) {
+            return self.TakeBytes(bytes);
+          },
+          &UpstreamAttempt::Resumed));
 }
 
 void UpstreamAttempt::Resumed(CallEnd end) {
@@ -316,9 +344,7 @@
 void UpstreamAttempt::CancelUpstream() {
   const auto call =
       std::make_shared<UpstreamCall>(io_, start_.endpoint, kStatusTimeout);
-  // The watcher keeps the call until it has ended.
-  call->Send(Head("DELETE", StreamPath()), std::string(),
-             {nullptr, nullptr, [call](CallEnd) {}});
+  call->Send(Head("DELETE", StreamPath()), std::string(), {});
 }
 
 void UpstreamAttempt::End(AttemptEnd end, ErrorCode code, Verdict verdict,
--- a/src/entry/upstream_call.cc
+++ b/src/entry/upstream_call.cc
@@ -89,9 +89,9 @@
     return;
   }
   timer_.expires_after(longest_silence_);
-  timer_.async_wait([weak = weak_from_this()](const asio::error_code& e) {
-    const auto self = weak.lock();
-    if (!e && self) {
+  // The timer keeps a call alive that nobody else waits for.
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
+    if (!e) {
       self->End(CallEnd::kSilent);
     }
   });
