Decide the silence of an upstream attempt by order in its tests; survive odd JSON

Cause: unit-upstream-attempt waited on 60 ms of real time. If a loaded machine let them pass before the scripted upstream had sent event 1, the attempt asked for the status first, and the verdict was may-have-run where ran is expected. The new case 'silent before the first event, then status unknown' plays exactly that order and gives that verdict, so the suspected cause is confirmed.

Change: the timers of an attempt and of its calls come from a factory (entry/call_timer.h). The tests use timers that expire only when the test says so, after a given number of requests and events. Checks and verdicts stay.

Further: a status reply or a completion chunk whose fields have another type threw out of a handler and would have ended the entry. They now end the attempt ('a malformed status of the stream ends the attempt', which throws type_error on the code before).

--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +9,7 @@
 
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/entry/call_timer.h"
 #include "rattanward/entry/caller_answer.h"
 #include "rattanward/entry/stream_assembler.h"
 #include "rattanward/entry/upstream_call.h"
@@ -46,8 +46,10 @@
   /// @param request Request to send; must outlive the attempt.
   /// @param silence_timeout Time without bytes after which the status of the
   /// stream is queried on a new connection.
+  /// @param timers Creates the timers of the attempt and of its calls.
   UpstreamAttempt(asio::io_context& io, policy::StartAttempt start,
-                  const UpstreamRequest& request, Duration silence_timeout);
+                  const UpstreamRequest& request, Duration silence_timeout,
+                  CallTimerFactory timers);
 
   /// @brief Sends a model request and relays its event stream.
   /// @param sink Receives the new events in order.
@@ -105,7 +107,8 @@
   std::string StreamPath() const;
 
   asio::io_context& io_;
-  asio::steady_timer resume_timer_;
+  CallTimerFactory timers_;
+  std::unique_ptr<CallTimer> resume_timer_;
   policy::StartAttempt start_;
   const UpstreamRequest& request_;
   Duration silence_timeout_;
--- a/include/rattanward/entry/upstream_call.h
+++ b/include/rattanward/entry/upstream_call.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +9,7 @@
 
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/entry/call_timer.h"
 #include "rattanward/http/client_connection.h"
 
 namespace rattanward::entry {
@@ -43,8 +43,9 @@
     std::function<void(CallEnd)> on_end;
   };
 
-  UpstreamCall(asio::io_context& io, const Endpoint& peer,
-               Duration idle_timeout);
+  /// @param timers Creates the timer of the idle timeout.
+  UpstreamCall(asio::io_context& io, const CallTimerFactory& timers,
+               const Endpoint& peer, Duration idle_timeout);
 
   /// @brief Sends the request, with Host, Connection: close and, if needed,
   /// Content-Length added to its head.
@@ -70,7 +71,7 @@
   void ArmTimer();
   void End(CallEnd end);
 
-  asio::steady_timer timer_;
+  std::unique_ptr<CallTimer> timer_;
   Duration idle_timeout_;
   std::shared_ptr<http::ClientConnection> connection_;
   /// Shared, so that a callback that drops the watcher can finish.
--- a/src/entry/completion_builder.cc
+++ b/src/entry/completion_builder.cc
@@ -16,6 +16,9 @@
     return false;
   }
   const Json& choice = chunk["choices"][0];
+  if (!choice.is_object()) {
+    return false;
+  }
   const Json delta = choice.value("delta", Json::object());
   if (delta.contains("content") && delta["content"].is_string()) {
     content_ += delta["content"].get<std::string>();
@@ -23,7 +26,9 @@
   if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
     finish_reason_ = choice["finish_reason"].get<std::string>();
   }
-  model_ = chunk.value("model", model_);
+  if (chunk.contains("model") && chunk["model"].is_string()) {
+    model_ = chunk["model"].get<std::string>();
+  }
   return true;
 }
 
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -119,8 +119,9 @@
                              "sent to an upstream"));
     return;
   }
-  attempt_ = std::make_shared<UpstreamAttempt>(core_.context(), start_,
-                                               plan_.request, plan_.silence);
+  attempt_ = std::make_shared<UpstreamAttempt>(
+      core_.context(), start_, plan_.request, plan_.silence,
+      MakeCallTimerFactory(core_.context()));
   // A weak pointer avoids a reference cycle: this exchange owns the attempt.
   const std::weak_ptr<Exchange> weak = weak_from_this();
   const auto ended = [weak](const AttemptResult& result) {
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -46,9 +46,11 @@
 UpstreamAttempt::UpstreamAttempt(asio::io_context& io,
                                  policy::StartAttempt start,
                                  const UpstreamRequest& request,
-                                 Duration silence_timeout)
+                                 Duration silence_timeout,
+                                 CallTimerFactory timers)
     : io_(io),
-      resume_timer_(io),
+      timers_(std::move(timers)),
+      resume_timer_(timers_()),
       start_(std::move(start)),
       request_(request),
       silence_timeout_(silence_timeout),
@@ -97,7 +99,7 @@
     return;
   }
   const auto self = shared_from_this();
-  resume_timer_.cancel();
+  resume_timer_->Cancel();
   if (call_) {
     call_->Cancel();
   }
@@ -133,7 +135,8 @@
 std::shared_ptr<UpstreamCall> UpstreamAttempt::NewCall(Duration idle_timeout) {
   status_ = 0;
   body_.clear();
-  return std::make_shared<UpstreamCall>(io_, start_.endpoint, idle_timeout);
+  return std::make_shared<UpstreamCall>(io_, timers_, start_.endpoint,
+                                        idle_timeout);
 }
 
 /// Creates a watcher with a weak pointer to the attempt, which owns the call.
@@ -252,9 +255,12 @@
   if (!json.is_object()) {
     return false;
   }
-  const std::string state = json.value("state", std::string());
-  produced_events_ =
-      std::max(produced_events_, json.value("produced", std::uint64_t{0}));
+  const nlohmann::json state = json.value("state", nlohmann::json());
+  const nlohmann::json produced = json.value("produced", nlohmann::json(0U));
+  if (!produced.is_number_unsigned()) {
+    return false;
+  }
+  produced_events_ = std::max(produced_events_, produced.get<std::uint64_t>());
   return state == "running" || state == "done";
 }
 
@@ -295,13 +301,12 @@
     End(AttemptEnd::kSilent, ErrorCode::kUpstreamSilent, Verdict::kMayHaveRun,
         "upstream made no progress with the stream");
   } else {
-    resume_timer_.expires_after(kResumeDelay);
-    resume_timer_.async_wait(
-        [self = shared_from_this()](const asio::error_code& e) {
-          if (!e && !self->ended_) {
-            self->StartStatusCheck();
-          }
-        });
+    resume_timer_->Start(kResumeDelay, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->ended_) {
+        self->StartStatusCheck();
+      }
+    });
   }
 }
 
@@ -350,8 +355,8 @@
 
 /// Asks the upstream to cancel the stream's work, and ignores the response.
 void UpstreamAttempt::CancelUpstreamWork() {
-  const auto call =
-      std::make_shared<UpstreamCall>(io_, start_.endpoint, kStatusTimeout);
+  const auto call = std::make_shared<UpstreamCall>(
+      io_, timers_, start_.endpoint, kStatusTimeout);
   call->Send(MakeHead("DELETE", StreamPath()), std::string(), {});
 }
 
--- a/src/entry/upstream_call.cc
+++ b/src/entry/upstream_call.cc
@@ -9,9 +9,9 @@
 
 }  // namespace
 
-UpstreamCall::UpstreamCall(asio::io_context& io, const Endpoint& peer,
-                           Duration idle_timeout)
-    : timer_(io),
+UpstreamCall::UpstreamCall(asio::io_context& io, const CallTimerFactory& timers,
+                           const Endpoint& peer, Duration idle_timeout)
+    : timer_(timers()),
       idle_timeout_(idle_timeout),
       connection_(std::make_shared<http::ClientConnection>(io, peer)) {}
 
@@ -31,7 +31,7 @@
 
 void UpstreamCall::Pause() {
   paused_ = true;
-  timer_.cancel();
+  timer_->Cancel();
   connection_->Pause();
 }
 
@@ -45,7 +45,7 @@
   // Keeps this object alive while the watcher, which may own it, is destroyed.
   const auto self = shared_from_this();
   ended_ = true;
-  timer_.cancel();
+  timer_->Cancel();
   connection_->Close();
   watcher_.reset();
 }
@@ -89,13 +89,9 @@
   if (ended_ || paused_) {
     return;
   }
-  timer_.expires_after(idle_timeout_);
-  // The timer's handler keeps a call alive that has no other owner.
-  timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
-    if (!e) {
-      self->End(CallEnd::kSilent);
-    }
-  });
+  // The timer's callback keeps a call alive that has no other owner.
+  timer_->Start(idle_timeout_,
+                [self = shared_from_this()] { self->End(CallEnd::kSilent); });
 }
 
 void UpstreamCall::End(CallEnd end) {
@@ -103,7 +99,7 @@
     return;
   }
   ended_ = true;
-  timer_.cancel();
+  timer_->Cancel();
   connection_->Close();
   const auto watcher = std::exchange(watcher_, nullptr);
   if (watcher && watcher->on_end) {
--- a/tests/src/unit-upstream-attempt.cc
+++ b/tests/src/unit-upstream-attempt.cc
@@ -1,11 +1,14 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fakes/scripted_upstream.h"
+#include "fakes/stepped_call_timers.h"
 #include "rattanward/entry/upstream_attempt.h"
 
 namespace rattanward::entry {
@@ -14,6 +17,7 @@
 using fakes::ConnectionScript;
 using fakes::JsonReply;
 using fakes::ScriptedUpstream;
+using fakes::SteppedCallTimers;
 using fakes::StreamEvent;
 using fakes::StreamHead;
 using policy::AttemptEnd;
@@ -51,21 +55,52 @@
   return request;
 }
 
-Outcome RunStreamAttempt(std::vector<ConnectionScript> scripts) {
+/// Point of an attempt at which its upstream counts as silent: every running
+/// timer expires.
+struct Silence {
+  int after_requests = 1;
+  std::size_t after_events = 0;
+};
+
+/// Runs the loop until the condition holds. The scripted upstream has a thread
+/// of its own, so the loop may have nothing to do meanwhile.
+void RunUntil(asio::io_context& io, const std::function<bool()>& condition) {
+  while (!condition()) {
+    io.restart();
+    io.poll();
+    std::this_thread::yield();
+  }
+}
+
+/// Runs one streaming attempt. Its timers expire only at the given silences.
+Outcome RunStreamAttempt(std::vector<ConnectionScript> scripts,
+                         const std::vector<Silence>& silences = {}) {
   ScriptedUpstream upstream(std::move(scripts));
   const UpstreamRequest request = Post();
   Outcome outcome;
   asio::io_context io;
+  SteppedCallTimers timers;
   const auto attempt = std::make_shared<UpstreamAttempt>(
-      io, StartAt(upstream.endpoint()), request, kSilence);
+      io, StartAt(upstream.endpoint()), request, kSilence, timers.Factory());
+  bool ended = false;
   attempt->RunStream(
       [&](const StreamBatch& batch) {
         outcome.events.insert(outcome.events.end(), batch.events.begin(),
                               batch.events.end());
         return true;
       },
-      [&](const auto& result) { outcome.result = result; });
-  io.run();
+      [&](const auto& result) {
+        outcome.result = result;
+        ended = true;
+      });
+  for (const Silence& silence : silences) {
+    RunUntil(io, [&] {
+      return ended || (upstream.requests() >= silence.after_requests &&
+                       outcome.events.size() >= silence.after_events);
+    });
+    timers.ExpireAll();
+  }
+  RunUntil(io, [&] { return ended; });
   outcome.requests = upstream.requests();
   outcome.connections = upstream.connections();
   return outcome;
@@ -76,13 +111,16 @@
   const UpstreamRequest request = Post();
   Outcome outcome;
   asio::io_context io;
+  SteppedCallTimers timers;
   const auto attempt = std::make_shared<UpstreamAttempt>(
-      io, StartAt(upstream.endpoint()), request, kSilence);
+      io, StartAt(upstream.endpoint()), request, kSilence, timers.Factory());
+  bool ended = false;
   attempt->RunServiceCall([&](const auto& result) {
     outcome.result = result;
     outcome.response = attempt->answer();
+    ended = true;
   });
-  io.run();
+  RunUntil(io, [&] { return ended; });
   outcome.requests = upstream.requests();
   return outcome;
 }
@@ -109,8 +147,9 @@
     }
     const UpstreamRequest request = Post();
     asio::io_context io;
-    const auto attempt = std::make_shared<UpstreamAttempt>(io, StartAt(closed),
-                                                           request, kSilence);
+    SteppedCallTimers timers;
+    const auto attempt = std::make_shared<UpstreamAttempt>(
+        io, StartAt(closed), request, kSilence, timers.Factory());
     policy::AttemptResult result;
     attempt->RunStream([](const auto&) { return true; },
                        [&](const auto& ended) { result = ended; });
@@ -149,6 +188,30 @@
     CHECK(outcome.result.end == AttemptEnd::kBroken);
     CHECK(outcome.result.verdict == Verdict::kRan);
   }
+  SUBCASE("silent before the first event, then status unknown: may have run") {
+    const std::string unknown =
+        JsonReply(200, R"({"state":"unknown"})", kRequestId);
+    const Outcome outcome = RunStreamAttempt(
+        {{true, StreamHead(kRequestId), true}, {true, unknown, false}},
+        {{.after_requests = 1, .after_events = 0}});
+    CHECK(outcome.result.end == AttemptEnd::kBroken);
+    CHECK(outcome.result.verdict == Verdict::kMayHaveRun);
+  }
+}
+
+TEST_CASE("a malformed status of the stream ends the attempt") {
+  const ConnectionScript broken{
+      true, StreamHead(kRequestId) + StreamEvent(1, "a"), false};
+  for (const char* status :
+       {R"({"state":7,"produced":1})", R"({"state":"running","produced":"x"})",
+        R"({"state":["running"]})", R"({"state":"running","produced":-1})",
+        R"([])", R"({"state":)"}) {
+    CAPTURE(status);
+    const Outcome outcome = RunStreamAttempt(
+        {broken, {true, JsonReply(200, status, kRequestId), false}});
+    CHECK(outcome.result.end == AttemptEnd::kBroken);
+    CHECK(outcome.result.verdict == Verdict::kRan);
+  }
 }
 
 TEST_CASE("another request's answer is never relayed") {
@@ -185,7 +248,8 @@
     const Outcome outcome = RunStreamAttempt(
         {{true, StreamHead(kRequestId) + StreamEvent(1, "a"), true},
          {true, kRunningStatus, false},
-         {true, rest, false}});
+         {true, rest, false}},
+        {{.after_requests = 1, .after_events = 1}});
     CHECK(outcome.result.end == AttemptEnd::kCompleted);
     CHECK(outcome.events == std::vector<std::string>{"a", "b"});
   }
@@ -204,7 +268,9 @@
 
 TEST_CASE("an attempt ends if the upstream is silent on every connection") {
   const ConnectionScript silent{true, "", true};
-  const Outcome outcome = RunStreamAttempt({silent, silent, silent, silent});
+  const Outcome outcome = RunStreamAttempt(
+      {silent, silent, silent, silent},
+      {{.after_requests = 1}, {.after_requests = 2}, {.after_requests = 3}});
   CHECK(outcome.result.end == AttemptEnd::kSilent);
   CHECK(outcome.result.verdict == Verdict::kMayHaveRun);
 }
@@ -213,8 +279,9 @@
   ScriptedUpstream upstream({{true, CompleteStream(), false}});
   const UpstreamRequest request = Post();
   asio::io_context io;
+  SteppedCallTimers timers;
   const auto attempt = std::make_shared<UpstreamAttempt>(
-      io, StartAt(upstream.endpoint()), request, kSilence);
+      io, StartAt(upstream.endpoint()), request, kSilence, timers.Factory());
   policy::AttemptResult result;
   attempt->RunStream([](const auto&) { return false; },
                      [&](const auto& ended) { result = ended; });
@@ -231,8 +298,9 @@
        {true, JsonReply(200, "{}", kRequestId), false}});
   const UpstreamRequest request = Post();
   asio::io_context io;
+  SteppedCallTimers timers;
   const auto attempt = std::make_shared<UpstreamAttempt>(
-      io, StartAt(upstream.endpoint()), request, kSilence);
+      io, StartAt(upstream.endpoint()), request, kSilence, timers.Factory());
   policy::AttemptResult result;
   attempt->RunStream(
       [&](const auto&) {
