Let short prompts pass a longer one that waits for its engine

The gate of tiers held all of them back while one long prompt of a higher rank waited for the engine that keeps its prefix, although they went elsewhere.

Change: a prompt of less than two thirds of the waiting one's length may begin. And the score charges what comes after the target, so that a home with a long backlog is left in time.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -136,6 +136,9 @@
   double failure_weight_slots = 3;
   /// Weight of the failure rate of an engine.
   double failure_weight_tokens = 15000;
+  /// Cost of each prompt token to be read before the first event beyond those
+  /// that an engine reads within the target.
+  double late_weight = 4;
   /// A prompt with at most this many uncached tokens delays no stream beside it.
   std::uint32_t undisturbing_tokens = 1000;
   /// Cost of reading a long prompt beside one stream with tight pauses, which
--- a/include/rattanward/policy/tier_gate.h
+++ b/include/rattanward/policy/tier_gate.h
@@ -14,16 +14,24 @@
 /// same service has waited too long.
 /// @note Performs no I/O and reads no clock. A new gate is made for each pass
 /// over the queue, which runs from the most to the least urgent request. A
-/// request that has itself waited for a multiple of its target may start
-/// regardless, so that no tier starves.
+/// request with a much shorter prompt may start regardless: it costs the
+/// waiting one little, which may wait for the engine that has its prompt
+/// cached. So may a request that has itself waited for a multiple of its
+/// target, so that no tier starves.
 class TierGate {
  public:
   /// @brief Whether a request may start, given the requests recorded before it.
   bool MayBegin(const PlacementRequest& request, TimePoint now) const {
-    const auto blocking = blocking_ranks_.find(request.service);
-    return blocking == blocking_ranks_.end() ||
-           request.rank <= blocking->second ||
-           now - request.arrived > kStarvationTargets * request.target;
+    const auto waiting = waiting_.find(request.service);
+    if (waiting == waiting_.end() ||
+        now - request.arrived > kStarvationTargets * request.target) {
+      return true;
+    }
+    return std::none_of(waiting->second.begin(), waiting->second.end(),
+                        [&](const auto& shortest) {
+                          return shortest.first < request.rank &&
+                                 !IsMuchShorter(request, shortest.second);
+                        });
   }
 
   /// @brief Records a request that could not start.
@@ -32,10 +40,10 @@
     if (now - request.arrived < grace) {
       return;
     }
-    const auto [blocking, added] =
-        blocking_ranks_.emplace(request.service, request.rank);
+    const auto [shortest, added] =
+        waiting_[request.service].emplace(request.rank, request.prompt_tokens);
     if (!added) {
-      blocking->second = std::min(blocking->second, request.rank);
+      shortest->second = std::min(shortest->second, request.prompt_tokens);
     }
   }
 
@@ -46,9 +54,18 @@
   static constexpr int kGracePercent = 10;
   /// Multiple of its target after which a waiting request can't be blocked.
   static constexpr int kStarvationTargets = 2;
+  /// A prompt below this share of a waiting one is much shorter.
+  static constexpr std::uint64_t kMuchShorterPercent = 67;
+
+  static bool IsMuchShorter(const PlacementRequest& request,
+                            std::uint64_t waiting_tokens) {
+    return kWholePercent * std::uint64_t{request.prompt_tokens} <
+           kMuchShorterPercent * waiting_tokens;
+  }
 
-  /// Most urgent rank that has waited too long, by service.
-  std::map<ServiceName, std::uint32_t> blocking_ranks_;
+  /// Prompt tokens of the shortest request that has waited too long, by service
+  /// and rank.
+  std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> waiting_;
 };
 
 }  // namespace rattanward::policy
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -64,6 +64,13 @@
              static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+/// Returns the prompt tokens that an engine reads within a request's target.
+double TokensWithinTarget(const PlacementRequest& request) {
+  constexpr double kPrefillTokensPerMs = 50;
+  const std::chrono::duration<double, std::milli> target = request.target;
+  return kPrefillTokensPerMs * target.count();
+}
+
 /// How much reading so many tokens delays the events of the streams beside:
 /// from 0, not at all, to 1 for a long prompt.
 double Disturbance(std::uint32_t uncached, const PlacerOptions& options) {
@@ -289,6 +296,9 @@
   double score = static_cast<double>(total.pending_prefill_tokens) + uncached +
                  kTokensPerRunningRequest * total.running +
                  options_.failure_weight_tokens * FailureRate(total);
+  score += options_.late_weight *
+           std::max(0.0, static_cast<double>(total.pending_prefill_tokens) +
+                             uncached - TokensWithinTarget(request));
   if (crosses_domain) {
     score +=
         kTokensPerDomainHop + kTokensPerCrossingToken * request.prompt_tokens;
