Spread the choices that entries make before they hear of each other

Between two load reports (220 ms near, 880 ms far) some 40 entries send to the same least loaded engine, in one case within 60 ms.

Change: engines whose loads differ by less than what all entries send to one engine unheard count as about equal, and each request draws among them. Entries also tell each other which long prompts wait for an engine, and such prompts are drawn for the room that opens.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -76,6 +76,8 @@
   std::uint64_t failure_milli = 0;
   /// Running streams with tight pauses.
   std::uint32_t tight_streams = 0;
+  /// Uncached tokens of the long prompts that wait at entries for this engine.
+  std::uint64_t waiting_tokens = 0;
 
   UpstreamLoad& operator+=(const UpstreamLoad& other) {
     running += other.running;
@@ -84,6 +86,7 @@
     success_milli += other.success_milli;
     failure_milli += other.failure_milli;
     tight_streams += other.tight_streams;
+    waiting_tokens += other.waiting_tokens;
     return *this;
   }
   UpstreamLoad& operator-=(const UpstreamLoad& other) {
@@ -93,6 +96,7 @@
     success_milli -= other.success_milli;
     failure_milli -= other.failure_milli;
     tight_streams -= other.tight_streams;
+    waiting_tokens -= other.waiting_tokens;
     return *this;
   }
 
@@ -139,7 +143,8 @@
   /// Cost of each prompt token to be read before the first event beyond those
   /// that an engine reads within the target.
   double late_weight = 4;
-  /// A prompt with at most this many uncached tokens delays no stream beside it.
+  /// A prompt with at most this many uncached tokens delays no stream beside
+  /// it.
   std::uint32_t undisturbing_tokens = 1000;
   /// Cost of reading a long prompt beside one stream with tight pauses, which
   /// it makes late.
@@ -150,6 +155,10 @@
   /// Streams with tight pauses for which one engine is kept, as a share of its
   /// slots.
   double tight_streams_per_slot = 0.5;
+  /// Weight of the prompt tokens that all entries send to one engine, on
+  /// average, before they hear of each other's sends. Engines whose loads
+  /// differ by less count as equal, and entries choose differently among them.
+  double unheard_weight = 2;
   /// Whether prompt parts placed by other entries count as cached.
   bool use_remote_placements = true;
 
@@ -200,6 +209,20 @@
                                    const std::set<UpstreamId>& excluded,
                                    TimePoint now) const;
 
+  /// @brief As Choose(). If a long prompt has to wait for its engine, the other
+  /// entries are told so by the next load report, and it counts for the choices
+  /// that follow.
+  std::optional<UpstreamId> ChooseOrAwait(const PlacementRequest& request,
+                                          const std::set<UpstreamId>& excluded,
+                                          TimePoint now);
+
+  /// @brief Forgets which prompts wait at this entry. To be called before each
+  /// pass over its queue.
+  void ForgetWaiting();
+
+  /// @brief Sets the period of the load reports between entries.
+  void SetReportPeriod(Duration period) { report_period_ = period; }
+
   /// @brief Whether every upstream of a service is full, avoided or not ready.
   /// True for an unknown service.
   bool NoneAvailable(const ServiceName& service, TimePoint now) const;
@@ -296,14 +319,21 @@
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool cached_somewhere,
                      std::size_t engines) const;
+  double UnheardTokens(std::size_t engines) const;
+  void UpdateSendRate(TimePoint now);
   std::vector<std::size_t> CalmEngines(const Service& service) const;
   double ApartScore(const Instance& instance, const PlacementRequest& request,
                     std::size_t calm_engines) const;
   double ServiceScore(const Instance& instance, std::uint64_t key) const;
   static void AddCachedPart(Instance* instance, const PromptPart& part);
   bool IsFull(const Instance& instance, const Service& service) const;
+  const Instance* FindBest(const PlacementRequest& request,
+                           const std::set<UpstreamId>& excluded,
+                           TimePoint now) const;
   bool MustWait(const Instance& instance, const PlacementRequest& request,
                 TimePoint now) const;
+  bool IsDrawn(const Instance& instance, const PlacementRequest& request,
+               double room_tokens, TimePoint now) const;
   std::uint32_t UncachedTokens(const Instance& instance,
                                const PlacementRequest& request) const;
   void IndexInstances();
@@ -315,6 +345,13 @@
   std::map<ServiceName, Service> services_;
   std::map<UpstreamId, Instance> instances_;
   std::map<ProcessId, RemoteEntry> remote_entries_;
+  /// Engines that prompts of this entry wait for.
+  std::vector<Instance*> awaited_;
+  Duration report_period_{std::chrono::milliseconds(30)};
+  /// Prompt tokens sent to engines by this entry: since the last load report,
+  /// and per millisecond lately.
+  double sent_tokens_ = 0;
+  double sent_tokens_per_ms_ = 0;
   TimePoint outcomes_decayed_at_;
   std::size_t entries_ = 1;
   std::size_t domain_entries_ = 1;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -80,6 +80,9 @@
   /// @brief Sets the number of entries, in total and in this failure domain.
   void SetEntries(std::size_t all, std::size_t own_domain);
 
+  /// @brief Sets the period of the load reports between entries.
+  void SetReportPeriod(Duration period) { placer_.SetReportPeriod(period); }
+
   /// @brief Applies a load report from another entry.
   void UpdatePeerLoad(const policy::EntryLoad& load);
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -52,6 +52,9 @@
 /// the rate little.
 constexpr double kPriorSuccessMilli = 2 * kMilliPerOutcome;
 
+/// Assumed rate at which an engine reads prompts.
+constexpr double kPrefillTokensPerMs = 50;
+
 std::uint64_t Decayed(std::uint64_t milli, double factor) {
   return static_cast<std::uint64_t>(static_cast<double>(milli) * factor);
 }
@@ -64,9 +67,17 @@
              static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+/// Returns a hash that differs between requests.
+std::uint64_t UniqueKey(const PlacementRequest& request) {
+  const std::uint64_t last_part =
+      request.prompt.empty() ? 0 : request.prompt.back().id;
+  return RendezvousWeight(
+      last_part,
+      static_cast<std::uint64_t>(request.arrived.time_since_epoch().count()));
+}
+
 /// Returns the prompt tokens that an engine reads within a request's target.
 double TokensWithinTarget(const PlacementRequest& request) {
-  constexpr double kPrefillTokensPerMs = 50;
   const std::chrono::duration<double, std::milli> target = request.target;
   return kPrefillTokensPerMs * target.count();
 }
@@ -116,6 +127,7 @@
   Instance& instance = instances_[record.id];
   const bool restarted = instance.record.stamp.born != record.stamp.born;
   if (restarted) {
+    std::erase(awaited_, &instance);
     instance = Instance();
     DropRemoteLoadsAt(record.id);
   }
@@ -125,6 +137,7 @@
 }
 
 void Placer::RemoveInstance(const UpstreamId& id) {
+  ForgetWaiting();
   instances_.erase(id);
   DropRemoteLoadsAt(id);
   IndexInstances();
@@ -267,10 +280,32 @@
   const std::chrono::duration<double> waited = now - request.arrived;
   const std::chrono::duration<double> target = request.target;
   const double share = target.count() > 0 ? waited.count() / target.count() : 0;
-  return static_cast<double>(TotalLoad(instance).pending_prefill_tokens) >
-         static_cast<double>(options_.long_prompt_backlog_tokens) +
-             options_.backlog_growth_tokens * share * kRankDivisor /
-                 (kRankDivisor + std::max(request.rank, 1U) - 1);
+  const double room =
+      static_cast<double>(options_.long_prompt_backlog_tokens) +
+      options_.backlog_growth_tokens * share * kRankDivisor /
+          (kRankDivisor + std::max(request.rank, 1U) - 1) -
+      static_cast<double>(TotalLoad(instance).pending_prefill_tokens);
+  return room < 0 || !IsDrawn(instance, request, room, now);
+}
+
+/// Whether a prompt that waits for an engine may be sent in this report period.
+/// Entries learn of each other's sends one period later. If each of them sent
+/// as soon as there is room, all that wait would go at once. So each prompt is
+/// drawn with the chance that fills the room on average.
+bool Placer::IsDrawn(const Instance& instance, const PlacementRequest& request,
+                     double room_tokens, TimePoint now) const {
+  const double others =
+      static_cast<double>(instance.remote_load.waiting_tokens);
+  if (others <= 0) {
+    return true;
+  }
+  const std::chrono::duration<double, std::milli> period = report_period_;
+  const double read_meanwhile = kPrefillTokensPerMs * period.count();
+  const double chance = (room_tokens + read_meanwhile) /
+                        (others + UncachedTokens(instance, request));
+  const auto slot =
+      static_cast<std::uint64_t>(now.time_since_epoch() / report_period_);
+  return RendezvousRank(UniqueKey(request), slot) < chance;
 }
 
 double Placer::ServiceScore(const Instance& instance, std::uint64_t key) const {
@@ -296,6 +331,10 @@
   double score = static_cast<double>(total.pending_prefill_tokens) + uncached +
                  kTokensPerRunningRequest * total.running +
                  options_.failure_weight_tokens * FailureRate(total);
+  if (uncached > options_.long_prompt_tokens) {
+    // Others that wait for this engine go before.
+    score += static_cast<double>(total.waiting_tokens);
+  }
   score += options_.late_weight *
            std::max(0.0, static_cast<double>(total.pending_prefill_tokens) +
                              uncached - TokensWithinTarget(request));
@@ -304,7 +343,9 @@
         kTokensPerDomainHop + kTokensPerCrossingToken * request.prompt_tokens;
   }
   if (cached_somewhere) {
-    score += (options_.recompute_weight - 1) * shared_uncached;
+    score += (options_.recompute_weight - 1) * shared_uncached +
+             options_.unheard_weight * UnheardTokens(engines) *
+                 RendezvousRank(UniqueKey(request), instance.hash);
   } else {
     score += kTokensPerRendezvousRank * static_cast<double>(engines) *
                  RendezvousRank(key, instance.hash) +
@@ -313,6 +354,28 @@
   return score;
 }
 
+/// Prompt tokens that all entries send to one engine, on average, within two
+/// periods of the load reports, if all send as much as this entry.
+double Placer::UnheardTokens(std::size_t engines) const {
+  constexpr double kPeriods = 2;
+  const std::chrono::duration<double, std::milli> period = report_period_;
+  return kPeriods * period.count() * sent_tokens_per_ms_ *
+         static_cast<double>(entries_) / static_cast<double>(engines);
+}
+
+void Placer::UpdateSendRate(TimePoint now) {
+  constexpr double kAveragingMs = 2000;
+  const std::chrono::duration<double, std::milli> passed =
+      now - outcomes_decayed_at_;
+  if (passed.count() <= 0) {
+    return;
+  }
+  const double weight = std::min(1.0, passed.count() / kAveragingMs);
+  sent_tokens_per_ms_ +=
+      weight * (sent_tokens_ / passed.count() - sent_tokens_per_ms_);
+  sent_tokens_ = 0;
+}
+
 /// Returns for each failure domain how many engines are kept for streams with
 /// tight pauses, by the number of these that run there.
 std::vector<std::size_t> Placer::CalmEngines(const Service& service) const {
@@ -346,12 +409,12 @@
           (calm ? options_.apart_weight : 0.0));
 }
 
-std::optional<UpstreamId> Placer::Choose(const PlacementRequest& request,
+const Placer::Instance* Placer::FindBest(const PlacementRequest& request,
                                          const std::set<UpstreamId>& excluded,
                                          TimePoint now) const {
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
-    return std::nullopt;
+    return nullptr;
   }
   const bool engine = service->second.declared.engine.has_value();
   const std::uint64_t key = PrefixKey(request);
@@ -388,12 +451,42 @@
       best_score = score;
     }
   }
-  if (best == nullptr || (engine && MustWait(*best, request, now))) {
+  return best;
+}
+
+std::optional<UpstreamId> Placer::Choose(const PlacementRequest& request,
+                                         const std::set<UpstreamId>& excluded,
+                                         TimePoint now) const {
+  const Instance* best = FindBest(request, excluded, now);
+  if (best == nullptr || MustWait(*best, request, now)) {
     return std::nullopt;
   }
   return best->record.id;
 }
 
+std::optional<UpstreamId> Placer::ChooseOrAwait(
+    const PlacementRequest& request, const std::set<UpstreamId>& excluded,
+    TimePoint now) {
+  const Instance* best = FindBest(request, excluded, now);
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  if (MustWait(*best, request, now)) {
+    Instance& awaited = instances_.at(best->record.id);
+    awaited.local_load.waiting_tokens += UncachedTokens(awaited, request);
+    awaited_.push_back(&awaited);
+    return std::nullopt;
+  }
+  return best->record.id;
+}
+
+void Placer::ForgetWaiting() {
+  for (Instance* instance : awaited_) {
+    instance->local_load.waiting_tokens = 0;
+  }
+  awaited_.clear();
+}
+
 bool Placer::NoneAvailable(const ServiceName& service, TimePoint now) const {
   const auto found = services_.find(service);
   return found == services_.end() ||
@@ -446,6 +539,7 @@
       uncached,
       std::uint64_t{request.prompt_tokens} + request.max_output_tokens,
       tight ? 1U : 0U};
+  sent_tokens_ += uncached;
   ++instance.local_load.running;
   instance.local_load.pending_prefill_tokens += charge.pending_prefill_tokens;
   instance.local_load.reserved_tokens += charge.reserved_tokens;
@@ -558,12 +652,14 @@
 
 EntryLoad Placer::OwnLoad(const ProcessId& self, TimePoint placed_since,
                           TimePoint now) {
+  UpdateSendRate(now);
   DecayOutcomes(now);
   EntryLoad load;
   load.entry = self;
   for (const auto& [id, instance] : instances_) {
     if (instance.local_load.running > 0 ||
-        instance.local_load.failure_milli > 0) {
+        instance.local_load.failure_milli > 0 ||
+        instance.local_load.waiting_tokens > 0) {
       load.upstreams[id] = instance.local_load;
     }
     for (auto it = instance.placed_parts.rbegin();
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -197,6 +197,7 @@
   relays_ = {report.relays.begin(), report.relays.end()};
   loads_.SetRelayTargets(local_peers_);
   proxy_.SetEntries(report.entry_count, local_count);
+  proxy_.SetReportPeriod(load_period_);
 }
 
 std::string EntryNode::ScrapeText() const {
