Tell the other entries at once where a long prompt was sent

The herd at one engine lasts as long as the report period, whatever the choice among equals is.

Change: an entry that sent a long prompt tells its failure domain within 2 ms, and the others through their relays, by a partial report with that engine only.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -111,6 +111,9 @@
 /// @brief Load that one entry has placed on the upstreams that it uses.
 struct EntryLoad {
   ProcessId entry;
+  /// Whether only the upstreams named here have changed. Otherwise those that
+  /// are not named have no load of this entry.
+  bool partial = false;
   /// Time until this report expires unless a newer one replaces it. Reports
   /// may be lost.
   Duration valid_for{std::chrono::milliseconds(1500)};
@@ -275,6 +278,13 @@
   EntryLoad OwnLoad(const ProcessId& self, TimePoint placed_since,
                     TimePoint now);
 
+  /// @brief Whether TakeUrgentLoad() has anything to report.
+  bool has_urgent_load() const { return !urgent_.empty(); }
+
+  /// @brief Partial load report of the engines that long prompts were sent to
+  /// since the last call.
+  EntryLoad TakeUrgentLoad(const ProcessId& self);
+
  private:
   struct Instance {
     membership::InstanceRecord record;
@@ -315,6 +325,7 @@
   void DecayOutcomes(TimePoint now);
   static UpstreamLoad TotalLoad(const Instance& instance);
   void SubtractRemoteLoad(const RemoteEntry& remote);
+  void AddRemoteLoad(const EntryLoad& load, RemoteEntry* remote);
   void DropRemoteLoadsAt(const UpstreamId& id);
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool cached_somewhere,
@@ -345,6 +356,8 @@
   std::map<ServiceName, Service> services_;
   std::map<UpstreamId, Instance> instances_;
   std::map<ProcessId, RemoteEntry> remote_entries_;
+  /// Engines that long prompts were sent to since the last urgent report.
+  std::set<UpstreamId> urgent_;
   /// Engines that prompts of this entry wait for.
   std::vector<Instance*> awaited_;
   Duration report_period_{std::chrono::milliseconds(30)};
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -40,6 +40,8 @@
   std::uint32_t valid_ms = 0;
   std::vector<UpstreamLoadTold> upstreams;
   std::vector<PartsPlaced> placed_parts;
+  /// Whether only the upstreams named here have changed.
+  bool partial = false;
 
   friend bool operator==(const LoadTold&, const LoadTold&) = default;
 };
@@ -66,7 +68,8 @@
 template <>
 struct FieldsOf<LoadTold> {
   static auto Tie(auto& m) {
-    return std::tie(m.entry, m.relay, m.valid_ms, m.upstreams, m.placed_parts);
+    return std::tie(m.entry, m.relay, m.valid_ms, m.upstreams, m.placed_parts,
+                    m.partial);
   }
 };
 
@@ -74,6 +77,7 @@
 inline LoadTold ToMessage(const policy::EntryLoad& load) {
   LoadTold told;
   told.entry = load.entry;
+  told.partial = load.partial;
   told.valid_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(load.valid_for)
           .count());
@@ -94,6 +98,7 @@
 inline policy::EntryLoad ToEntryLoad(const LoadTold& told) {
   policy::EntryLoad load;
   load.entry = told.entry;
+  load.partial = told.partial;
   load.valid_for = std::chrono::milliseconds(told.valid_ms);
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {
--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -69,6 +69,7 @@
       const http::ServerRequest& request);
   void CheckStopped();
   void PublishLoad();
+  void ScheduleUrgentLoad();
 
   EntryNodeOptions options_;
   port::EventSink events_;
@@ -88,6 +89,7 @@
   Duration load_period_{std::chrono::milliseconds(100)};
   bool closed_idle_ = false;
   bool was_ready_ = false;
+  bool urgent_load_scheduled_ = false;
 };
 
 }  // namespace rattanward::proxy
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -47,6 +47,8 @@
 struct ProxyHooks {
   /// A request was running at an upstream that appears to have crashed.
   std::function<void(const protocol::CrashWitness&)> witness;
+  /// Long prompts were sent; see TakeUrgentLoad().
+  std::function<void()> urgent_load;
   port::EventSink events;
 };
 
@@ -93,6 +95,12 @@
   /// @param placed_within Maximum age of the prompt parts to include.
   policy::EntryLoad OwnLoad(Duration placed_within);
 
+  /// @brief Load report of the engines that long prompts were sent to since the
+  /// last call.
+  policy::EntryLoad TakeUrgentLoad() {
+    return placer_.TakeUrgentLoad(options_.process);
+  }
+
   /// @brief Whether control confirmed the routes within the last `time`.
   bool ConfirmedWithin(Duration time) const;
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -189,16 +189,12 @@
 
 void Placer::SetEntryLoad(const EntryLoad& load, TimePoint now) {
   RemoteEntry& remote = remote_entries_[load.entry];
-  SubtractRemoteLoad(remote);
-  remote.upstreams.clear();
-  remote.valid_until = now + load.valid_for;
-  for (const auto& [id, reported] : load.upstreams) {
-    const auto found = instances_.find(id);
-    if (found != instances_.end()) {
-      remote.upstreams.emplace(id, reported);
-      found->second.remote_load += reported;
-    }
+  if (!load.partial) {
+    SubtractRemoteLoad(remote);
+    remote.upstreams.clear();
   }
+  remote.valid_until = std::max(remote.valid_until, now + load.valid_for);
+  AddRemoteLoad(load, &remote);
   if (options_.use_remote_placements) {
     for (const auto& [id, placed_parts] : load.placed_parts) {
       const auto found = instances_.find(id);
@@ -218,6 +214,19 @@
   });
 }
 
+/// Replaces the loads of the upstreams that the report names.
+void Placer::AddRemoteLoad(const EntryLoad& load, RemoteEntry* remote) {
+  for (const auto& [id, reported] : load.upstreams) {
+    const auto found = instances_.find(id);
+    if (found != instances_.end()) {
+      UpstreamLoad& known = remote->upstreams[id];
+      found->second.remote_load -= known;
+      found->second.remote_load += reported;
+      known = reported;
+    }
+  }
+}
+
 /// Subtracts the report of another entry from the remote loads.
 void Placer::SubtractRemoteLoad(const RemoteEntry& remote) {
   for (const auto& [id, reported] : remote.upstreams) {
@@ -540,6 +549,9 @@
       std::uint64_t{request.prompt_tokens} + request.max_output_tokens,
       tight ? 1U : 0U};
   sent_tokens_ += uncached;
+  if (uncached > options_.long_prompt_tokens) {
+    urgent_.insert(id);
+  }
   ++instance.local_load.running;
   instance.local_load.pending_prefill_tokens += charge.pending_prefill_tokens;
   instance.local_load.reserved_tokens += charge.reserved_tokens;
@@ -671,4 +683,18 @@
   return load;
 }
 
+EntryLoad Placer::TakeUrgentLoad(const ProcessId& self) {
+  EntryLoad load;
+  load.entry = self;
+  load.partial = true;
+  for (const UpstreamId& id : urgent_) {
+    const auto found = instances_.find(id);
+    if (found != instances_.end()) {
+      load.upstreams[id] = found->second.local_load;
+    }
+  }
+  urgent_.clear();
+  return load;
+}
+
 }  // namespace rattanward::policy
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -16,6 +16,8 @@
 
 /// Each placement is sent this many times, because datagrams can be lost.
 constexpr int kSendsPerPlacement = 3;
+/// Sends within this time are told together.
+constexpr Duration kUrgentLoadDelay{std::chrono::milliseconds(2)};
 constexpr Duration kShutdownCheckPeriod{std::chrono::milliseconds(100)};
 /// The balancer checks once a second and removes an entry after two failures.
 constexpr Duration kBalancerDetectionTime{std::chrono::milliseconds(2800)};
@@ -64,7 +66,7 @@
                 link_.AddWitness(witness);
                 link_.SendReports();
               },
-              events_}),
+              [this] { ScheduleUrgentLoad(); }, events_}),
       link_(io, MakeTransportOptions(options_, events_),
             MakeSelfReport(options_), LinkHooks()),
       loads_(io, options_.secret,
@@ -136,6 +138,21 @@
   timers_.After(load_period_, [this](TimePoint) { PublishLoad(); });
 }
 
+/// Other entries would choose the same engine until the next periodic report.
+void EntryNode::ScheduleUrgentLoad() {
+  if (urgent_load_scheduled_) {
+    return;
+  }
+  urgent_load_scheduled_ = true;
+  timers_.After(kUrgentLoadDelay, [this](TimePoint) {
+    urgent_load_scheduled_ = false;
+    const policy::EntryLoad load = proxy_.TakeUrgentLoad();
+    loads_.SendLoad(load, local_peers_);
+    loads_.SendLoad(load, remote_peers_);
+    loads_.SendViaRelays(load, relays_);
+  });
+}
+
 void EntryNode::HandleRoutingPush(const protocol::RoutingPush& push) {
   if (push.version <= proxy_.routing_version()) {
     return;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -387,8 +387,12 @@
 
 policy::PlacementCharge Proxy::OnSent(const Exchange& exchange) {
   meter_.RecordQueueTime(MonotonicNow() - exchange.routed().request.arrived);
-  return placer_.RecordSend(exchange.upstream(), exchange.placement(),
-                            MonotonicNow());
+  const policy::PlacementCharge charge = placer_.RecordSend(
+      exchange.upstream(), exchange.placement(), MonotonicNow());
+  if (placer_.has_urgent_load()) {
+    hooks_.urgent_load();
+  }
+  return charge;
 }
 
 void Proxy::OnFirstEvent(const Exchange& exchange,
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -64,6 +64,7 @@
     hooks.witness = [this](const protocol::CrashWitness& witness) {
       witnesses.push_back(witness);
     };
+    hooks.urgent_load = [] {};
     hooks.events = [this](const Event& event) { events.push_back(event); };
     data_path = std::make_unique<proxy::Proxy>(io, options, dialect, hooks);
     REQUIRE(data_path->Start().has_value());
