Tell prompts from 1,500 tokens on at once

Cause: prompts of 1,000 to 3,000 tokens still went to one engine together.

Change: the limit of what is told at once; fewer streams to an engine that is kept for tight pauses; the draw among equals scales with the prompt.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -157,11 +157,14 @@
   double apart_weight = 6000;
   /// Streams with tight pauses for which one engine is kept, as a share of its
   /// slots.
-  double tight_streams_per_slot = 0.5;
+  double tight_streams_per_slot = 0.35;
   /// Weight of the prompt tokens that all entries send to one engine, on
   /// average, before they hear of each other's sends. Engines whose loads
   /// differ by less count as equal, and entries choose differently among them.
   double unheard_weight = 2;
+  /// The other entries are told at once of a prompt with more uncached tokens
+  /// than this.
+  std::uint32_t urgent_tokens = 1500;
   /// Whether prompt parts placed by other entries count as cached.
   bool use_remote_placements = true;
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -332,7 +332,7 @@
                            bool cached_somewhere, std::size_t engines) const {
   const UpstreamLoad total = TotalLoad(instance);
   const std::uint32_t uncached = UncachedTokens(instance, request);
-  const std::uint32_t own_tokens =
+  const double own_tokens =
       request.prompt.empty() ? 0 : request.prompt.back().tokens;
   const double shared_uncached =
       uncached > own_tokens ? uncached - own_tokens : 0;
@@ -354,6 +354,7 @@
   if (cached_somewhere) {
     score += (options_.recompute_weight - 1) * shared_uncached +
              options_.unheard_weight * UnheardTokens(engines) *
+                 std::min(1.0, own_tokens / options_.long_prompt_tokens) *
                  RendezvousRank(UniqueKey(request), instance.hash);
   } else {
     score += kTokensPerRendezvousRank * static_cast<double>(engines) *
@@ -549,7 +550,7 @@
       std::uint64_t{request.prompt_tokens} + request.max_output_tokens,
       tight ? 1U : 0U};
   sent_tokens_ += uncached;
-  if (uncached > options_.long_prompt_tokens) {
+  if (uncached > options_.urgent_tokens) {
     urgent_.insert(id);
   }
   ++instance.local_load.running;
