--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -84,7 +84,7 @@
 
 /// How much reading so many tokens delays the events of the streams beside:
 /// from 0, not at all, to 1 for a long prompt.
-double Disturbance(std::uint32_t uncached, const PlacerOptions& options) {
+double Disturbance(std::uint64_t uncached, const PlacerOptions& options) {
   const double excess =
       static_cast<double>(uncached) - options.undisturbing_tokens;
   return std::clamp(
@@ -409,14 +409,18 @@
                           const PlacementRequest& request,
                           std::size_t calm_engines) const {
   const bool calm = instance.position < calm_engines;
-  const double disturbance =
-      Disturbance(UncachedTokens(instance, request), options_);
+  const UpstreamLoad total = TotalLoad(instance);
+  const std::uint32_t uncached = UncachedTokens(instance, request);
+  const double disturbance = Disturbance(uncached, options_);
   if (request.tight_pauses && disturbance < 1) {
-    return calm ? 0.0 : options_.apart_weight;
-  }
-  return disturbance *
-         (options_.tight_stream_weight * TotalLoad(instance).tight_streams +
-          (calm ? options_.apart_weight : 0.0));
+    return options_.apart_weight *
+           (Disturbance(total.pending_prefill_tokens, options_) +
+            (calm ? 0.0 : 1.0));
+  }
+  const double with_pending =
+      Disturbance(total.pending_prefill_tokens + uncached, options_);
+  return options_.tight_stream_weight * total.tight_streams * with_pending +
+         (calm ? options_.apart_weight * disturbance : 0.0);
 }
 
 const Placer::Instance* Placer::FindBest(const PlacementRequest& request,
