Take reported prompts to be read meanwhile, and drop the draw

Cause: after the urgent reports, entries believed more pending than there was: the tokens of other entries fall only with their next whole report, up to 0.9 s later on the grown sites. Long prompts waited at entries for a backlog that was gone.

Change: reported tokens are reduced by what an engine reads beside running streams within the mean age of the reports. The draw among waiting prompts and the reports of what waits are removed: urgent reports do it better. A disturbed stream costs twice as much. Beyond 100 entries only the own failure domain is told at once.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -76,8 +76,6 @@
   std::uint64_t failure_milli = 0;
   /// Running streams with tight pauses.
   std::uint32_t tight_streams = 0;
-  /// Uncached tokens of the long prompts that wait at entries for this engine.
-  std::uint64_t waiting_tokens = 0;
 
   UpstreamLoad& operator+=(const UpstreamLoad& other) {
     running += other.running;
@@ -86,7 +84,6 @@
     success_milli += other.success_milli;
     failure_milli += other.failure_milli;
     tight_streams += other.tight_streams;
-    waiting_tokens += other.waiting_tokens;
     return *this;
   }
   UpstreamLoad& operator-=(const UpstreamLoad& other) {
@@ -96,7 +93,6 @@
     success_milli -= other.success_milli;
     failure_milli -= other.failure_milli;
     tight_streams -= other.tight_streams;
-    waiting_tokens -= other.waiting_tokens;
     return *this;
   }
 
@@ -151,7 +147,7 @@
   std::uint32_t undisturbing_tokens = 1000;
   /// Cost of reading a long prompt beside one stream with tight pauses, which
   /// it makes late.
-  double tight_stream_weight = 1000;
+  double tight_stream_weight = 2000;
   /// Cost for a stream with tight pauses of an engine that reads long prompts,
   /// and for a long prompt of an engine that is kept for such streams.
   double apart_weight = 6000;
@@ -215,17 +211,6 @@
                                    const std::set<UpstreamId>& excluded,
                                    TimePoint now) const;
 
-  /// @brief As Choose(). If a long prompt has to wait for its engine, the other
-  /// entries are told so by the next load report, and it counts for the choices
-  /// that follow.
-  std::optional<UpstreamId> ChooseOrAwait(const PlacementRequest& request,
-                                          const std::set<UpstreamId>& excluded,
-                                          TimePoint now);
-
-  /// @brief Forgets which prompts wait at this entry. To be called before each
-  /// pass over its queue.
-  void ForgetWaiting();
-
   /// @brief Sets the period of the load reports between entries.
   void SetReportPeriod(Duration period) { report_period_ = period; }
 
@@ -269,7 +254,8 @@
   void RecordOutcome(const UpstreamId& id, bool well);
 
   /// @brief Load of an upstream: this entry's and that reported by others.
-  UpstreamLoad LoadOf(const UpstreamId& id) const;
+  /// @note Prompts that others reported are taken to be read meanwhile.
+  UpstreamLoad LoadOf(const UpstreamId& id, TimePoint now) const;
 
   /// @brief Number of connections that this entry may hold to an upstream.
   std::uint32_t ConnectionShare(const UpstreamId& id) const;
@@ -301,6 +287,9 @@
     UpstreamLoad local_load;
     /// Sum of the loads reported by other entries.
     UpstreamLoad remote_load;
+    /// Sum over those reports: pending prefill tokens times the time of the
+    /// report, in ms since the origin of the placer.
+    double remote_token_ms = 0;
     /// Ids of prompt parts sent there by this entry or, as reported, by others.
     std::unordered_set<std::uint64_t> cached_parts;
     /// Total tokens of cached_parts.
@@ -318,36 +307,50 @@
     /// Number of failure domains of the instances.
     std::size_t domains = 0;
   };
-  /// Latest load report of another entry.
+  /// Load of an upstream as reported by another entry.
+  struct RemoteLoad {
+    UpstreamLoad load;
+    /// In ms since the origin of the placer.
+    double reported_ms = 0;
+
+    double token_ms() const {
+      return static_cast<double>(load.pending_prefill_tokens) * reported_ms;
+    }
+  };
+  /// Latest load reports of another entry.
   struct RemoteEntry {
     TimePoint valid_until;
-    std::map<UpstreamId, UpstreamLoad> upstreams;
+    std::map<UpstreamId, RemoteLoad> upstreams;
   };
 
   bool IsUsable(const Instance& instance, TimePoint now) const;
   void DecayOutcomes(TimePoint now);
-  static UpstreamLoad TotalLoad(const Instance& instance);
+  double MsSinceOrigin(TimePoint now) const;
+  UpstreamLoad TotalLoad(const Instance& instance, TimePoint now) const;
+  static void ReplaceRemoteLoad(Instance* instance, const RemoteLoad& load,
+                                RemoteLoad* known);
   void SubtractRemoteLoad(const RemoteEntry& remote);
-  void AddRemoteLoad(const EntryLoad& load, RemoteEntry* remote);
+  void AddRemoteLoad(const EntryLoad& load, TimePoint now, RemoteEntry* remote);
   void DropRemoteLoadsAt(const UpstreamId& id);
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool cached_somewhere,
-                     std::size_t engines) const;
+                     std::size_t engines, TimePoint now) const;
   double UnheardTokens(std::size_t engines) const;
   void UpdateSendRate(TimePoint now);
-  std::vector<std::size_t> CalmEngines(const Service& service) const;
+  std::vector<std::size_t> CalmEngines(const Service& service,
+                                       TimePoint now) const;
   double ApartScore(const Instance& instance, const PlacementRequest& request,
-                    std::size_t calm_engines) const;
-  double ServiceScore(const Instance& instance, std::uint64_t key) const;
+                    std::size_t calm_engines, TimePoint now) const;
+  double ServiceScore(const Instance& instance, std::uint64_t key,
+                      TimePoint now) const;
   static void AddCachedPart(Instance* instance, const PromptPart& part);
-  bool IsFull(const Instance& instance, const Service& service) const;
+  bool IsFull(const Instance& instance, const Service& service,
+              TimePoint now) const;
   const Instance* FindBest(const PlacementRequest& request,
                            const std::set<UpstreamId>& excluded,
                            TimePoint now) const;
   bool MustWait(const Instance& instance, const PlacementRequest& request,
                 TimePoint now) const;
-  bool IsDrawn(const Instance& instance, const PlacementRequest& request,
-               double room_tokens, TimePoint now) const;
   std::uint32_t UncachedTokens(const Instance& instance,
                                const PlacementRequest& request) const;
   void IndexInstances();
@@ -361,13 +364,13 @@
   std::map<ProcessId, RemoteEntry> remote_entries_;
   /// Engines that long prompts were sent to since the last urgent report.
   std::set<UpstreamId> urgent_;
-  /// Engines that prompts of this entry wait for.
-  std::vector<Instance*> awaited_;
   Duration report_period_{std::chrono::milliseconds(30)};
   /// Prompt tokens sent to engines by this entry: since the last load report,
   /// and per millisecond lately.
   double sent_tokens_ = 0;
   double sent_tokens_per_ms_ = 0;
+  /// Time of the first load report that was received.
+  std::optional<TimePoint> origin_;
   TimePoint outcomes_decayed_at_;
   std::size_t entries_ = 1;
   std::size_t domain_entries_ = 1;
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -18,7 +18,6 @@
   std::uint64_t success_milli = 0;
   std::uint64_t failure_milli = 0;
   std::uint32_t tight_streams = 0;
-  std::uint64_t waiting_tokens = 0;
 
   friend bool operator==(const UpstreamLoadTold&,
                          const UpstreamLoadTold&) = default;
@@ -51,7 +50,7 @@
   static auto Tie(auto& m) {
     return std::tie(m.upstream, m.running, m.pending_prefill_tokens,
                     m.reserved_tokens, m.success_milli, m.failure_milli,
-                    m.tight_streams, m.waiting_tokens);
+                    m.tight_streams);
   }
 };
 
@@ -85,8 +84,7 @@
     told.upstreams.push_back({id, upstream.running,
                               upstream.pending_prefill_tokens,
                               upstream.reserved_tokens, upstream.success_milli,
-                              upstream.failure_milli, upstream.tight_streams,
-                              upstream.waiting_tokens});
+                              upstream.failure_milli, upstream.tight_streams});
   }
   for (const auto& [id, parts] : load.placed_parts) {
     told.placed_parts.push_back({id, parts});
@@ -103,8 +101,7 @@
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {
         one.running,       one.pending_prefill_tokens, one.reserved_tokens,
-        one.success_milli, one.failure_milli,          one.tight_streams,
-        one.waiting_tokens};
+        one.success_milli, one.failure_milli,          one.tight_streams};
   }
   for (const PartsPlaced& one : told.placed_parts) {
     load.placed_parts[one.upstream] = one.parts;
--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -90,6 +90,7 @@
   bool closed_idle_ = false;
   bool was_ready_ = false;
   bool urgent_load_scheduled_ = false;
+  std::size_t entry_count_ = 1;
 };
 
 }  // namespace rattanward::proxy
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -132,7 +132,7 @@
   Status MayStart(const Exchange& exchange) override;
   policy::PlacementCharge OnSent(const Exchange& exchange) override;
   policy::UpstreamLoad LoadOf(const UpstreamId& upstream) const override {
-    return placer_.LoadOf(upstream);
+    return placer_.LoadOf(upstream, adapter::MonotonicNow());
   }
   void OnFirstEvent(const Exchange& exchange,
                     policy::PlacementCharge* charge) override;
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -54,6 +54,8 @@
 
 /// Assumed rate at which an engine reads prompts.
 constexpr double kPrefillTokensPerMs = 50;
+/// The same beside many running streams.
+constexpr double kBusyPrefillTokensPerMs = 25;
 
 std::uint64_t Decayed(std::uint64_t milli, double factor) {
   return static_cast<std::uint64_t>(static_cast<double>(milli) * factor);
@@ -127,7 +129,6 @@
   Instance& instance = instances_[record.id];
   const bool restarted = instance.record.stamp.born != record.stamp.born;
   if (restarted) {
-    std::erase(awaited_, &instance);
     instance = Instance();
     DropRemoteLoadsAt(record.id);
   }
@@ -137,7 +138,6 @@
 }
 
 void Placer::RemoveInstance(const UpstreamId& id) {
-  ForgetWaiting();
   instances_.erase(id);
   DropRemoteLoadsAt(id);
   IndexInstances();
@@ -188,13 +188,16 @@
 }
 
 void Placer::SetEntryLoad(const EntryLoad& load, TimePoint now) {
+  if (!origin_) {
+    origin_ = now;
+  }
   RemoteEntry& remote = remote_entries_[load.entry];
   if (!load.partial) {
     SubtractRemoteLoad(remote);
     remote.upstreams.clear();
   }
   remote.valid_until = std::max(remote.valid_until, now + load.valid_for);
-  AddRemoteLoad(load, &remote);
+  AddRemoteLoad(load, now, &remote);
   if (options_.use_remote_placements) {
     for (const auto& [id, placed_parts] : load.placed_parts) {
       const auto found = instances_.find(id);
@@ -214,25 +217,39 @@
   });
 }
 
+double Placer::MsSinceOrigin(TimePoint now) const {
+  const std::chrono::duration<double, std::milli> passed =
+      now - origin_.value_or(now);
+  return passed.count();
+}
+
 /// Replaces the loads of the upstreams that the report names.
-void Placer::AddRemoteLoad(const EntryLoad& load, RemoteEntry* remote) {
+void Placer::AddRemoteLoad(const EntryLoad& load, TimePoint now,
+                           RemoteEntry* remote) {
   for (const auto& [id, reported] : load.upstreams) {
     const auto found = instances_.find(id);
     if (found != instances_.end()) {
-      UpstreamLoad& known = remote->upstreams[id];
-      found->second.remote_load -= known;
-      found->second.remote_load += reported;
-      known = reported;
+      ReplaceRemoteLoad(&found->second, {reported, MsSinceOrigin(now)},
+                        &remote->upstreams[id]);
     }
   }
 }
 
+void Placer::ReplaceRemoteLoad(Instance* instance, const RemoteLoad& load,
+                               RemoteLoad* known) {
+  instance->remote_load -= known->load;
+  instance->remote_load += load.load;
+  instance->remote_token_ms += load.token_ms() - known->token_ms();
+  *known = load;
+}
+
 /// Subtracts the report of another entry from the remote loads.
 void Placer::SubtractRemoteLoad(const RemoteEntry& remote) {
-  for (const auto& [id, reported] : remote.upstreams) {
+  for (const auto& [id, known] : remote.upstreams) {
     const auto found = instances_.find(id);
     if (found != instances_.end()) {
-      found->second.remote_load -= reported;
+      RemoteLoad subtracted = known;
+      ReplaceRemoteLoad(&found->second, RemoteLoad(), &subtracted);
     }
   }
 }
@@ -250,9 +267,20 @@
          now >= instance.avoid_until;
 }
 
-UpstreamLoad Placer::TotalLoad(const Instance& instance) {
-  UpstreamLoad total = instance.local_load;
-  total += instance.remote_load;
+/// Sums the loads of all entries. The engine goes on reading after a report, so
+/// its tokens are reduced by what it reads within the mean age of the reports.
+UpstreamLoad Placer::TotalLoad(const Instance& instance, TimePoint now) const {
+  UpstreamLoad total = instance.remote_load;
+  const auto reported = static_cast<double>(total.pending_prefill_tokens);
+  if (reported > 0) {
+    const double age_ms =
+        MsSinceOrigin(now) - instance.remote_token_ms / reported;
+    const double left =
+        reported - kBusyPrefillTokensPerMs * std::max(0.0, age_ms);
+    total.pending_prefill_tokens =
+        static_cast<std::uint64_t>(std::max(0.0, left));
+  }
+  total += instance.local_load;
   return total;
 }
 
@@ -268,8 +296,9 @@
   return request.prompt_tokens - std::min(cached, request.prompt_tokens);
 }
 
-bool Placer::IsFull(const Instance& instance, const Service& service) const {
-  const UpstreamLoad total = TotalLoad(instance);
+bool Placer::IsFull(const Instance& instance, const Service& service,
+                    TimePoint now) const {
+  const UpstreamLoad total = TotalLoad(instance, now);
   const std::uint32_t slots = std::max(instance.record.slots, 1U);
   if (!service.declared.engine) {
     return total.running >= slots + kMaxServiceBacklog;
@@ -289,39 +318,18 @@
   const std::chrono::duration<double> waited = now - request.arrived;
   const std::chrono::duration<double> target = request.target;
   const double share = target.count() > 0 ? waited.count() / target.count() : 0;
-  const double room =
-      static_cast<double>(options_.long_prompt_backlog_tokens) +
-      options_.backlog_growth_tokens * share * kRankDivisor /
-          (kRankDivisor + std::max(request.rank, 1U) - 1) -
-      static_cast<double>(TotalLoad(instance).pending_prefill_tokens);
-  return room < 0 || !IsDrawn(instance, request, room, now);
-}
-
-/// Whether a prompt that waits for an engine may be sent in this report period.
-/// Entries learn of each other's sends one period later. If each of them sent
-/// as soon as there is room, all that wait would go at once. So each prompt is
-/// drawn with the chance that fills the room on average.
-bool Placer::IsDrawn(const Instance& instance, const PlacementRequest& request,
-                     double room_tokens, TimePoint now) const {
-  const double others =
-      static_cast<double>(instance.remote_load.waiting_tokens);
-  if (others <= 0) {
-    return true;
-  }
-  const std::chrono::duration<double, std::milli> period = report_period_;
-  const double read_meanwhile = kPrefillTokensPerMs * period.count();
-  const double chance = (room_tokens + read_meanwhile) /
-                        (others + UncachedTokens(instance, request));
-  const auto slot =
-      static_cast<std::uint64_t>(now.time_since_epoch() / report_period_);
-  return RendezvousRank(UniqueKey(request), slot) < chance;
+  return static_cast<double>(TotalLoad(instance, now).pending_prefill_tokens) >
+         static_cast<double>(options_.long_prompt_backlog_tokens) +
+             options_.backlog_growth_tokens * share * kRankDivisor /
+                 (kRankDivisor + std::max(request.rank, 1U) - 1);
 }
 
-double Placer::ServiceScore(const Instance& instance, std::uint64_t key) const {
+double Placer::ServiceScore(const Instance& instance, std::uint64_t key,
+                            TimePoint now) const {
   constexpr double kDomainHopLoad = 0.5;
   const double slots = std::max(instance.record.slots, 1U);
   const bool crosses_domain = instance.record.failure_domain != own_domain_;
-  const UpstreamLoad total = TotalLoad(instance);
+  const UpstreamLoad total = TotalLoad(instance, now);
   return total.running / slots + (crosses_domain ? kDomainHopLoad : 0.0) +
          options_.failure_weight_slots * FailureRate(total) +
          RendezvousRank(key, instance.hash) / slots;
@@ -329,8 +337,9 @@
 
 double Placer::EngineScore(const Instance& instance,
                            const PlacementRequest& request, std::uint64_t key,
-                           bool cached_somewhere, std::size_t engines) const {
-  const UpstreamLoad total = TotalLoad(instance);
+                           bool cached_somewhere, std::size_t engines,
+                           TimePoint now) const {
+  const UpstreamLoad total = TotalLoad(instance, now);
   const std::uint32_t uncached = UncachedTokens(instance, request);
   const double own_tokens =
       request.prompt.empty() ? 0 : request.prompt.back().tokens;
@@ -340,10 +349,6 @@
   double score = static_cast<double>(total.pending_prefill_tokens) + uncached +
                  kTokensPerRunningRequest * total.running +
                  options_.failure_weight_tokens * FailureRate(total);
-  if (uncached > options_.long_prompt_tokens) {
-    // Others that wait for this engine go before.
-    score += static_cast<double>(total.waiting_tokens);
-  }
   score += options_.late_weight *
            std::max(0.0, static_cast<double>(total.pending_prefill_tokens) +
                              uncached - TokensWithinTarget(request));
@@ -388,12 +393,13 @@
 
 /// Returns for each failure domain how many engines are kept for streams with
 /// tight pauses, by the number of these that run there.
-std::vector<std::size_t> Placer::CalmEngines(const Service& service) const {
+std::vector<std::size_t> Placer::CalmEngines(const Service& service,
+                                             TimePoint now) const {
   std::vector<double> wanted(service.domains, 0);
   for (const Instance* instance : service.instances) {
     const double room =
         options_.tight_streams_per_slot * std::max(instance->record.slots, 1U);
-    wanted[instance->domain] += TotalLoad(*instance).tight_streams / room;
+    wanted[instance->domain] += TotalLoad(*instance, now).tight_streams / room;
   }
   std::vector<std::size_t> kept;
   std::transform(wanted.begin(), wanted.end(), std::back_inserter(kept),
@@ -407,9 +413,9 @@
 /// wait while its engine reads a long prompt, however urgent the stream is.
 double Placer::ApartScore(const Instance& instance,
                           const PlacementRequest& request,
-                          std::size_t calm_engines) const {
+                          std::size_t calm_engines, TimePoint now) const {
   const bool calm = instance.position < calm_engines;
-  const UpstreamLoad total = TotalLoad(instance);
+  const UpstreamLoad total = TotalLoad(instance, now);
   const std::uint32_t uncached = UncachedTokens(instance, request);
   const double disturbance = Disturbance(uncached, options_);
   if (request.tight_pauses && disturbance < 1) {
@@ -434,7 +440,7 @@
   const std::uint64_t key = PrefixKey(request);
   const std::vector<const Instance*>& all = service->second.instances;
   const std::vector<std::size_t> calm_engines =
-      engine ? CalmEngines(service->second) : std::vector<std::size_t>();
+      engine ? CalmEngines(service->second, now) : std::vector<std::size_t>();
   // A long prompt is read anew rather than beside streams that it makes late.
   const bool cached_somewhere =
       engine &&
@@ -448,18 +454,19 @@
   double best_score = 0;
   for (const Instance* candidate : all) {
     const Instance& instance = *candidate;
-    if (!IsUsable(instance, now) || IsFull(instance, service->second) ||
+    if (!IsUsable(instance, now) || IsFull(instance, service->second, now) ||
         excluded.count(instance.record.id) > 0) {
       continue;
     }
     // Exceeds the scores in practice, so a silent upstream is the last choice.
     constexpr double kSilentPenalty = 1e7;
-    const double score = (engine ? EngineScore(instance, request, key,
-                                               cached_somewhere, all.size()) +
-                                       ApartScore(instance, request,
-                                                  calm_engines[instance.domain])
-                                 : ServiceScore(instance, key)) +
-                         (instance.record.silent ? kSilentPenalty : 0.0);
+    const double score =
+        (engine ? EngineScore(instance, request, key, cached_somewhere,
+                              all.size(), now) +
+                      ApartScore(instance, request,
+                                 calm_engines[instance.domain], now)
+                : ServiceScore(instance, key, now)) +
+        (instance.record.silent ? kSilentPenalty : 0.0);
     if (best == nullptr || score < best_score) {
       best = &instance;
       best_score = score;
@@ -478,29 +485,6 @@
   return best->record.id;
 }
 
-std::optional<UpstreamId> Placer::ChooseOrAwait(
-    const PlacementRequest& request, const std::set<UpstreamId>& excluded,
-    TimePoint now) {
-  const Instance* best = FindBest(request, excluded, now);
-  if (best == nullptr) {
-    return std::nullopt;
-  }
-  if (MustWait(*best, request, now)) {
-    Instance& awaited = instances_.at(best->record.id);
-    awaited.local_load.waiting_tokens += UncachedTokens(awaited, request);
-    awaited_.push_back(&awaited);
-    return std::nullopt;
-  }
-  return best->record.id;
-}
-
-void Placer::ForgetWaiting() {
-  for (Instance* instance : awaited_) {
-    instance->local_load.waiting_tokens = 0;
-  }
-  awaited_.clear();
-}
-
 bool Placer::NoneAvailable(const ServiceName& service, TimePoint now) const {
   const auto found = services_.find(service);
   return found == services_.end() ||
@@ -508,7 +492,7 @@
                      found->second.instances.end(),
                      [&](const Instance* candidate) {
                        return !IsUsable(*candidate, now) ||
-                              IsFull(*candidate, found->second);
+                              IsFull(*candidate, found->second, now);
                      });
 }
 
@@ -649,9 +633,10 @@
   }
 }
 
-UpstreamLoad Placer::LoadOf(const UpstreamId& id) const {
+UpstreamLoad Placer::LoadOf(const UpstreamId& id, TimePoint now) const {
   const auto found = instances_.find(id);
-  return found == instances_.end() ? UpstreamLoad() : TotalLoad(found->second);
+  return found == instances_.end() ? UpstreamLoad()
+                                   : TotalLoad(found->second, now);
 }
 
 std::uint32_t Placer::ConnectionShare(const UpstreamId& id) const {
@@ -675,8 +660,7 @@
   load.entry = self;
   for (const auto& [id, instance] : instances_) {
     if (instance.local_load.running > 0 ||
-        instance.local_load.failure_milli > 0 ||
-        instance.local_load.waiting_tokens > 0) {
+        instance.local_load.failure_milli > 0) {
       load.upstreams[id] = instance.local_load;
     }
     for (auto it = instance.placed_parts.rbegin();
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -16,6 +16,9 @@
 
 /// Each placement is sent this many times, because datagrams can be lost.
 constexpr int kSendsPerPlacement = 3;
+/// In larger fleets, only the own failure domain is told at once. Otherwise
+/// the datagrams that an entry receives would grow with the whole fleet.
+constexpr std::size_t kMaxEntriesToldAtOnce = 100;
 /// Sends within this time are told together.
 constexpr Duration kUrgentLoadDelay{std::chrono::milliseconds(2)};
 constexpr Duration kShutdownCheckPeriod{std::chrono::milliseconds(100)};
@@ -149,7 +152,9 @@
     const policy::EntryLoad load = proxy_.TakeUrgentLoad();
     loads_.SendLoad(load, local_peers_);
     loads_.SendLoad(load, remote_peers_);
-    loads_.SendViaRelays(load, relays_);
+    if (entry_count_ <= kMaxEntriesToldAtOnce) {
+      loads_.SendViaRelays(load, relays_);
+    }
   });
 }
 
@@ -213,6 +218,7 @@
                kLoadPeriodPerPeer * static_cast<int>(local_peers_.size()));
   relays_ = {report.relays.begin(), report.relays.end()};
   loads_.SetRelayTargets(local_peers_);
+  entry_count_ = report.entry_count;
   proxy_.SetEntries(report.entry_count, local_count);
   proxy_.SetReportPeriod(load_period_);
 }
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -321,7 +321,6 @@
   std::set<ServiceName> full_services;
   policy::TierGate gate;
   const TimePoint now = MonotonicNow();
-  placer_.ForgetWaiting();
   queue_.Visit(now, [&](const std::shared_ptr<Exchange>& exchange) {
     if (!exchange->waiting()) {
       return true;
@@ -349,8 +348,8 @@
                                "upstreams"));
     return true;
   }
-  const auto upstream = placer_.ChooseOrAwait(
-      exchange->placement(), exchange->excluded(), MonotonicNow());
+  const auto upstream = placer_.Choose(exchange->placement(),
+                                       exchange->excluded(), MonotonicNow());
   if (!upstream) {
     if (placer_.NoneAvailable(service, MonotonicNow())) {
       full_services->insert(service);
--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -72,15 +72,16 @@
   /// Time from the end of the prefill to the first event.
   static constexpr double kFirstEventMs = 90;
   static constexpr double kOutputTokenMs = 8;
-  /// Interval of the load reports.
-  static constexpr double kGossipMs = 120;
+  /// Time until an urgent load report has arrived.
+  static constexpr double kUrgentReportMs = 3;
 
   /// @param groups Number of groups that the entries are divided into. Load
   /// reports are exchanged only within a group.
+  /// @param gossip_ms Interval of the load reports.
   PlacingModel(std::size_t entries, std::size_t engines,
                policy::PlacerOptions options, std::uint64_t seed,
-               std::size_t groups = 1)
-      : groups_(groups), random_(seed) {
+               std::size_t groups = 1, double gossip_ms = 120)
+      : groups_(groups), gossip_ms_(gossip_ms), random_(seed) {
     RoutedService service;
     service.name = ServiceName("s");
     service.max_connections = 1000;
@@ -91,6 +92,9 @@
     for (std::size_t i = 0; i < entries; ++i) {
       entries_.push_back(std::make_unique<Entry>(options));
       entries_.back()->placer.SetServices({service});
+      entries_.back()->placer.SetEntries(entries, entries);
+      entries_.back()->placer.SetReportPeriod(
+          Duration(static_cast<Duration::rep>(gossip_ms * 1000)));
       for (std::size_t e = 0; e < engines; ++e) {
         membership::InstanceRecord record;
         record.id = Id(e);
@@ -119,7 +123,7 @@
         Arrive(workload, at);
       }
     }
-    for (double at = 0; at < (seconds + 30) * kMsPerSecond; at += kGossipMs) {
+    for (double at = 0; at < (seconds + 30) * kMsPerSecond; at += gossip_ms_) {
       Schedule(at, [this] { Gossip(); });
     }
     while (!events_.empty()) {
@@ -248,6 +252,10 @@
     const double prefill_end = engine.busy_until();
     const auto charge = std::make_shared<policy::PlacementCharge>(
         entry->placer.RecordSend(id, request.placement, Now()));
+    if (entry->placer.has_urgent_load()) {
+      Schedule(now_ + kUrgentReportMs,
+               [this, entry] { TellUrgentLoad(entry); });
+    }
     Schedule(prefill_end + kFirstEventMs, [this, entry, id, charge, number] {
       results_[requests_[number].workload].first_event_ms.push_back(
           now_ - requests_[number].arrived);
@@ -282,22 +290,39 @@
   }
 
   void Gossip() {
-    const TimePoint since = Now() - std::chrono::milliseconds(400);
+    const TimePoint since =
+        Now() - Duration(static_cast<Duration::rep>(gossip_ms_ * 3500));
     for (std::size_t from = 0; from < entries_.size(); ++from) {
-      const policy::EntryLoad load = entries_[from]->placer.OwnLoad(
-          ProcessId("e" + std::to_string(from)), since, Now());
-      for (std::size_t to = 0; to < entries_.size(); ++to) {
-        if (to != from && to % groups_ == from % groups_) {
-          entries_[to]->placer.SetEntryLoad(load, Now());
-        }
-      }
+      Tell(from, entries_[from]->placer.OwnLoad(Process(from), since, Now()));
     }
     for (const auto& entry : entries_) {
       Drain(entry.get());
     }
   }
 
+  void TellUrgentLoad(const Entry* entry) {
+    for (std::size_t from = 0; from < entries_.size(); ++from) {
+      if (entries_[from].get() == entry) {
+        Tell(from, entries_[from]->placer.TakeUrgentLoad(Process(from)));
+      }
+    }
+  }
+
+  static ProcessId Process(std::size_t entry) {
+    return ProcessId("e" + std::to_string(entry));
+  }
+
+  /// Reports a load of one entry to the others of its group.
+  void Tell(std::size_t from, const policy::EntryLoad& load) {
+    for (std::size_t to = 0; to < entries_.size(); ++to) {
+      if (to != from && to % groups_ == from % groups_) {
+        entries_[to]->placer.SetEntryLoad(load, Now());
+      }
+    }
+  }
+
   std::size_t groups_;
+  double gossip_ms_;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<Entry>> entries_;
   std::vector<Engine> engines_;
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -171,13 +171,14 @@
 
 TEST_CASE("streams with tight pauses are kept apart from long prompts") {
   using std::chrono::milliseconds;
-  // Nine in ten of the prefill capacity beside the engines that the questions
-  // need. A summary takes 93 to 425 ms of reading, which the pause target of a
-  // question doesn't bear twice.
+  // A new summary takes 425 ms of reading, one with its shared part cached 93.
   const std::vector<WorkloadClass> workload = {
       {"summary", 2, 30, 66, 13300, 3720, 120, milliseconds(2500)},
       {"question", 0, 34, 148, 172, 543, 280, milliseconds(1000), true}};
-  constexpr double kPauseTargetMs = 90;
+  // The target is 43 ms between tokens for 95 in 100. An event of 5 tokens that
+  // takes 40 ms by itself leaves 175 ms for reading beside it.
+  constexpr double kPauseTargetMs = 5 * 43 - 40;
+  constexpr double kShareOnTime = 0.95;
   PlacerOptions together;
   together.apart_weight = 0;
   together.tight_stream_weight = 0;
@@ -192,12 +193,68 @@
           mixed.at("question").ShareWithPauses(kPauseTargetMs));
   MESSAGE("summary p90 ms: ", apart.at("summary").Quantile(0.9), " against ",
           mixed.at("summary").Quantile(0.9));
-  CHECK(kept >= 0.95);
-  CHECK(mixed.at("question").ShareWithPauses(kPauseTargetMs) < 0.95);
+  CHECK(kept >= kShareOnTime);
+  CHECK(mixed.at("question").ShareWithPauses(kPauseTargetMs) < kShareOnTime);
   CHECK(apart.at("question").Quantile(0.95) < 1000);
   CHECK(apart.at("summary").Quantile(0.95) < 2500);
 }
 
+TEST_CASE("many entries with old load reports don't crowd at one engine") {
+  using std::chrono::milliseconds;
+  // The prompts of Indus Crescent at 60 entries, about half of what the engines
+  // read. The reports between failure domains are 0.9 s old at that size.
+  constexpr std::size_t kManyEntries = 60;
+  constexpr std::size_t kManyEngines = 40;
+  constexpr double kReportMs = 900;
+  const std::vector<WorkloadClass> workload = {
+      {"dossier", 2, 140, 400, 6300, 2890, 60, milliseconds(1500)},
+      {"brief", 1, 120, 400, 568, 1800, 20, milliseconds(1000)}};
+  const auto simulate = [&](const PlacerOptions& options) {
+    PlacingModel model(kManyEntries, kManyEngines, options, 1, 1, kReportMs);
+    return model.Simulate(workload, kSeconds);
+  };
+  PlacerOptions unheard;
+  unheard.unheard_weight = 0;
+  unheard.urgent_tokens = std::numeric_limits<std::uint32_t>::max();
+  const auto told = simulate({});
+  const auto crowded = simulate(unheard);
+  // The first token is due within 0.91 s for 95 in 100; dossiers are declared
+  // with a target of 1.5 s.
+  constexpr double kFirstEventTargetMs = 910;
+  constexpr double kDossierTargetMs = 1500;
+  constexpr double kShareOnTime = 0.95;
+  const double brief = told.at("brief").Quantile(kShareOnTime);
+  const double crowded_brief = crowded.at("brief").Quantile(kShareOnTime);
+  MESSAGE("brief p95 ms: ", brief, " against ", crowded_brief);
+  MESSAGE("dossier p95 ms: ", told.at("dossier").Quantile(kShareOnTime),
+          " against ", crowded.at("dossier").Quantile(kShareOnTime));
+  CHECK(brief <= kFirstEventTargetMs);
+  CHECK(crowded_brief > kFirstEventTargetMs);
+  CHECK(told.at("dossier").Quantile(kShareOnTime) <= kDossierTargetMs);
+}
+
+TEST_CASE("a partial load report changes only the upstreams that it names") {
+  Placer placer = PlainService();
+  EntryLoad whole;
+  whole.entry = ProcessId("e2");
+  whole.upstreams[UpstreamId("n")].running = 1;
+  whole.upstreams[UpstreamId("f")].running = 2;
+  placer.SetEntryLoad(whole, TimePoint());
+  EntryLoad partial;
+  partial.entry = whole.entry;
+  partial.partial = true;
+  partial.upstreams[UpstreamId("n")].running = 5;
+  placer.SetEntryLoad(partial, TimePoint());
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()).running == 5);
+  CHECK(placer.LoadOf(UpstreamId("f"), TimePoint()).running == 2);
+  placer.SetEntryLoad(whole, TimePoint());
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()).running == 1);
+  whole.upstreams.clear();
+  placer.SetEntryLoad(whole, TimePoint());
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()) == UpstreamLoad());
+  CHECK(placer.LoadOf(UpstreamId("f"), TimePoint()) == UpstreamLoad());
+}
+
 TEST_CASE(
     "a plain service is used in the own failure domain until its slots are "
     "full") {
@@ -310,11 +367,12 @@
   request.prompt_tokens = 100;
   request.max_output_tokens = 10;
   PlacementCharge charge = placer.RecordSend(UpstreamId("n"), request, now);
-  CHECK(placer.LoadOf(UpstreamId("n")) == UpstreamLoad{1, 100, 110});
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()) ==
+        UpstreamLoad{1, 100, 110});
   placer.RecordFirstEvent(UpstreamId("n"), &charge);
-  CHECK(placer.LoadOf(UpstreamId("n")) == UpstreamLoad{1, 0, 110});
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()) == UpstreamLoad{1, 0, 110});
   placer.ReleaseCharge(UpstreamId("n"), charge);
-  CHECK(placer.LoadOf(UpstreamId("n")) == UpstreamLoad());
+  CHECK(placer.LoadOf(UpstreamId("n"), TimePoint()) == UpstreamLoad());
 }
 
 /// Adds a random number of running requests of one entry to each engine, not
