Replace a missing control VM by a learner at once, and never hold a sixth voter

Cause: a control VM that is replaced by plan leaves six voters for the 3 s until its silence counts. One of them is gone, so two further losses, which must be tolerated, leave three of six and no quorum.

Change: a learner that has caught up becomes a voter only while fewer voters than wanted are active, and an inactive voter that has a replacement is removed at once. A voter that comes back is added as a learner.

Ruled out: removing silent voters sooner without a replacement, which shrinks the quorum under a freeze.

Disks that are gone have no vote, since a vote belongs to the data folder.

--- a/include/rattanward/control/member_keeper.h
+++ b/include/rattanward/control/member_keeper.h
@@ -32,11 +32,11 @@
 };
 
 /// @brief Chooses the membership changes of the replicated log.
-/// @note Does no I/O and reads no clock. The leader asks it periodically. A
-/// voter whose endpoint is now used by another data folder is replaced by that
-/// data folder, new control VMs are added, and silent voters beyond the wanted
-/// number are removed. Each call returns at most one change. The log rejects a
-/// change that would cost the quorum.
+/// @note Does no I/O and reads no clock. The leader asks it periodically. New
+/// control VMs are added as learners. A learner replaces a voter that became
+/// inactive, whether or not it uses the same endpoint, and voters beyond the
+/// wanted number are removed once they are inactive. Each call returns at most
+/// one change. The log rejects a change that would cost the quorum.
 class MemberKeeper {
  public:
   explicit MemberKeeper(KeeperOptions options) : options_(options) {}
--- a/src/control/member_keeper.cc
+++ b/src/control/member_keeper.cc
@@ -27,6 +27,12 @@
       std::count_if(progress.begin(), progress.end(), IsVoter));
 }
 
+std::size_t CountActiveVoters(const std::vector<MemberProgress>& progress) {
+  return static_cast<std::size_t>(std::count_if(
+      progress.begin(), progress.end(),
+      [](const MemberProgress& p) { return IsVoter(p) && p.active; }));
+}
+
 /// Whether an active voter with another id, that is another data folder, uses
 /// the member's endpoint.
 bool IsReplaced(const MemberProgress& member,
@@ -68,9 +74,15 @@
   return std::nullopt;
 }
 
+/// A learner becomes a voter only if a voter is missing. One voter more than
+/// wanted would raise the quorum without tolerating another loss: once a voter
+/// then leaves for good, two further losses would cost the quorum.
 std::optional<MembershipChange> MemberKeeper::ChoosePromotion(
     const std::vector<MemberProgress>& progress,
     consensus::LogIndex committed) const {
+  if (CountActiveVoters(progress) >= options_.wanted_voters) {
+    return std::nullopt;
+  }
   for (const MemberProgress& member : progress) {
     if (!IsVoter(member) && member.active && member.match >= committed) {
       return MembershipChange{Kind::kPromote, member.member.id, {}};
@@ -83,11 +95,18 @@
     const std::vector<MemberProgress>& progress,
     const std::vector<DiscoveredVoter>& discovered, TimePoint now) const {
   const std::size_t voters = CountVoters(progress);
+  // An inactive voter that has been replaced only raises the quorum. If it
+  // comes back, it becomes a learner.
+  const bool has_replacement =
+      voters > options_.wanted_voters &&
+      CountActiveVoters(progress) >= options_.wanted_voters;
   for (const MemberProgress& member : progress) {
     if (member.active) {
       continue;
     }
-    if (IsReplaced(member, progress) && voters > options_.wanted_voters) {
+    const bool replaced = has_replacement || (IsReplaced(member, progress) &&
+                                              voters > options_.wanted_voters);
+    if (IsVoter(member) && replaced) {
       return MembershipChange{Kind::kRemove, member.member.id, {}};
     }
     const bool heard_recently = std::any_of(
--- a/tests/src/fuzz-members.cc
+++ b/tests/src/fuzz-members.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kVms = 5;
 constexpr std::size_t kMaxLostVms = 2;
 constexpr Duration kCatchUpTime{std::chrono::seconds(4)};
+/// Time within which a voter that is gone is replaced by a control VM that has
+/// already caught up.
+constexpr Duration kNoticeTime{std::chrono::seconds(1)};
 
 control::KeeperOptions MakeKeeperOptions() {
   control::KeeperOptions options;
@@ -34,6 +37,19 @@
   return slots;
 }
 
+/// Returns different random VMs that were not removed.
+std::vector<Slot> DrawPresent(const ConsensusCluster& cluster,
+                              std::size_t count) {
+  std::vector<Slot> present = cluster.Present();
+  std::vector<Slot> drawn;
+  while (drawn.size() < count) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, present.size());
+    drawn.push_back(present[at]);
+    present.erase(present.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+  return drawn;
+}
+
 /// Proposes entries until a leader has applied an entry after the given index
 /// or the attempts are used up. Returns the leader's applied index.
 consensus::LogIndex ProposeUntilApplied(ConsensusCluster& cluster,
@@ -118,6 +134,90 @@
   }));
 }
 
+TEST_CASE(
+    "a control VM replaced at another address leaves the tolerance of two "
+    "losses") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    ConsensusCluster cluster(kVms, seed);
+    cluster.EnableMemberKeepers(MakeKeeperOptions());
+    cluster.AdvanceTime(std::chrono::seconds(2));
+    consensus::LogIndex acknowledged = 0;
+    const int rounds = *rc::gen::inRange(1, 4);
+    for (int round = 0; round < rounds; ++round) {
+      acknowledged = ProposeUntilApplied(cluster, acknowledged);
+      RC_ASSERT(acknowledged > 0);
+      const bool leader = *rc::gen::arbitrary<bool>();
+      const Slot gone =
+          leader ? cluster.LeaderSlot().value_or(cluster.Present().front())
+                 : DrawPresent(cluster, 1).front();
+      const bool planned = *rc::gen::arbitrary<bool>();
+      if (planned) {
+        cluster.Add();
+        cluster.AdvanceTime(kCatchUpTime);
+        cluster.Remove(gone);
+      } else {
+        cluster.Remove(gone);
+        cluster.AdvanceTime(
+            std::chrono::milliseconds(*rc::gen::inRange(0, 2000)));
+        cluster.Add();
+        cluster.AdvanceTime(kCatchUpTime);
+      }
+      // The log changes membership and commits entries at the same time.
+      acknowledged =
+          std::max(acknowledged, ProposeUntilApplied(cluster, acknowledged));
+      const std::vector<Slot> lost = DrawPresent(cluster, kMaxLostVms);
+      const bool wiped = *rc::gen::arbitrary<bool>();
+      // A voter that is gone takes up to an election to be noticed.
+      cluster.AdvanceTime(kNoticeTime);
+      for (const Slot slot : lost) {
+        wiped ? cluster.WipeDisk(slot) : cluster.Crash(slot, CrashPoint::kNow);
+      }
+      const consensus::LogIndex before = acknowledged;
+      acknowledged = ProposeUntilApplied(cluster, acknowledged);
+      RC_ASSERT(acknowledged > before);
+      for (const Slot slot : lost) {
+        cluster.Start(slot);
+      }
+      cluster.AdvanceTime(kCatchUpTime);
+      RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+      RC_ASSERT(cluster.AllVmsAreCurrentVoters());
+      RC_ASSERT(cluster.LeaderAppliedIndex() >= acknowledged);
+    }
+  }));
+}
+
+TEST_CASE("nothing is lost when VMs fail while another is being replaced") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    ConsensusCluster cluster(kVms, seed);
+    cluster.EnableMemberKeepers(MakeKeeperOptions());
+    cluster.AdvanceTime(std::chrono::seconds(2));
+    const consensus::LogIndex acknowledged = ProposeUntilApplied(cluster, 0);
+    // Twice in a row, with two more lost in between.
+    for (int replaced = 0; replaced < 2; ++replaced) {
+      cluster.Remove(DrawPresent(cluster, 1).front());
+      cluster.AdvanceTime(
+          std::chrono::milliseconds(*rc::gen::inRange(0, 3000)));
+      cluster.Add();
+      cluster.AdvanceTime(
+          std::chrono::milliseconds(*rc::gen::inRange(0, 3000)));
+      const std::vector<Slot> lost = DrawPresent(cluster, kMaxLostVms);
+      for (const Slot slot : lost) {
+        cluster.Crash(slot, CrashPoint::kNow);
+      }
+      cluster.AdvanceTime(
+          std::chrono::milliseconds(*rc::gen::inRange(0, 3000)));
+      for (const Slot slot : lost) {
+        cluster.Start(slot);
+      }
+      cluster.AdvanceTime(kCatchUpTime);
+    }
+    cluster.AdvanceTime(kCatchUpTime);
+    RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+    RC_ASSERT(cluster.AllVmsAreCurrentVoters());
+    RC_ASSERT(cluster.LeaderAppliedIndex() >= acknowledged);
+  }));
+}
+
 TEST_CASE(
     "the member keeper replaces a voter and keeps one that is still needed") {
   using consensus::MemberProgress;
