Split the placer and the data path by job; drop an unused count

Cause: placer.cc had grown to 689 lines and proxy.cc to 516, each with several jobs; Placer::SetEntries took a number of entries of the own domain that nothing read.

One constant for a thousandth of an outcome. No behaviour changes.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -64,6 +64,8 @@
 
 /// @brief Load that entries have placed on one upstream.
 struct UpstreamLoad {
+  static constexpr std::uint64_t kMilliPerOutcome = 1000;
+
   /// Requests sent and not ended.
   std::uint32_t running = 0;
   /// Prompt tokens whose prefill is not complete.
@@ -195,9 +197,9 @@
   void SetInstance(const membership::InstanceRecord& record);
   void RemoveInstance(const UpstreamId& id);
 
-  /// @brief Sets the number of entries that share the upstreams, in all failure
-  /// domains and in the local one; both include this entry.
-  void SetEntries(std::size_t all, std::size_t own_domain);
+  /// @brief Sets the number of entries that share the upstreams, this one
+  /// included.
+  void SetEntries(std::size_t entries);
 
   /// @brief Replaces the reported load of another entry and drops expired
   /// reports.
@@ -349,6 +351,7 @@
   const Instance* FindBest(const PlacementRequest& request,
                            const std::set<UpstreamId>& excluded,
                            TimePoint now) const;
+  double Disturbance(std::uint64_t tokens) const;
   bool MustWait(const Instance& instance, const PlacementRequest& request,
                 TimePoint now) const;
   std::uint32_t UncachedTokens(const Instance& instance,
@@ -373,7 +376,6 @@
   std::optional<TimePoint> origin_;
   TimePoint outcomes_decayed_at_;
   std::size_t entries_ = 1;
-  std::size_t domain_entries_ = 1;
 };
 
 }  // namespace rattanward::policy
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -79,8 +79,8 @@
   /// @param newest Newest version, as stated by the leader.
   void ConfirmRouting(TimePoint as_of, ConfigVersion newest);
 
-  /// @brief Sets the number of entries, in total and in this failure domain.
-  void SetEntries(std::size_t all, std::size_t own_domain);
+  /// @brief Sets the number of entries of all failure domains.
+  void SetEntries(std::size_t entries);
 
   /// @brief Sets the period of the load reports between entries.
   void SetReportPeriod(Duration period) { placer_.SetReportPeriod(period); }
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -205,10 +205,8 @@
 void EntryNode::HandleControlReport(const protocol::ControlReport& report) {
   local_peers_.clear();
   remote_peers_.clear();
-  std::size_t local_count = 0;
   for (const protocol::EntryPeer& entry : report.entries) {
     const bool is_local = entry.failure_domain == options_.proxy.failure_domain;
-    local_count += is_local ? 1 : 0;
     if (entry.endpoint != options_.peer_listen && entry.endpoint.port != 0) {
       (is_local ? local_peers_ : remote_peers_).insert(entry.endpoint);
     }
@@ -219,7 +217,7 @@
   relays_ = {report.relays.begin(), report.relays.end()};
   loads_.SetRelayTargets(local_peers_);
   entry_count_ = report.entry_count;
-  proxy_.SetEntries(report.entry_count, local_count);
+  proxy_.SetEntries(report.entry_count);
   proxy_.SetReportPeriod(load_period_);
 }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -1,13 +1,9 @@
 #include "rattanward/proxy/proxy.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
 
-#include "rattanward/policy/rendezvous.h"
-#include "rattanward/policy/retry_advice.h"
 #include "rattanward/policy/tier_gate.h"
 #include "rattanward/proxy/reachability.h"
 
@@ -18,14 +14,6 @@
 using membership::InstanceState;
 
 constexpr Duration kMaintenancePeriod{std::chrono::milliseconds(100)};
-/// Default Retry-After time. Other entries also release capacity at upstreams,
-/// so this entry can't predict when there will be some.
-constexpr Duration kDefaultRetryAfter{std::chrono::milliseconds(250)};
-/// Control usually elects a leader within about this time.
-constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(1500)};
-constexpr Duration kShutdownRetryAfter{std::chrono::milliseconds(20)};
-constexpr Duration kDefaultDeadline{std::chrono::seconds(10)};
-constexpr Duration kCrashingRequestRetryAfter{std::chrono::seconds(30)};
 /// After this time, an entry without upstreams can become ready.
 constexpr Duration kFirstUpstreamTimeout{std::chrono::seconds(3)};
 constexpr Duration kReadyLease{std::chrono::milliseconds(2500)};
@@ -35,20 +23,6 @@
 /// can be recognised as outdated.
 constexpr Duration kGoneUpstreamRetention{std::chrono::seconds(120)};
 
-std::uint64_t Fingerprint(const http::ServerRequest& request,
-                          const RoutedAccount* account) {
-  std::string text = request.head.target;
-  text += '\n';
-  text += account == nullptr ? std::string() : account->id.str();
-  text += '\n';
-  text += *request.body;
-  return XXH3_64bits(text.data(), text.size());
-}
-
-std::uint64_t TrafficSplitHash(const RequestTraits& traits) {
-  return policy::StableHash(traits.attempt.str());
-}
-
 }  // namespace
 
 Proxy::Proxy(asio::io_context& io, ProxyOptions options, const Dialect& dialect,
@@ -163,9 +137,9 @@
   return !stopping_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
 }
 
-void Proxy::SetEntries(std::size_t all, std::size_t own_domain) {
-  entries_ = std::max<std::size_t>(all, 1);
-  placer_.SetEntries(all, own_domain);
+void Proxy::SetEntries(std::size_t entries) {
+  entries_ = std::max<std::size_t>(entries, 1);
+  placer_.SetEntries(entries);
 }
 
 void Proxy::UpdatePeerLoad(const policy::EntryLoad& load) {
@@ -191,114 +165,6 @@
   return table_ ? table_->version() : ConfigVersion{};
 }
 
-void Proxy::OnRequest(const std::shared_ptr<http::ServerConnection>& caller,
-                      http::ServerRequest request) {
-  meter_.RecordArrival();
-  if (stopping_) {
-    caller->CloseWhenIdle();
-  }
-  const std::string target = request.head.target;
-  const RequestTraits traits = dialect_.ReadRequest(request.head);
-  auto routed = RouteRequest(caller, traits, std::move(request));
-  if (!routed) {
-    meter_.RecordRefusal();
-    Error error = routed.error();
-    if (error.retry_after) {
-      error.retry_after = RetryAdviceFor(error, traits);
-    }
-    hooks_.events({EventId::kRequestShed,
-                   {{"request", traits.attempt.str()},
-                    {"error", std::string(ErrorName(error.code))},
-                    {"reason", error.message},
-                    {"target", target.substr(0, target.find('?'))},
-                    {"routes", std::to_string(routing_version().value)}}});
-    RespondError(*caller, error);
-    return;
-  }
-  allowances_.try_emplace(routed.value().service, options_.retries)
-      .first->second.RecordRequest(MonotonicNow());
-  auto exchange =
-      std::make_shared<Exchange>(io_, *this, std::move(routed.value()));
-  exchanges_.insert(exchange);
-  exchange->Start();
-}
-
-Error Proxy::DenialError(ErrorCode code, std::string message) const {
-  if (ConfirmedWithin(options_.denial_lease)) {
-    return MakeError(code, std::move(message));
-  }
-  Error error =
-      MakeError(ErrorCode::kIsolated,
-                "control has not recently confirmed that the routes are "
-                "current");
-  error.retry_after = kNoRoutesRetryAfter;
-  return error;
-}
-
-Result<RoutedRequest> Proxy::RouteRequest(
-    const std::shared_ptr<http::ServerConnection>& caller,
-    const RequestTraits& traits, http::ServerRequest request) {
-  if (refusing_) {
-    Error error = MakeError(ErrorCode::kShuttingDown, "entry is shutting down");
-    error.retry_after = kShutdownRetryAfter;
-    return error;
-  }
-  if (!table_ || !ever_confirmed_) {
-    Error error = MakeError(ErrorCode::kNoConfiguration, "no routes yet");
-    error.retry_after = kNoRoutesRetryAfter;
-    return error;
-  }
-  const std::string* host = request.head.fields.Find("host");
-  if (host == nullptr) {
-    return MakeError(ErrorCode::kMalformedHeader, "request has no Host header");
-  }
-  RoutedRequest routed;
-  routed.table = table_;
-  routed.route = table_->FindRoute(*host, request.head.target);
-  if (routed.route == nullptr) {
-    return DenialError(ErrorCode::kUnknownPath,
-                       "no route for this host and path");
-  }
-  routed.traits = traits;
-  routed.account = table_->FindAccount(routed.traits.key);
-  if (routed.account == nullptr && !routed.route->anonymous) {
-    return DenialError(ErrorCode::kUnknownKey, "unknown key");
-  }
-  routed.service =
-      ChooseService(*routed.route, TrafficSplitHash(routed.traits));
-  routed.fingerprint = Fingerprint(request, routed.account);
-  if (crashes_.ReachedCrashLimit(routed.fingerprint)) {
-    Error error = MakeError(ErrorCode::kNoUpstream,
-                            "request is quarantined: it crashed upstreams");
-    error.retry_after = kCrashingRequestRetryAfter;
-    return error;
-  }
-  routed.caller = caller;
-  routed.request = std::move(request);
-  return routed;
-}
-
-Status Proxy::MayStart(const Exchange& exchange) {
-  if (exchange.routed().route->anonymous) {
-    return outcome::success();
-  }
-  if (!ConfirmedWithin(options_.key_lease)) {
-    Error error = MakeError(ErrorCode::kIsolated,
-                            "control has not recently confirmed that the keys "
-                            "are valid");
-    error.retry_after = kNoRoutesRetryAfter;
-    return error;
-  }
-  // The routing table, and with it the keys, may have changed while the request
-  // was queued.
-  const RoutedRequest& routed = exchange.routed();
-  if (routed.table != table_ &&
-      table_->FindAccount(routed.traits.key) == nullptr) {
-    return DenialError(ErrorCode::kUnknownKey, "unknown key");
-  }
-  return outcome::success();
-}
-
 void Proxy::Enqueue(const std::shared_ptr<Exchange>& exchange) {
   const policy::PlacementRequest& placement = exchange->placement();
   queue_.Push(placement.rank, placement.arrived,
@@ -460,19 +326,6 @@
   });
 }
 
-Duration Proxy::RetryAfter(const Exchange& exchange) const {
-  return policy::RetryAdvice(kDefaultRetryAfter,
-                             exchange.deadline() - MonotonicNow());
-}
-
-/// Returns the Retry-After time for a request refused before it was queued.
-Duration Proxy::RetryAdviceFor(const Error& error,
-                               const RequestTraits& traits) const {
-  const Duration left = traits.deadline.value_or(kDefaultDeadline);
-  return policy::RetryAdvice(error.retry_after.value_or(kDefaultRetryAfter),
-                             left);
-}
-
 void Proxy::Log(EventId id, const Exchange& exchange,
                 std::vector<EventField> fields) {
   meter_.Count(id);
--- a/tests/fakes/placing_model.h
+++ b/tests/fakes/placing_model.h
@@ -92,7 +92,7 @@
     for (std::size_t i = 0; i < entries; ++i) {
       entries_.push_back(std::make_unique<Entry>(options));
       entries_.back()->placer.SetServices({service});
-      entries_.back()->placer.SetEntries(entries, entries);
+      entries_.back()->placer.SetEntries(entries);
       entries_.back()->placer.SetReportPeriod(
           Duration(static_cast<Duration::rep>(gossip_ms * 1000)));
       for (std::size_t e = 0; e < engines; ++e) {
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -355,7 +355,7 @@
 
 TEST_CASE("connections are divided among the entries") {
   Placer placer = PlainService();
-  placer.SetEntries(3, 1);
+  placer.SetEntries(3);
   CHECK(placer.ConnectionShare(UpstreamId("n")) == 10);
   CHECK(placer.ConnectionShare(UpstreamId("none")) == 0);
 }
