Rename by the field's terms; share what restarts a process in tests

Cause: read as a newcomer would: 'calm' engines and 'unheard' tokens need explaining, a comment had lost what it refers to, and two process tests had the same functions.

Change: dedicated engines, unreported tokens, separation; crash and restart_entry in tests/process/common.sh.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -152,14 +152,14 @@
   double tight_stream_weight = 2000;
   /// Cost for a stream with tight pauses of an engine that reads long prompts,
   /// and for a long prompt of an engine that is kept for such streams.
-  double apart_weight = 6000;
+  double separation_weight = 6000;
   /// Streams with tight pauses for which one engine is kept, as a share of its
   /// slots.
   double tight_streams_per_slot = 0.35;
   /// Weight of the prompt tokens that all entries send to one engine, on
   /// average, before they hear of each other's sends. Engines whose loads
   /// differ by less count as equal, and entries choose differently among them.
-  double unheard_weight = 2;
+  double unreported_weight = 2;
   /// The other entries are told at once of a prompt with more uncached tokens
   /// than this.
   std::uint32_t urgent_tokens = 1500;
@@ -337,12 +337,13 @@
   double EngineScore(const Instance& instance, const PlacementRequest& request,
                      std::uint64_t key, bool cached_somewhere,
                      std::size_t engines, TimePoint now) const;
-  double UnheardTokens(std::size_t engines) const;
+  double UnreportedTokens(std::size_t engines) const;
   void UpdateSendRate(TimePoint now);
-  std::vector<std::size_t> CalmEngines(const Service& service,
-                                       TimePoint now) const;
-  double ApartScore(const Instance& instance, const PlacementRequest& request,
-                    std::size_t calm_engines, TimePoint now) const;
+  std::vector<std::size_t> DedicatedEngines(const Service& service,
+                                            TimePoint now) const;
+  double SeparationScore(const Instance& instance,
+                         const PlacementRequest& request,
+                         std::size_t dedicated_engines, TimePoint now) const;
   double ServiceScore(const Instance& instance, std::uint64_t key,
                       TimePoint now) const;
   static void AddCachedPart(Instance* instance, const PromptPart& part);
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -104,15 +104,16 @@
   const bool engine = service->second.declared.engine.has_value();
   const std::uint64_t key = PrefixKey(request);
   const std::vector<const Instance*>& all = service->second.instances;
-  const std::vector<std::size_t> calm_engines =
-      engine ? CalmEngines(service->second, now) : std::vector<std::size_t>();
+  const std::vector<std::size_t> dedicated_engines =
+      engine ? DedicatedEngines(service->second, now)
+             : std::vector<std::size_t>();
   // A long prompt is read anew rather than beside streams that it makes late.
   const bool cached_somewhere =
       engine &&
       std::any_of(all.begin(), all.end(), [&](const Instance* candidate) {
         return candidate->cached_parts.count(key) > 0 &&
                IsUsable(*candidate, now) &&
-               (candidate->position >= calm_engines[candidate->domain] ||
+               (candidate->position >= dedicated_engines[candidate->domain] ||
                 Disturbance(UncachedTokens(*candidate, request)) < 1);
       });
   const Instance* best = nullptr;
@@ -128,8 +129,8 @@
     const double score =
         (engine ? EngineScore(instance, request, key, cached_somewhere,
                               all.size(), now) +
-                      ApartScore(instance, request,
-                                 calm_engines[instance.domain], now)
+                      SeparationScore(instance, request,
+                                      dedicated_engines[instance.domain], now)
                 : ServiceScore(instance, key, now)) +
         (instance.record.silent ? kSilentPenalty : 0.0);
     if (best == nullptr || score < best_score) {
--- a/src/policy/placer_load.cc
+++ b/src/policy/placer_load.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t kMaxCachedParts = 4096;
 /// Half-life of the recorded outcomes.
 constexpr Duration kOutcomeHalfLife{std::chrono::seconds(3)};
-/// The same beside many running streams.
+/// Assumed rate at which an engine reads prompts beside many running streams.
 constexpr double kBusyPrefillTokensPerMs = 25;
 
 std::uint64_t Decayed(std::uint64_t milli, double factor) {
--- a/src/policy/placer_score.cc
+++ b/src/policy/placer_score.cc
@@ -156,7 +156,7 @@
   }
   if (cached_somewhere) {
     score += (options_.recompute_weight - 1) * shared_uncached +
-             options_.unheard_weight * UnheardTokens(engines) *
+             options_.unreported_weight * UnreportedTokens(engines) *
                  std::min(1.0, own_tokens / options_.long_prompt_tokens) *
                  RendezvousRank(UniqueKey(request), instance.hash);
   } else {
@@ -169,7 +169,7 @@
 
 /// Prompt tokens that all entries send to one engine, on average, within two
 /// periods of the load reports, if all send as much as this entry.
-double Placer::UnheardTokens(std::size_t engines) const {
+double Placer::UnreportedTokens(std::size_t engines) const {
   constexpr double kPeriods = 2;
   const std::chrono::duration<double, std::milli> period = report_period_;
   return kPeriods * period.count() * sent_tokens_per_ms_ *
@@ -178,8 +178,8 @@
 
 /// Returns for each failure domain how many engines are kept for streams with
 /// tight pauses, by the number of these that run there.
-std::vector<std::size_t> Placer::CalmEngines(const Service& service,
-                                             TimePoint now) const {
+std::vector<std::size_t> Placer::DedicatedEngines(const Service& service,
+                                                  TimePoint now) const {
   std::vector<double> wanted(service.domains, 0);
   for (const Instance* instance : service.instances) {
     const double room =
@@ -196,21 +196,23 @@
 
 /// Keeps long prompts and streams with tight pauses apart. Events of a stream
 /// wait while its engine reads a long prompt, however urgent the stream is.
-double Placer::ApartScore(const Instance& instance,
-                          const PlacementRequest& request,
-                          std::size_t calm_engines, TimePoint now) const {
-  const bool calm = instance.position < calm_engines;
+double Placer::SeparationScore(const Instance& instance,
+                               const PlacementRequest& request,
+                               std::size_t dedicated_engines,
+                               TimePoint now) const {
+  const bool dedicated = instance.position < dedicated_engines;
   const UpstreamLoad total = TotalLoad(instance, now);
   const std::uint32_t uncached = UncachedTokens(instance, request);
   const double disturbance = Disturbance(uncached);
   if (request.tight_pauses && disturbance < 1) {
-    return options_.apart_weight *
-           (Disturbance(total.pending_prefill_tokens) + (calm ? 0.0 : 1.0));
+    return options_.separation_weight *
+           (Disturbance(total.pending_prefill_tokens) +
+            (dedicated ? 0.0 : 1.0));
   }
   const double with_pending =
       Disturbance(total.pending_prefill_tokens + uncached);
   return options_.tight_stream_weight * total.tight_streams * with_pending +
-         (calm ? options_.apart_weight * disturbance : 0.0);
+         (dedicated ? options_.separation_weight * disturbance : 0.0);
 }
 
 /// How much reading so many tokens delays the events of the streams beside:
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -24,6 +24,8 @@
   deployment_ctl config apply examples/local.toml --expect 0 --wait 10 || abort "apply failed"
   deployment_ready "$1" || abort "entries are not ready"
 }
+crash() { deployment_signal KILL "$1"; wait "${PID[$1]}" 2>/dev/null; unset "PID[$1]"; }  # NAME
+restart_entry() { crash "entry-$1"; deployment_start_entry "$1"; }  # INDEX
 json() { sed -n "s/.*\"$1\":\"\{0,1\}\([^,}\"]*\).*/\1/p"; }  # KEY: of one flat object
 engine_stat() { curl -s -m 5 "${URL[$1]}/stats" | json "$2"; }
 fault() { curl -s -m 5 -o /dev/null -d "$2" "${URL[$1]}/fault"; }
--- a/tests/process/test-left-upstream-restarts.sh
+++ b/tests/process/test-left-upstream-restarts.sh
@@ -7,8 +7,6 @@
 deployment_engine engine-1 --failure_domain b --token_ms 5 || abort "no engine"
 start_ready 2
 
-crash() { deployment_signal KILL "$1"; wait "${PID[$1]}" 2>/dev/null; unset "PID[$1]"; }
-restart_entry() { crash "entry-$1"; deployment_start_entry "$1"; }
 # Sends requests at every entry and checks that none reaches the upstream that
 # left, which still runs and announces itself as leaving.
 nothing_new() {  # TEXT
--- a/tests/process/test-withdrawn-key-restarts.sh
+++ b/tests/process/test-withdrawn-key-restarts.sh
@@ -7,8 +7,6 @@
 start_ready 1
 
 status_of() { chat "$1" "$TUUL_KEY" gate false 2 hello -o /dev/null -w '%{http_code}'; }
-crash() { deployment_signal KILL "$1"; wait "${PID[$1]}" 2>/dev/null; unset "PID[$1]"; }
-restart_entry() { crash "entry-$1"; deployment_start_entry "$1"; }
 denied() { [ "$(status_of "$1")" = 401 ]; }
 # Calls the entry until it denies the key; no call may be accepted before.
 never_accepted() {  # ENTRY
--- a/tests/src/unit-placer.cc
+++ b/tests/src/unit-placer.cc
@@ -180,7 +180,7 @@
   constexpr double kPauseTargetMs = 5 * 43 - 40;
   constexpr double kShareOnTime = 0.95;
   PlacerOptions together;
-  together.apart_weight = 0;
+  together.separation_weight = 0;
   together.tight_stream_weight = 0;
   const auto simulate = [&](const PlacerOptions& options) {
     PlacingModel model(kEntries, kEngines, options, 1);
@@ -213,11 +213,11 @@
     PlacingModel model(kManyEntries, kManyEngines, options, 1, 1, kReportMs);
     return model.Simulate(workload, kSeconds);
   };
-  PlacerOptions unheard;
-  unheard.unheard_weight = 0;
-  unheard.urgent_tokens = std::numeric_limits<std::uint32_t>::max();
+  PlacerOptions unreported;
+  unreported.unreported_weight = 0;
+  unreported.urgent_tokens = std::numeric_limits<std::uint32_t>::max();
   const auto told = simulate({});
-  const auto crowded = simulate(unheard);
+  const auto crowded = simulate(unreported);
   // The first token is due within 0.91 s for 95 in 100; dossiers are declared
   // with a target of 1.5 s.
   constexpr double kFirstEventTargetMs = 910;
