--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -18,7 +18,7 @@
 constexpr int kSendsPerPlacement = 3;
 /// In larger fleets, only the own failure domain is told at once. Otherwise
 /// the datagrams that an entry receives would grow with the whole fleet.
-constexpr std::size_t kMaxEntriesToldAtOnce = 100;
+constexpr std::size_t kMaxEntriesToldAtOnce = 40;
 /// Sends within this time are told together.
 constexpr Duration kUrgentLoadDelay{std::chrono::milliseconds(2)};
 constexpr Duration kShutdownCheckPeriod{std::chrono::milliseconds(100)};
