Log how a stream's answer is framed and what follows its last event

Change: request-finished of a stream and upstream-broke carry framing and partial_event_bytes. No decision changes.

Measured: the tests of the data path pass as before.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -170,6 +170,7 @@
   bool may_have_run_ = false;
   http::ResponseHead response_;
   ResponseTraits response_traits_;
+  http::Framing response_framing_ = http::Framing::kNone;
   std::string body_;
   std::string piece_;
   EventSplitter splitter_;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -47,6 +47,20 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string_view FramingName(Framing framing) {
+  switch (framing) {
+    case Framing::kNone:
+      return "none";
+    case Framing::kLength:
+      return "length";
+    case Framing::kChunked:
+      return "chunked";
+    case Framing::kUntilClose:
+      return "until-close";
+  }
+  return "";
+}
+
 std::string Permille(double share) {
   constexpr double kPermille = 1000;
   return std::to_string(std::lround(share * kPermille));
@@ -143,6 +157,7 @@
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
   charge_ = owner_.OnSent(*this);
   body_.clear();
+  response_framing_ = Framing::kNone;
   owner_.Log(EventId::kRequestDispatched, *this,
              {{"attempt", std::to_string(attempts_)},
               {"waited_ms", Milliseconds(sent_at_ - request_.request.arrived)},
@@ -172,9 +187,10 @@
   return traits.matches_request && (traits.names_request || !must_name);
 }
 
-void Exchange::OnHead(const http::ResponseHead& head, Framing /*framing*/,
+void Exchange::OnHead(const http::ResponseHead& head, Framing framing,
                       std::uint64_t /*length*/) {
   owner_.OnResponseHead(*this);
+  response_framing_ = framing;
   response_traits_ =
       owner_.dialect().ReadResponse(head, request_.traits.attempt);
   if (!response_traits_.not_run) {
@@ -266,12 +282,15 @@
 void Exchange::FinishStream() {
   owner_.OnOutcome(*this, true);
   StartStream();
+  const std::size_t partial_event_bytes = splitter_.partial_event_bytes();
   request_.caller->Write(splitter_.TakePartialEvent());
   Release();
   request_.caller->FinishBody();
   End(EventId::kRequestFinished,
       {{"status", std::to_string(response_.status)},
+       {"framing", std::string(FramingName(response_framing_))},
        {"events", std::to_string(splitter_.events())},
+       {"partial_event_bytes", std::to_string(partial_event_bytes)},
        {"first_event_ms",
         Milliseconds(first_event_at_ - request_.request.arrived)},
        {"longest_pause_ms", Milliseconds(longest_pause_)}});
@@ -357,6 +376,8 @@
       EventId::kUpstreamBroke, *this,
       {{"reason", reason},
        {"answer_begun", failure == ClientFailure::kTruncated ? "1" : "0"},
+       {"framing", std::string(FramingName(response_framing_))},
+       {"partial_event_bytes", std::to_string(splitter_.partial_event_bytes())},
        {"reused", connection_->reused() ? "1" : "0"},
        {"idle_ms", Milliseconds(connection_->idle_before())},
        {"kept_ms", Milliseconds(connection_->keep_alive())},
