Show that streams broken off inside an event are forwarded as complete

The entry writes the bytes after the last complete event and ends its own answer whenever the upstream's message is complete. For an answer without length or chunks the message is complete at any normal close.

In unit-proxy-answers: a stream that ends inside an event, inside its first event, resumable, in all three framings; a stream without an event. In unit-http-connection, the same class elsewhere: a reset that the send reports, after which the read reports a normal close; and a caller of HTTP/1.0 whose answer ends with its connection.

--- /dev/null
+++ b/tests/src/unit-http-connection.cc
@@ -0,0 +1,114 @@
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "rattanward/http/client_connection.h"
+#include "rattanward/http/server.h"
+
+namespace rattanward::http {
+namespace {
+
+using asio::ip::tcp;
+
+/// More than the socket buffers of a loopback connection hold.
+constexpr std::size_t kLargeBytes = 16U << 20U;
+constexpr Duration kTestLimit{std::chrono::seconds(10)};
+
+template <class Done>
+bool RunUntil(asio::io_context& io, Done done) {
+  const auto end = std::chrono::steady_clock::now() + kTestLimit;
+  while (!done() && std::chrono::steady_clock::now() < end) {
+    io.run_one_for(std::chrono::milliseconds(5));
+  }
+  return done();
+}
+
+/// Records how an exchange ended.
+class RecordingHandler : public ClientHandler {
+ public:
+  bool IsMatchingResponse(const ResponseHead& /*head*/) const override {
+    return true;
+  }
+  void OnHead(const ResponseHead& /*head*/, Framing /*framing*/,
+              std::uint64_t /*length*/) override {
+    head_seen = true;
+  }
+  void OnBody(std::string_view piece) override { body += piece; }
+  void OnReadEnd() override {}
+  void OnComplete() override { completed = true; }
+  void OnFailure(ClientFailure cause) override { failure = cause; }
+
+  bool head_seen = false;
+  bool completed = false;
+  std::optional<ClientFailure> failure;
+  std::string body;
+};
+
+tcp::acceptor Listen(asio::io_context& io) {
+  return {io, {asio::ip::make_address_v4("127.0.0.1"), 0}};
+}
+
+}  // namespace
+
+TEST_CASE("an unframed answer reset while its request is sent is incomplete") {
+  asio::io_context io;
+  tcp::acceptor acceptor = Listen(io);
+  RecordingHandler handler;
+  const auto connection = std::make_shared<ClientConnection>(
+      io, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+  connection->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                       std::to_string(kLargeBytes) + "\r\n\r\n",
+                   std::make_shared<const std::string>(kLargeBytes, 'x'),
+                   std::chrono::seconds(5), &handler);
+  tcp::socket upstream = acceptor.accept();
+  asio::write(
+      upstream,
+      asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nthe first half")));
+  REQUIRE(RunUntil(io, [&] { return !handler.body.empty(); }));
+  REQUIRE_FALSE(connection->sent_all());
+  upstream.set_option(asio::socket_base::linger(true, 0));
+  upstream.close();
+  REQUIRE(RunUntil(io, [&] { return handler.completed || handler.failure; }));
+  CHECK_FALSE(handler.completed);
+  CHECK(handler.failure == ClientFailure::kTruncated);
+}
+
+TEST_CASE("a caller without chunks gets a reset instead of half an answer") {
+  asio::io_context io;
+  std::shared_ptr<ServerConnection> connection;
+  Server server(
+      io, {},
+      [&](const std::shared_ptr<ServerConnection>& accepted, ServerRequest) {
+        connection = accepted;
+        connection->StartBody(ResponseHead{}, std::nullopt);
+        connection->Write(std::string(kLargeBytes, 'x'));
+      });
+  ServerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(50);
+  server.SetLimits(limits);
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  tcp::socket caller(io);
+  caller.connect(
+      {asio::ip::make_address_v4("127.0.0.1"), server.endpoint().port});
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.0\r\n\r\n")));
+  REQUIRE(RunUntil(io, [&] { return connection != nullptr; }));
+  SUBCASE("the answer is under way") { connection->Flush(); }
+  SUBCASE("the answer was ended, but not all of it was sent") {
+    connection->FinishBody();
+  }
+  // The caller reads nothing, so the idle timeout ends the connection.
+  REQUIRE(RunUntil(io, [&] { return connection->closed(); }));
+  std::string received;
+  asio::error_code error;
+  asio::read(caller, asio::dynamic_buffer(received), error);
+  CHECK(received.size() < kLargeBytes);
+  CHECK(error == asio::error::connection_reset);
+}
+
+}  // namespace rattanward::http
--- a/tests/src/unit-proxy-answers.cc
+++ b/tests/src/unit-proxy-answers.cc
@@ -17,6 +17,23 @@
 using fakes::Receives;
 using fakes::StreamHead;
 
+/// An upstream's answer to request 1, in one of the framings.
+struct Framed {
+  const char* name;
+  std::string bytes;
+};
+
+std::string UnframedHead() {
+  return "HTTP/1.1 200 OK\r\nid: 1\r\nsigned: x\r\n\r\n";
+}
+
+std::vector<Framed> EveryFraming(const std::string& stream) {
+  return {{"until close", UnframedHead() + stream},
+          {"chunked", StreamHead("1") + http::EncodeChunk(stream) +
+                          std::string(http::kLastChunk)},
+          {"length", MakeResponse("1", stream)}};
+}
+
 }  // namespace
 
 TEST_CASE("a response truncated at any byte is never forwarded as complete") {
@@ -176,6 +193,108 @@
   CHECK_FALSE(Contains(caller->received(), "0\r\n\r\n"));
 }
 
+TEST_CASE("a stream that ends inside an event is never forwarded as complete") {
+  for (const Framed& framed : EveryFraming("id: 1\ndata: a\n\nid: 2\nda")) {
+    CAPTURE(framed.name);
+    ProxyEntry entry;
+    entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
+      peer.Send(framed.bytes);
+      peer.Close();
+    });
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/stream/", "1"));
+    CHECK(entry.RunUntil([&] { return caller->ended(); }));
+    CHECK(Contains(caller->received(), "data: a\n\n"));
+    CHECK_FALSE(Contains(caller->received(), "id: 2"));
+    CHECK_FALSE(Contains(caller->received(), "0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("a stream that ends inside its first event is reported as 502") {
+  for (const Framed& framed : EveryFraming("id: 1\nda")) {
+    CAPTURE(framed.name);
+    ProxyEntry entry;
+    entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
+      peer.Send(framed.bytes);
+      peer.Close();
+    });
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/stream/", "1"));
+    CHECK(Receives(entry, caller, "HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("a stream that ends inside an event is resumed, in every framing") {
+  for (const Framed& framed : EveryFraming("id: 1\ndata: a\n\nid: 2\nda")) {
+    CAPTURE(framed.name);
+    ProxyEntry entry;
+    int arrivals = 0;
+    const auto handler = [&](LoopbackPeer& peer, const std::string& request) {
+      if (++arrivals == 1) {
+        peer.Send(framed.bytes);
+      } else {
+        CHECK(Contains(request, "after: 1"));
+        peer.Send(UnframedHead() + "id: 2\ndata: b\n\n");
+      }
+      peer.Close();
+    };
+    entry.AddUpstream(handler);
+    entry.AddUpstream(handler);
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/resume/", "1"));
+    CHECK(Receives(entry, caller, "0\r\n\r\n"));
+    CHECK(Contains(caller->received(), "id: 1\ndata: a\n\n"));
+    CHECK(Contains(caller->received(), "id: 2\ndata: b\n\n"));
+    CHECK_FALSE(Contains(caller->received(), "id: 2\nda\r"));
+  }
+}
+
+TEST_CASE("a stream that ends between events is complete, in every framing") {
+  const std::vector<std::string> streams = {
+      "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r",
+      "id: 1\ndata: a\n\n\n", "id: 1\ndata: a\n\n: comment\n"};
+  for (const std::string& events : streams) {
+    for (const Framed& framed : EveryFraming(events)) {
+      CAPTURE(framed.name);
+      CAPTURE(events);
+      ProxyEntry entry;
+      entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
+        peer.Send(framed.bytes);
+        peer.Close();
+      });
+      const auto caller = entry.ConnectCaller();
+      caller->Send(MakeRequest("/stream/", "1"));
+      CHECK(Receives(entry, caller, "0\r\n\r\n"));
+      CHECK(Contains(caller->received(), "data: a"));
+    }
+  }
+}
+
+TEST_CASE("a stream without length or chunks that has no event is no success") {
+  ProxyEntry entry;
+  entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
+    peer.Send(UnframedHead());
+    peer.Close();
+  });
+  const auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest("/stream/", "1"));
+  CHECK(Receives(entry, caller, "HTTP/1.1 502"));
+}
+
+TEST_CASE("an unframed answer that is reset between events is not complete") {
+  ProxyEntry entry;
+  auto& upstream =
+      entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
+        peer.Send(UnframedHead() + "id: 1\ndata: a\n\n");
+      });
+  const auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest("/stream/", "1"));
+  REQUIRE(Receives(entry, caller, "data: a\n\n"));
+  upstream.connections()[0]->Close(true);
+  CHECK(entry.RunUntil([&] { return caller->ended(); }));
+  CHECK_FALSE(Contains(caller->received(), "0\r\n\r\n"));
+}
+
 TEST_CASE("a resumable stream continues after its last complete event") {
   ProxyEntry entry;
   int arrivals = 0;
