Never complete a stream that was broken off inside an event

Cause: at the end of the upstream's message the entry wrote out the bytes after the last complete event and ended its own answer. An answer without length or chunks ends at any normal close. The same class elsewhere: a reset that a pending send reports is read as a normal close afterwards; a caller of HTTP/1.0, whose answer ends with its connection, got a normal close at a timeout or at the end of the process.

Change: a stream is whole only if no event is begun and, in an unframed answer, at least one came; else it is broken off like any other. ClientConnection takes no close for normal after a failed send. ServerConnection resets on close while an unframed answer is under way. Events received with the end are sent before the abort.

--- a/include/rattanward/http/client_connection.h
+++ b/include/rattanward/http/client_connection.h
@@ -136,6 +136,7 @@
   bool closed_ = false;
   bool reading_ = false;
   bool writing_ = false;
+  bool send_failed_ = false;
   bool paused_ = false;
   bool awaiting_response_ = false;
   bool head_delivered_ = false;
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -144,6 +144,7 @@
   bool WillClose() const;
   void TrySend();
   void OnOutputSent();
+  void SetResetOnClose(bool reset);
   void Linger();
   void CloseAndNotify();
   void Close();
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -139,10 +139,11 @@
   void ForwardEvents(std::string_view piece);
   void StartStream();
   void RecordEventTimes();
+  bool StreamIsWhole() const;
   void FinishStream();
   void FinishWholeResponse();
   void HandleRejection();
-  void HandleConnectionLoss(http::ClientFailure failure);
+  void HandleConnectionLoss(const std::string& reason);
   void Requeue();
   void Fail(Error error);
   void Release();
@@ -170,7 +171,10 @@
   bool may_have_run_ = false;
   http::ResponseHead response_;
   ResponseTraits response_traits_;
+  /// Whether the response head of the current attempt has arrived.
+  bool response_begun_ = false;
   http::Framing response_framing_ = http::Framing::kNone;
+  std::uint64_t events_before_send_ = 0;
   std::string body_;
   std::string piece_;
   EventSplitter splitter_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -135,6 +135,7 @@
       return;
     }
     if (e) {
+      send_failed_ = true;
       // The peer may have responded before it closed, so read first.
       OnReadable();
       if (!closed_ && awaiting_response_ && !head_delivered_) {
@@ -285,7 +286,9 @@
 }
 
 void ClientConnection::OnPeerClosed(bool reset) {
-  if (!reset && head_delivered_ && parser_->FeedEof()) {
+  // A reset that the send has reported is read as a normal close afterwards.
+  const bool closed_normally = !reset && !send_failed_;
+  if (closed_normally && head_delivered_ && parser_->FeedEof()) {
     peer_will_close_ = true;
     Complete();
     return;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -187,11 +187,19 @@
     head.fields.Set("Transfer-Encoding", "chunked");
   } else {
     close_requested_ = true;
+    SetResetOnClose(true);
   }
   AddConnectionField(&head);
   output_ += Serialize(head);
 }
 
+/// A normal close would end a body that ends with its connection, however the
+/// connection is closed, also by the end of this process.
+void ServerConnection::SetResetOnClose(bool reset) {
+  asio::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void ServerConnection::Write(std::string_view piece) {
   if (state_ != State::kBusy || head_request_) {
     return;
@@ -285,6 +293,7 @@
 /// Keeps reading for a while after the last response. Closing a socket with
 /// unread input resets the connection, and the peer may lose the response.
 void ServerConnection::Linger() {
+  SetResetOnClose(false);
   asio::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   SetDeadline(MonotonicNow() + kLingerTime);
@@ -295,8 +304,7 @@
   if (state_ == State::kClosed) {
     return;
   }
-  asio::error_code ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  SetResetOnClose(true);
   watcher_ = Watcher();
   Close();
 }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -157,7 +157,9 @@
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
   charge_ = owner_.OnSent(*this);
   body_.clear();
+  response_begun_ = false;
   response_framing_ = Framing::kNone;
+  events_before_send_ = splitter_.events();
   owner_.Log(EventId::kRequestDispatched, *this,
              {{"attempt", std::to_string(attempts_)},
               {"waited_ms", Milliseconds(sent_at_ - request_.request.arrived)},
@@ -190,6 +192,7 @@
 void Exchange::OnHead(const http::ResponseHead& head, Framing framing,
                       std::uint64_t /*length*/) {
   owner_.OnResponseHead(*this);
+  response_begun_ = true;
   response_framing_ = framing;
   response_traits_ =
       owner_.dialect().ReadResponse(head, request_.traits.attempt);
@@ -270,8 +273,10 @@
 
 void Exchange::OnComplete() {
   const auto self = shared_from_this();
-  if (event_stream_) {
+  if (event_stream_ && StreamIsWhole()) {
     FinishStream();
+  } else if (event_stream_) {
+    HandleConnectionLoss("the upstream's stream ended inside an event");
   } else if (response_traits_.not_run) {
     HandleRejection();
   } else {
@@ -279,6 +284,14 @@
   }
 }
 
+/// The end of the upstream's message alone doesn't show that: an answer without
+/// length or chunks ends wherever its connection does.
+bool Exchange::StreamIsWhole() const {
+  const bool has_events = splitter_.events() > events_before_send_;
+  return !splitter_.inside_event() &&
+         (has_events || response_framing_ != Framing::kUntilClose);
+}
+
 void Exchange::FinishStream() {
   owner_.OnOutcome(*this, true);
   StartStream();
@@ -362,20 +375,19 @@
     }
     return;
   }
-  HandleConnectionLoss(failure);
+  HandleConnectionLoss(failure == ClientFailure::kMalformed
+                           ? "the upstream's response is malformed"
+                           : "the upstream broke off");
 }
 
-void Exchange::HandleConnectionLoss(ClientFailure failure) {
+void Exchange::HandleConnectionLoss(const std::string& reason) {
   may_have_run_ = true;
   owner_.OnOutcome(*this, false);
   owner_.OnConnectionLost(*this);
-  const std::string reason = failure == ClientFailure::kMalformed
-                                 ? "the upstream's response is malformed"
-                                 : "the upstream broke off";
   owner_.Log(
       EventId::kUpstreamBroke, *this,
       {{"reason", reason},
-       {"answer_begun", failure == ClientFailure::kTruncated ? "1" : "0"},
+       {"answer_begun", response_begun_ ? "1" : "0"},
        {"framing", std::string(FramingName(response_framing_))},
        {"partial_event_bytes", std::to_string(splitter_.partial_event_bytes())},
        {"reused", connection_->reused() ? "1" : "0"},
@@ -418,6 +430,10 @@
   const auto self = shared_from_this();
   Release();
   if (stream_started_) {
+    request_.caller->Flush();
+    if (state_ == State::kFinished) {
+      return;  // The caller had closed its connection.
+    }
     request_.caller->Abort();
   } else {
     if (may_have_run_ && StatusImpliesNotRun(HttpStatus(error.code))) {
--- a/tests/src/fuzz-http.cc
+++ b/tests/src/fuzz-http.cc
@@ -149,7 +149,8 @@
     "the event splitter forwards only complete events and keeps the rest") {
   CHECK(rc::check([] {
     const int events = *rc::gen::inRange(0, 6);
-    const std::string line_end = *rc::gen::arbitrary<bool>() ? "\n" : "\r\n";
+    const std::string line_end =
+        *rc::gen::element<std::string>("\n", "\r\n", "\r");
     std::string text;
     for (int i = 0; i < events; ++i) {
       text += "id: " + std::to_string(i);
@@ -168,8 +169,36 @@
     RC_ASSERT(splitter.events() == static_cast<std::uint64_t>(events));
     RC_ASSERT(splitter.last_id() ==
               (events == 0 ? "" : std::to_string(events - 1)));
+    RC_ASSERT(splitter.inside_event());
     RC_ASSERT(splitter.TakePartialEvent() == rest);
+    RC_ASSERT_FALSE(splitter.inside_event());
   }));
 }
 
+TEST_CASE("a stream cut at any byte ends inside an event or after one") {
+  for (const std::string line_end : {"\n", "\r\n", "\r"}) {
+    const std::string event = "id: 7" + line_end + ": note" + line_end +
+                              "data: a" + line_end + line_end;
+    const std::string stream = event + event;
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+      CAPTURE(cut);
+      proxy::EventSplitter splitter;
+      const std::string whole = splitter.Consume(stream.substr(0, cut));
+      CHECK(whole.size() == cut / event.size() * event.size());
+      CHECK(splitter.inside_event() == (cut % event.size() != 0));
+      CHECK(splitter.last_id() == (cut < event.size() ? "" : "7"));
+    }
+  }
+}
+
+TEST_CASE("an LF that arrives after its CR ends no event of its own") {
+  proxy::EventSplitter splitter;
+  CHECK(splitter.Consume("id: 1\rdata: a\r").empty());
+  CHECK(splitter.Consume("\ndata: b").empty());
+  CHECK(splitter.inside_event());
+  CHECK(splitter.Consume("\r\n\r\n") == "id: 1\rdata: a\r\ndata: b\r\n\r\n");
+  CHECK_FALSE(splitter.inside_event());
+  CHECK(splitter.events() == 1);
+}
+
 }  // namespace rattanward::http
