--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -61,6 +61,16 @@
   return "";
 }
 
+/// Ids of the prompt's parts in order, for the log.
+std::string PartIds(const std::vector<policy::PromptPart>& prompt) {
+  constexpr std::size_t kMaxLoggedParts = 16;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(prompt.size(), kMaxLoggedParts); ++i) {
+    text += (i == 0 ? "" : ",") + std::to_string(prompt[i].id);
+  }
+  return text;
+}
+
 std::string Permille(double share) {
   constexpr double kPermille = 1000;
   return std::to_string(std::lround(share * kPermille));
@@ -393,7 +403,8 @@
        {"reused", connection_->reused() ? "1" : "0"},
        {"idle_ms", Milliseconds(connection_->idle_before())},
        {"kept_ms", Milliseconds(connection_->keep_alive())},
-       {"after_ms", Milliseconds(MonotonicNow() - sent_at_)}});
+       {"after_ms", Milliseconds(MonotonicNow() - sent_at_)},
+       {"parts", PartIds(placement_.prompt)}});
   excluded_.insert(upstream_);
   Release();
   splitter_.DiscardPartialEvent();
