Show that a part of a prompt crashes upstreams without end

A crash counts against the hash of path, account and body, and no two of these requests have the same body.

--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -117,11 +117,15 @@
 };
 
 /// @brief Returns the bytes of a caller's request.
+/// @param parts Ids of the prompt's parts, separated by spaces.
 inline std::string MakeRequest(const std::string& path, const std::string& id,
-                               const std::string& body = "") {
-  return "POST " + path + " HTTP/1.1\r\nHost: h\r\nkey: k\r\nid: " + id +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
+                               const std::string& body = "",
+                               const std::string& parts = "") {
+  const std::string prompt =
+      parts.empty() ? std::string() : "parts: " + parts + "\r\n";
+  return "POST " + path + " HTTP/1.1\r\nHost: h\r\nkey: k\r\n" + prompt +
+         "id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 /// @brief Returns the bytes of an upstream's response.
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sstream>
 #include <string>
 
 #include "rattanward/proxy/dialect.h"
@@ -21,6 +22,12 @@
     if (const std::string* wait = head.fields.Find("wait-ms")) {
       traits.deadline = std::chrono::milliseconds(std::stol(*wait));
     }
+    if (const std::string* parts = head.fields.Find("parts")) {
+      std::istringstream ids(*parts);
+      for (policy::PromptPart part{0, 1}; ids >> part.id;) {
+        traits.prompt.push_back(part);
+      }
+    }
     return traits;
   }
 
