Stop requests that share a part which crashes upstreams

Cause: a crash counted against the hash of path, account and body only, and no two of these requests have the same body.

Change: PartQuarantine, pure, ties crashes to the parts of the prompt. What is known against a part is a pair (clearances, crashes) of which the larger wins, so that entries agree whatever order news arrives in; a request carries the pairs of its send, so that crashes at the same time count once; a whole answer clears the parts of its request. Entries report changes with their reports, control forwards them, and a restarted entry gets them all. Requests with a quarantined part are refused before they are queued, and those that wait at once. Two log lines, two gauges.

Ruled out: counting crashes a part (the loss of a failure domain would quarantine what everyone shares), intersecting the requests of all crashes (one crash with another cause spoils it), times of entries (clocks differ).

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -14,6 +14,7 @@
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
 
@@ -110,7 +111,13 @@
   void HandleInstancePush(const adapter::InboundMessage& message);
   void HandleInstanceBeats(const adapter::InboundMessage& message);
   void HandleCrashes(const adapter::InboundMessage& message);
-  void BroadcastCrashes(const std::vector<protocol::CrashWitness>& witnesses);
+  protocol::CrashesTold TakeNews(
+      const std::vector<protocol::CrashWitness>& witnesses,
+      const std::vector<policy::PartSuspicion>& suspicions);
+  protocol::CrashesTold AllCrashes() const;
+  void ForwardCrashes(const protocol::EntryReport& report,
+                      const adapter::ReplyHandle& reply);
+  void PushToEntries(const protocol::CrashesTold& news);
   protocol::ControlReport ReportFor(const Entry& entry) const;
   void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void UpdateRoutingTexts();
@@ -136,6 +143,7 @@
   std::vector<Waiter> waiters_;
   std::vector<membership::InstanceBeat> pending_beats_;
   std::set<protocol::CrashWitness> crash_witnesses_;
+  policy::PartQuarantine part_suspicions_;
   RoutingTexts routing_texts_;
   std::uint64_t push_number_ = 0;
   TimePoint next_full_push_;
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -32,6 +32,8 @@
   kClaimTaken = 2010,
   kClaimReleased = 2011,
   kClaimFinished = 2012,
+  kPromptPartQuarantined = 2013,
+  kPromptPartCleared = 2014,
 
   kUpstreamAnnounced = 3001,
   kUpstreamDraining = 3002,
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -51,6 +51,10 @@
 /// @note The last of several parts is taken to be unique to the request.
 std::uint64_t PrefixKey(const PlacementRequest& request);
 
+/// @brief Ids of the prompt parts that other requests may share: all but the
+/// last, which belongs to the request itself or its session.
+std::vector<std::uint64_t> SharedParts(const std::vector<PromptPart>& prompt);
+
 /// @brief Load that one request adds to its upstream; see UpstreamLoad.
 struct PlacementCharge {
   std::uint64_t pending_prefill_tokens = 0;
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -8,6 +8,7 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/text_difference.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/protocol/codec.h"
 #include "rattanward/protocol/message_fields.h"
 
@@ -38,6 +39,8 @@
   /// Where entries of its failure domain reach it.
   Endpoint peer_endpoint;
   std::vector<CrashWitness> witnesses;
+  /// Changes that no control VM has confirmed yet; see PartQuarantine.
+  std::vector<policy::PartSuspicion> suspicions;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
@@ -99,9 +102,11 @@
   friend bool operator==(const InstanceBeats&, const InstanceBeats&) = default;
 };
 
-/// @brief Control VM to entries and other control VMs: crashes to remember.
+/// @brief Control VM to entries and other control VMs: crashes to remember, and
+/// what is known against parts of prompts.
 struct CrashesTold {
   std::vector<CrashWitness> witnesses;
+  std::vector<policy::PartSuspicion> suspicions;
 
   friend bool operator==(const CrashesTold&, const CrashesTold&) = default;
 };
@@ -113,11 +118,17 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::PartSuspicion> {
+  static auto Tie(auto& m) { return std::tie(m.part, m.clearances, m.crashes); }
+};
+
 template <>
 struct FieldsOf<EntryReport> {
   static auto Tie(auto& m) {
     return std::tie(m.process, m.failure_domain, m.incarnation, m.sequence,
-                    m.routing, m.push_heeded, m.peer_endpoint, m.witnesses);
+                    m.routing, m.push_heeded, m.peer_endpoint, m.witnesses,
+                    m.suspicions);
   }
 };
 
@@ -183,7 +194,7 @@
 
 template <>
 struct FieldsOf<CrashesTold> {
-  static auto Tie(auto& m) { return std::tie(m.witnesses); }
+  static auto Tie(auto& m) { return std::tie(m.witnesses, m.suspicions); }
 };
 
 }  // namespace rattanward::protocol
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -25,7 +25,10 @@
   /// or rejected before the callback returns.
   std::function<void(const protocol::RoutingPush&)> routing;
   std::function<void(const std::vector<membership::InstanceRecord>&)> instances;
-  std::function<void(const std::vector<protocol::CrashWitness>&)> crashes;
+  std::function<void(const protocol::CrashesTold&)> crashes;
+  /// What this entry knows against parts of prompts, for a control VM that may
+  /// know nothing yet.
+  std::function<std::vector<policy::PartSuspicion>()> suspicions;
   /// A confirmed leader answered a report sent at the given time. It named the
   /// newest committed version of the routes.
   std::function<void(TimePoint sent, ConfigVersion committed)> confirmed;
@@ -54,6 +57,10 @@
   /// @brief Includes a crash in subsequent reports; duplicates are ignored.
   void AddWitness(const protocol::CrashWitness& witness);
 
+  /// @brief Includes suspicions in subsequent reports until a control VM has
+  /// told them, or stronger ones, to this entry.
+  void AddSuspicions(const std::vector<policy::PartSuspicion>& suspicions);
+
   /// @brief Sends a report to every control VM.
   void SendReports();
 
@@ -70,6 +77,7 @@
 
   void SendReport(const Endpoint& endpoint, Control& control);
   void HandlePush(const Endpoint& endpoint, const protocol::Envelope& envelope);
+  void ConfirmSuspicions(const std::vector<policy::PartSuspicion>& told);
   void HandleReport(TimePoint sent, const protocol::Envelope& envelope);
 
   asio::io_context& io_;
@@ -78,6 +86,8 @@
   ControlLinkHooks hooks_;
   std::map<Endpoint, Control> controls_;
   std::vector<protocol::CrashWitness> witnesses_;
+  /// By part.
+  std::map<std::uint64_t, policy::PartSuspicion> unconfirmed_suspicions_;
 };
 
 }  // namespace rattanward::proxy
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -12,6 +12,7 @@
 #include "rattanward/domain/routing.h"
 #include "rattanward/http/client_connection.h"
 #include "rattanward/http/server_connection.h"
+#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/policy/placer.h"
 #include "rattanward/proxy/dialect.h"
 #include "rattanward/proxy/event_splitter.h"
@@ -42,6 +43,9 @@
   /// @brief The request is about to be sent to its upstream.
   /// @return The capacity charged at the upstream.
   virtual policy::PlacementCharge OnSent(const Exchange& exchange) = 0;
+  /// @brief What is known now against the parts of the request's prompt.
+  virtual std::vector<policy::PartSuspicion> KnownAgainstParts(
+      const Exchange& exchange) const = 0;
   virtual policy::UpstreamLoad LoadOf(const UpstreamId& upstream) const = 0;
   /// @brief The first event of a stream arrived.
   /// @param charge Its pending prefill tokens are set to 0.
@@ -63,6 +67,9 @@
   /// @param succeeded False if the upstream returned an error, rejected the
   /// request, lost the connection or did not respond in time.
   virtual void OnOutcome(const Exchange& exchange, bool succeeded) = 0;
+  /// @brief The upstream answered successfully, and the framing of its answer
+  /// shows that nothing is missing.
+  virtual void OnWholeAnswer(const Exchange& exchange) = 0;
   /// @brief Returns the time after which a refused caller should retry.
   virtual Duration RetryAfter(const Exchange& exchange) const = 0;
   virtual void Log(EventId id, const Exchange& exchange,
@@ -118,6 +125,11 @@
   TimePoint answered_at() const;
   bool waiting() const { return state_ == State::kWaiting; }
   bool finished() const { return state_ == State::kFinished; }
+  /// @brief What was known against the prompt's parts when the request was
+  /// sent.
+  const std::vector<policy::PartSuspicion>& known_at_send() const {
+    return known_at_send_;
+  }
   bool streams() const { return request_.route->kind == RouteKind::kStream; }
   /// @brief Whether the route permits sending the request again after it may
   /// have run.
@@ -141,6 +153,7 @@
   void RecordEventTimes();
   bool StreamIsWhole() const;
   void FinishStream();
+  void ReportWholeAnswer();
   void FinishWholeResponse();
   void HandleRejection();
   void HandleConnectionLoss(const std::string& reason);
@@ -171,6 +184,7 @@
   bool may_have_run_ = false;
   http::ResponseHead response_;
   ResponseTraits response_traits_;
+  std::vector<policy::PartSuspicion> known_at_send_;
   /// Whether the response head of the current attempt has arrived.
   bool response_begun_ = false;
   http::Framing response_framing_ = http::Framing::kNone;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "rattanward/http/server.h"
 #include "rattanward/membership/crash_memory.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/policy/placer.h"
 #include "rattanward/policy/request_queue.h"
 #include "rattanward/policy/retry_allowance.h"
@@ -47,6 +48,8 @@
 struct ProxyHooks {
   /// A request was running at an upstream that appears to have crashed.
   std::function<void(const protocol::CrashWitness&)> witness;
+  /// What is known against parts of prompts has changed at this entry.
+  std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// Long prompts were sent; see TakeUrgentLoad().
   std::function<void()> urgent_load;
   port::EventSink events;
@@ -74,6 +77,14 @@
   /// @brief Records upstream crashes witnessed by entries.
   void RecordCrashes(const std::vector<protocol::CrashWitness>& witnesses);
 
+  /// @brief Merges what control knows against parts of prompts.
+  void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
+
+  /// @brief What this entry knows against parts of prompts.
+  std::vector<policy::PartSuspicion> Suspicions() const {
+    return part_quarantine_.All();
+  }
+
   /// @brief Records that the routes are current if their version is the newest.
   /// @param as_of Time for which a confirmed leader stated the version.
   /// @param newest Newest version, as stated by the leader.
@@ -144,12 +155,21 @@
   void OnConnectionLost(const Exchange& exchange) override;
   void OnResponseHead(const Exchange& exchange) override;
   void OnOutcome(const Exchange& exchange, bool succeeded) override;
+  std::vector<policy::PartSuspicion> KnownAgainstParts(
+      const Exchange& exchange) const override;
+  void OnWholeAnswer(const Exchange& exchange) override;
   Duration RetryAfter(const Exchange& exchange) const override;
   void Log(EventId id, const Exchange& exchange,
            std::vector<EventField> fields) override;
   void Forget(const std::shared_ptr<Exchange>& exchange) override;
 
  private:
+  /// A request whose connection was lost, as it stood then.
+  struct CrashEvidence {
+    protocol::CrashWitness witness;
+    std::vector<policy::PartSuspicion> known_at_send;
+  };
+
   void OnRequest(const std::shared_ptr<http::ServerConnection>& caller,
                  http::ServerRequest request);
   Result<RoutedRequest> RouteRequest(
@@ -163,7 +183,13 @@
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
                 std::set<ServiceName>* full_services);
   void RunMaintenance(TimePoint now);
-  void Probe(const UpstreamId& upstream, const protocol::CrashWitness& witness);
+  Status CheckNotQuarantined(
+      std::uint64_t fingerprint,
+      const std::vector<policy::PromptPart>& prompt) const;
+  void RefuseQuarantined();
+  void ProbeAfterLoss(const CrashEvidence& evidence);
+  void RecordCrash(const CrashEvidence& evidence);
+  void LogPartChange(const policy::PartSuspicion& before);
 
   asio::io_context& io_;
   ProxyOptions options_;
@@ -179,6 +205,7 @@
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<const RoutingTable> table_;
   membership::CrashMemory crashes_;
+  policy::PartQuarantine part_quarantine_;
   TimePoint confirmed_at_;
   TimePoint started_at_;
   ConfigVersion required_version_;
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -99,7 +99,7 @@
   entry.routing = report.routing;
   entry.push_heeded = std::max(entry.push_heeded, report.push_heeded);
   entry.last_report_at = MonotonicNow();
-  BroadcastCrashes(report.witnesses);
+  ForwardCrashes(report, reply);
   reply.Reply(protocol::MessageKind::kControlReport,
               protocol::Encode(ReportFor(entry)));
   const bool leads = daemon_.replica().ConfirmedLeader();
@@ -180,10 +180,9 @@
     entry.directory_sent = true;
     PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
                 protocol::InstancePush{push_number_, directory_.All()});
-    if (!crash_witnesses_.empty()) {
+    if (!crash_witnesses_.empty() || part_suspicions_.size() > 0) {
       PushMessage(entry.handle, protocol::MessageKind::kCrashesTold,
-                  protocol::CrashesTold{
-                      {crash_witnesses_.begin(), crash_witnesses_.end()}});
+                  AllCrashes());
     }
   }
 }
@@ -250,41 +249,67 @@
   if (!incoming) {
     return;
   }
-  protocol::CrashesTold unseen;
-  for (const protocol::CrashWitness& witness : incoming.value().witnesses) {
+  PushToEntries(
+      TakeNews(incoming.value().witnesses, incoming.value().suspicions));
+}
+
+protocol::CrashesTold RoutingHub::AllCrashes() const {
+  return {{crash_witnesses_.begin(), crash_witnesses_.end()},
+          part_suspicions_.All()};
+}
+
+/// Records what entries report, and returns what was not known before.
+protocol::CrashesTold RoutingHub::TakeNews(
+    const std::vector<protocol::CrashWitness>& witnesses,
+    const std::vector<policy::PartSuspicion>& suspicions) {
+  protocol::CrashesTold news;
+  for (const protocol::CrashWitness& witness : witnesses) {
     if (crash_witnesses_.size() < kMaxCrashWitnesses &&
         crash_witnesses_.insert(witness).second) {
-      unseen.witnesses.push_back(witness);
+      news.witnesses.push_back(witness);
     }
   }
-  if (unseen.witnesses.empty()) {
+  const TimePoint now = MonotonicNow();
+  for (const policy::PartSuspicion& suspicion : suspicions) {
+    const auto known = part_suspicions_.KnownAgainst({suspicion.part}).front();
+    part_suspicions_.Merge(suspicion, now);
+    if (policy::IsStronger(suspicion, known)) {
+      news.suspicions.push_back(suspicion);
+    }
+  }
+  return news;
+}
+
+void RoutingHub::PushToEntries(const protocol::CrashesTold& news) {
+  if (news.witnesses.empty() && news.suspicions.empty()) {
     return;
   }
-  const std::string body = protocol::Encode(unseen);
+  const std::string body = protocol::Encode(news);
   for (auto& [process, entry] : entries_) {
     entry.handle.Push(protocol::MessageKind::kCrashesTold, body);
   }
 }
 
-/// Forwards newly reported crash witnesses to all entries and the other control
-/// VMs.
-void RoutingHub::BroadcastCrashes(
-    const std::vector<protocol::CrashWitness>& witnesses) {
-  protocol::CrashesTold unseen;
-  for (const protocol::CrashWitness& witness : witnesses) {
-    if (crash_witnesses_.size() < kMaxCrashWitnesses &&
-        crash_witnesses_.insert(witness).second) {
-      unseen.witnesses.push_back(witness);
+/// Forwards what is new in a report to all entries and the other control VMs.
+/// The reporting entry gets an answer for each of its suspicions.
+void RoutingHub::ForwardCrashes(const protocol::EntryReport& report,
+                                const adapter::ReplyHandle& reply) {
+  const protocol::CrashesTold news =
+      TakeNews(report.witnesses, report.suspicions);
+  PushToEntries(news);
+  if (!news.witnesses.empty() || !news.suspicions.empty()) {
+    daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold,
+                               protocol::Encode(news));
+  }
+  if (news.suspicions.size() < report.suspicions.size()) {
+    std::vector<std::uint64_t> parts;
+    for (const policy::PartSuspicion& suspicion : report.suspicions) {
+      parts.push_back(suspicion.part);
     }
+    PushMessage(
+        reply, protocol::MessageKind::kCrashesTold,
+        protocol::CrashesTold{{}, part_suspicions_.KnownAgainst(parts)});
   }
-  if (unseen.witnesses.empty()) {
-    return;
-  }
-  const std::string body = protocol::Encode(unseen);
-  for (auto& [process, entry] : entries_) {
-    entry.handle.Push(protocol::MessageKind::kCrashesTold, body);
-  }
-  daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold, body);
 }
 
 void RoutingHub::Register(const InstanceRecord& record, Done done) {
@@ -453,6 +478,8 @@
   add("pushes_total", push_number_);
   add("acknowledgements_waiting", waiters_.size());
   add("crashes_known", crash_witnesses_.size());
+  add("prompt_parts_suspected", part_suspicions_.size());
+  add("prompt_parts_quarantined", part_suspicions_.quarantined());
   return text;
 }
 
@@ -476,6 +503,12 @@
   if (now >= next_full_push_) {
     next_full_push_ = now + kFullPushPeriod;
     SendRecordsToControls(directory_.All());
+    part_suspicions_.Expire(now);
+    if (part_suspicions_.size() > 0) {
+      daemon_.voters().SendToAll(
+          protocol::MessageKind::kCrashesTold,
+          protocol::Encode(protocol::CrashesTold{{}, part_suspicions_.All()}));
+    }
   }
 }
 
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -32,6 +32,8 @@
       {EventId::kClaimTaken, "claim-taken"},
       {EventId::kClaimReleased, "claim-released"},
       {EventId::kClaimFinished, "claim-finished"},
+      {EventId::kPromptPartQuarantined, "prompt-part-quarantined"},
+      {EventId::kPromptPartCleared, "prompt-part-cleared"},
       {EventId::kUpstreamAnnounced, "upstream-announced"},
       {EventId::kUpstreamDraining, "upstream-draining"},
       {EventId::kUpstreamExpired, "upstream-expired"},
--- a/src/policy/placer_score.cc
+++ b/src/policy/placer_score.cc
@@ -82,6 +82,14 @@
   return longest == nullptr ? 0 : longest->id;
 }
 
+std::vector<std::uint64_t> SharedParts(const std::vector<PromptPart>& prompt) {
+  std::vector<std::uint64_t> parts;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    parts.push_back(prompt[i].id);
+  }
+  return parts;
+}
+
 std::uint32_t Placer::UncachedTokens(const Instance& instance,
                                      const PlacementRequest& request) const {
   std::uint32_t cached = 0;
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxControlVms = 32;
 /// Maximum number of crashes kept; every report includes all of them.
 constexpr std::size_t kMaxWitnesses = 64;
+/// The rest follows with the next reports.
+constexpr std::size_t kMaxSuspicionsPerReport = 128;
 
 }  // namespace
 
@@ -39,6 +41,7 @@
       [this, endpoint](const ProcessId&) {
         Control& connected = controls_[endpoint];
         connected.push_heeded = 0;
+        AddSuspicions(hooks_.suspicions());
         SendReport(endpoint, connected);
       });
   control.client->Start();
@@ -55,6 +58,24 @@
   }
 }
 
+void ControlLink::AddSuspicions(
+    const std::vector<policy::PartSuspicion>& suspicions) {
+  for (const policy::PartSuspicion& suspicion : suspicions) {
+    unconfirmed_suspicions_[suspicion.part] = suspicion;
+  }
+}
+
+void ControlLink::ConfirmSuspicions(
+    const std::vector<policy::PartSuspicion>& told) {
+  for (const policy::PartSuspicion& suspicion : told) {
+    const auto found = unconfirmed_suspicions_.find(suspicion.part);
+    if (found != unconfirmed_suspicions_.end() &&
+        !policy::IsStronger(found->second, suspicion)) {
+      unconfirmed_suspicions_.erase(found);
+    }
+  }
+}
+
 void ControlLink::SendReports() {
   for (auto& [endpoint, control] : controls_) {
     SendReport(endpoint, control);
@@ -69,6 +90,12 @@
   protocol::EntryReport report = self_;
   report.push_heeded = control.push_heeded;
   report.witnesses = witnesses_;
+  for (const auto& [part, suspicion] : unconfirmed_suspicions_) {
+    if (report.suspicions.size() == kMaxSuspicionsPerReport) {
+      break;
+    }
+    report.suspicions.push_back(suspicion);
+  }
   protocol::Envelope envelope;
   envelope.kind = protocol::MessageKind::kEntryReport;
   envelope.body = protocol::Encode(report);
@@ -122,7 +149,8 @@
     case protocol::MessageKind::kCrashesTold: {
       const auto told = protocol::Decode<protocol::CrashesTold>(envelope.body);
       if (told) {
-        hooks_.crashes(told.value().witnesses);
+        ConfirmSuspicions(told.value().suspicions);
+        hooks_.crashes(told.value());
       }
       break;
     }
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -69,6 +69,9 @@
                 link_.AddWitness(witness);
                 link_.SendReports();
               },
+              [this](const std::vector<policy::PartSuspicion>& suspicions) {
+                link_.AddSuspicions(suspicions);
+              },
               [this] { ScheduleUrgentLoad(); }, events_}),
       link_(io, MakeTransportOptions(options_, events_),
             MakeSelfReport(options_), LinkHooks()),
@@ -92,9 +95,11 @@
       [this](const std::vector<membership::InstanceRecord>& records) {
         proxy_.UpdateInstances(records);
       };
-  hooks.crashes = [this](const std::vector<protocol::CrashWitness>& witnesses) {
-    proxy_.RecordCrashes(witnesses);
+  hooks.crashes = [this](const protocol::CrashesTold& told) {
+    proxy_.RecordCrashes(told.witnesses);
+    proxy_.MergeSuspicions(told.suspicions);
   };
+  hooks.suspicions = [this] { return proxy_.Suspicions(); };
   hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
     proxy_.ConfirmRouting(sent, committed);
   };
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -165,6 +165,7 @@
   ++attempts_;
   sent_at_ = MonotonicNow();
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
+  known_at_send_ = owner_.KnownAgainstParts(*this);
   charge_ = owner_.OnSent(*this);
   body_.clear();
   response_begun_ = false;
@@ -302,8 +303,16 @@
          (has_events || response_framing_ != Framing::kUntilClose);
 }
 
+/// An answer that ends with its connection may have been cut off unnoticed.
+void Exchange::ReportWholeAnswer() {
+  if (response_framing_ != Framing::kUntilClose) {
+    owner_.OnWholeAnswer(*this);
+  }
+}
+
 void Exchange::FinishStream() {
   owner_.OnOutcome(*this, true);
+  ReportWholeAnswer();
   StartStream();
   const std::size_t partial_event_bytes = splitter_.partial_event_bytes();
   request_.caller->Write(splitter_.TakePartialEvent());
@@ -343,6 +352,9 @@
                    Verdict::kMayHaveRun));
     return;
   }
+  if (IsSuccess(response_.status)) {
+    ReportWholeAnswer();
+  }
   request_.caller->Respond(response_, body_);
   End(response_.status >= kServerError ? EventId::kRequestFailed
                                        : EventId::kRequestFinished,
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "rattanward/policy/tier_gate.h"
-#include "rattanward/proxy/reachability.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -17,8 +16,6 @@
 /// After this time, an entry without upstreams can become ready.
 constexpr Duration kFirstUpstreamTimeout{std::chrono::seconds(3)};
 constexpr Duration kReadyLease{std::chrono::milliseconds(2500)};
-constexpr Duration kProbeDelay{std::chrono::milliseconds(30)};
-constexpr Duration kProbeTimeout{std::chrono::milliseconds(400)};
 /// Records of removed upstreams are kept for this time, so that delayed updates
 /// can be recognised as outdated.
 constexpr Duration kGoneUpstreamRetention{std::chrono::seconds(120)};
@@ -102,17 +99,6 @@
   ScheduleDrain();
 }
 
-void Proxy::RecordCrashes(
-    const std::vector<protocol::CrashWitness>& witnesses) {
-  for (const protocol::CrashWitness& witness : witnesses) {
-    if (crashes_.RecordCrash(witness)) {
-      hooks_.events({EventId::kRequestQuarantined,
-                     {{"fingerprint", std::to_string(witness.fingerprint)},
-                      {"last_upstream", witness.upstream.str()}}});
-    }
-  }
-}
-
 void Proxy::ConfirmRouting(TimePoint as_of, ConfigVersion newest) {
   required_version_ = std::max(required_version_, newest);
   if (!table_ || table_->version() < required_version_) {
@@ -208,10 +194,10 @@
   if (full_services->count(service) > 0) {
     return false;
   }
-  if (crashes_.ReachedCrashLimit(exchange->routed().fingerprint)) {
-    exchange->Refuse(MakeError(ErrorCode::kNoUpstream,
-                               "request is quarantined: it crashed "
-                               "upstreams"));
+  const Status allowed = CheckNotQuarantined(exchange->routed().fingerprint,
+                                             exchange->placement().prompt);
+  if (!allowed) {
+    exchange->Refuse(allowed.error());
     return true;
   }
   const auto upstream = placer_.Choose(exchange->placement(),
@@ -293,39 +279,6 @@
   placer_.RecordOutcome(exchange.upstream(), succeeded);
 }
 
-/// A lost connection doesn't prove that the upstream crashed. A new connection
-/// shows whether its process is still there.
-void Proxy::OnConnectionLost(const Exchange& exchange) {
-  const membership::InstanceRecord* record =
-      directory_.Find(exchange.upstream());
-  if (record == nullptr) {
-    return;
-  }
-  Probe(exchange.upstream(), {exchange.routed().fingerprint,
-                              exchange.upstream(), record->stamp.born});
-}
-
-void Proxy::Probe(const UpstreamId& upstream,
-                  const protocol::CrashWitness& witness) {
-  timers_.After(kProbeDelay, [this, upstream, witness](TimePoint) {
-    const membership::InstanceRecord* record = directory_.Find(upstream);
-    if (record == nullptr || record->stamp.born != witness.born) {
-      RecordCrashes({witness});
-      hooks_.witness(witness);
-      return;
-    }
-    CheckReachable(io_, record->endpoint, kProbeTimeout,
-                   [this, upstream, witness](bool reached) {
-                     if (!reached) {
-                       placer_.RecordFailure(upstream, true, MonotonicNow());
-                       pool_.CloseAllIdle(upstream);
-                       RecordCrashes({witness});
-                       hooks_.witness(witness);
-                     }
-                   });
-  });
-}
-
 void Proxy::Log(EventId id, const Exchange& exchange,
                 std::vector<EventField> fields) {
   meter_.Count(id);
@@ -351,6 +304,9 @@
          ScrapeLine("upstreams_known", directory_.size()) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
+         ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
+         ScrapeLine("prompt_parts_quarantined",
+                    part_quarantine_.quarantined()) +
          ScrapeLine("ready", Ready() ? 1 : 0);
 }
 
@@ -360,6 +316,7 @@
 
 void Proxy::RunMaintenance(TimePoint now) {
   pool_.CloseExpired(now);
+  part_quarantine_.Expire(now);
   for (const UpstreamId& id : directory_.Forget(now - kGoneUpstreamRetention)) {
     placer_.RemoveInstance(id);
   }
--- /dev/null
+++ b/src/proxy/proxy_crashes.cc
@@ -0,0 +1,170 @@
+#include <string>
+#include <utility>
+
+#include "rattanward/proxy/proxy.h"
+#include "rattanward/proxy/reachability.h"
+
+namespace rattanward::proxy {
+namespace {
+
+using adapter::MonotonicNow;
+
+constexpr Duration kProbeDelay{std::chrono::milliseconds(30)};
+constexpr Duration kProbeTimeout{std::chrono::milliseconds(400)};
+constexpr Duration kQuarantineRetryAfter{std::chrono::seconds(30)};
+
+Error QuarantineError(std::string message) {
+  Error error = MakeError(ErrorCode::kNoUpstream, std::move(message));
+  error.retry_after = kQuarantineRetryAfter;
+  return error;
+}
+
+}  // namespace
+
+/// Errors: kNoUpstream if upstreams crashed on the request, or on a part of its
+/// prompt.
+Status Proxy::CheckNotQuarantined(
+    std::uint64_t fingerprint,
+    const std::vector<policy::PromptPart>& prompt) const {
+  if (crashes_.ReachedCrashLimit(fingerprint)) {
+    return QuarantineError("request is quarantined: it crashed upstreams");
+  }
+  const std::optional<std::uint64_t> part =
+      part_quarantine_.FindQuarantined(policy::SharedParts(prompt));
+  if (part) {
+    return QuarantineError("part " + std::to_string(*part) +
+                           " of the prompt is quarantined: it crashed "
+                           "upstreams");
+  }
+  return outcome::success();
+}
+
+/// Requests that wait when their quarantine becomes known are refused at once.
+void Proxy::RefuseQuarantined() {
+  const auto exchanges = exchanges_;
+  for (const std::shared_ptr<Exchange>& exchange : exchanges) {
+    if (!exchange->waiting()) {
+      continue;
+    }
+    const Status allowed = CheckNotQuarantined(exchange->routed().fingerprint,
+                                               exchange->placement().prompt);
+    if (!allowed) {
+      exchange->Refuse(allowed.error());
+    }
+  }
+}
+
+/// A lost connection doesn't prove that the upstream crashed. A new connection
+/// shows whether its process is still there.
+void Proxy::OnConnectionLost(const Exchange& exchange) {
+  const membership::InstanceRecord* record =
+      directory_.Find(exchange.upstream());
+  if (record == nullptr) {
+    return;
+  }
+  const CrashEvidence evidence{
+      {exchange.routed().fingerprint, exchange.upstream(), record->stamp.born},
+      exchange.known_at_send()};
+  timers_.After(kProbeDelay,
+                [this, evidence](TimePoint) { ProbeAfterLoss(evidence); });
+}
+
+void Proxy::ProbeAfterLoss(const CrashEvidence& evidence) {
+  const protocol::CrashWitness& witness = evidence.witness;
+  const membership::InstanceRecord* record = directory_.Find(witness.upstream);
+  if (record == nullptr || record->stamp.born != witness.born) {
+    RecordCrash(evidence);
+    return;
+  }
+  CheckReachable(io_, record->endpoint, kProbeTimeout,
+                 [this, evidence](bool reached) {
+                   if (!reached) {
+                     const UpstreamId& upstream = evidence.witness.upstream;
+                     placer_.RecordFailure(upstream, true, MonotonicNow());
+                     pool_.CloseAllIdle(upstream);
+                     RecordCrash(evidence);
+                   }
+                 });
+}
+
+void Proxy::RecordCrash(const CrashEvidence& evidence) {
+  RecordCrashes({evidence.witness});
+  std::vector<std::uint64_t> parts;
+  for (const policy::PartSuspicion& known : evidence.known_at_send) {
+    parts.push_back(known.part);
+  }
+  const std::vector<policy::PartSuspicion> before =
+      part_quarantine_.KnownAgainst(parts);
+  hooks_.suspicions(
+      part_quarantine_.RecordCrash(evidence.known_at_send, MonotonicNow()));
+  for (const policy::PartSuspicion& suspicion : before) {
+    LogPartChange(suspicion);
+  }
+  hooks_.witness(evidence.witness);
+}
+
+void Proxy::RecordCrashes(
+    const std::vector<protocol::CrashWitness>& witnesses) {
+  for (const protocol::CrashWitness& witness : witnesses) {
+    if (crashes_.RecordCrash(witness)) {
+      hooks_.events({EventId::kRequestQuarantined,
+                     {{"fingerprint", std::to_string(witness.fingerprint)},
+                      {"last_upstream", witness.upstream.str()}}});
+      RefuseQuarantined();
+    }
+  }
+}
+
+std::vector<policy::PartSuspicion> Proxy::KnownAgainstParts(
+    const Exchange& exchange) const {
+  return part_quarantine_.KnownAgainst(
+      policy::SharedParts(exchange.placement().prompt));
+}
+
+void Proxy::OnWholeAnswer(const Exchange& exchange) {
+  const std::vector<std::uint64_t> parts =
+      policy::SharedParts(exchange.placement().prompt);
+  const std::vector<policy::PartSuspicion> before =
+      part_quarantine_.KnownAgainst(parts);
+  hooks_.suspicions(part_quarantine_.RecordSuccess(parts, MonotonicNow()));
+  for (const policy::PartSuspicion& suspicion : before) {
+    LogPartChange(suspicion);
+  }
+}
+
+void Proxy::MergeSuspicions(
+    const std::vector<policy::PartSuspicion>& received) {
+  std::vector<policy::PartSuspicion> newer;
+  for (const policy::PartSuspicion& suspicion : received) {
+    const policy::PartSuspicion before =
+        part_quarantine_.KnownAgainst({suspicion.part}).front();
+    const auto own = part_quarantine_.Merge(suspicion, MonotonicNow());
+    if (own) {
+      newer.push_back(*own);
+    }
+    LogPartChange(before);
+  }
+  hooks_.suspicions(newer);
+}
+
+/// Logs whether a part has become quarantined, or is no longer.
+void Proxy::LogPartChange(const policy::PartSuspicion& before) {
+  const policy::PartSuspicion after =
+      part_quarantine_.KnownAgainst({before.part}).front();
+  const bool quarantined = policy::PartQuarantine::ReachesLimit(after);
+  if (quarantined == policy::PartQuarantine::ReachesLimit(before)) {
+    return;
+  }
+  hooks_.events(
+      {quarantined ? EventId::kPromptPartQuarantined
+                   : EventId::kPromptPartCleared,
+       {{"part", std::to_string(after.part)},
+        {"crashes", std::to_string(after.crashes)},
+        {"clearances", std::to_string(after.clearances)},
+        {"quarantined", std::to_string(part_quarantine_.quarantined())}}});
+  if (quarantined) {
+    RefuseQuarantined();
+  }
+}
+
+}  // namespace rattanward::proxy
--- a/src/proxy/proxy_requests.cc
+++ b/src/proxy/proxy_requests.cc
@@ -18,7 +18,6 @@
 constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(1500)};
 constexpr Duration kShutdownRetryAfter{std::chrono::milliseconds(20)};
 constexpr Duration kDefaultDeadline{std::chrono::seconds(10)};
-constexpr Duration kCrashingRequestRetryAfter{std::chrono::seconds(30)};
 
 std::uint64_t Fingerprint(const http::ServerRequest& request,
                           const RoutedAccount* account) {
@@ -112,11 +111,10 @@
   routed.service =
       ChooseService(*routed.route, TrafficSplitHash(routed.traits));
   routed.fingerprint = Fingerprint(request, routed.account);
-  if (crashes_.ReachedCrashLimit(routed.fingerprint)) {
-    Error error = MakeError(ErrorCode::kNoUpstream,
-                            "request is quarantined: it crashed upstreams");
-    error.retry_after = kCrashingRequestRetryAfter;
-    return error;
+  const Status allowed =
+      CheckNotQuarantined(routed.fingerprint, routed.traits.prompt);
+  if (!allowed) {
+    return allowed.error();
   }
   routed.caller = caller;
   routed.request = std::move(request);
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -64,6 +64,10 @@
     hooks.witness = [this](const protocol::CrashWitness& witness) {
       witnesses.push_back(witness);
     };
+    hooks.suspicions =
+        [this](const std::vector<policy::PartSuspicion>& changed) {
+          suspicions.insert(suspicions.end(), changed.begin(), changed.end());
+        };
     hooks.urgent_load = [] {};
     hooks.events = [this](const Event& event) { events.push_back(event); };
     data_path = std::make_unique<proxy::Proxy>(io, options, dialect, hooks);
@@ -111,6 +115,7 @@
   asio::io_context io;
   TestDialect dialect;
   std::vector<protocol::CrashWitness> witnesses;
+  std::vector<policy::PartSuspicion> suspicions;
   std::vector<Event> events;
   std::unique_ptr<proxy::Proxy> data_path;
   std::vector<std::unique_ptr<LoopbackUpstream>> upstreams;
