Heed upstreams that say they leave or ask for quiet

Cause: two new rules of the users' platform. An upstream's answers were read for its signature and its request id only, so a machine that had passed on an answer with the mark of leaving went on sending until the upstream's own heartbeat reached control, and an upstream that turned requests away with a Retry-After got the next ones after 60 ms.

Change: the platform decodes both; every head that arrives is read, also of interim and skipped answers. Leaving marks one start in the directory, against its heartbeats, is reported to control and pushed on with the record. Quiet is a pure QuietPeriod in the placer: nothing until it ends, then a return over 2 s; a request that was turned away goes on elsewhere without using up its attempts; where all ask for quiet, a request waits or is refused at once.

Open: entries tell each other only through control, the product's own upstream protocol, the limit as a setting.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -110,6 +110,7 @@
                     const adapter::ReplyHandle& reply);
   void HandleInstancePush(const adapter::InboundMessage& message);
   void HandleInstanceBeats(const adapter::InboundMessage& message);
+  void MarkLeaving(const std::vector<membership::LeavingInstance>& told);
   void HandleCrashes(const adapter::InboundMessage& message);
   protocol::CrashesTold TakeNews(
       const std::vector<protocol::CrashWitness>& witnesses,
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -41,6 +41,8 @@
   kUpstreamProbation = 3004,
   kUpstreamRestored = 3005,
   kUpstreamBroke = 3008,
+  kUpstreamLeaving = 3009,
+  kUpstreamQuiet = 3010,
   kEntryPeerLost = 3006,
   kEntryPeerFound = 3007,
 
--- a/include/rattanward/http/client_connection.h
+++ b/include/rattanward/http/client_connection.h
@@ -35,6 +35,9 @@
 class ClientHandler {
  public:
   virtual ~ClientHandler() = default;
+  /// @brief A response head arrived, also that of an interim response or of one
+  /// that will be skipped.
+  virtual void OnReceivedHead(const ResponseHead& /*head*/) {}
   /// @brief Whether the response belongs to the request.
   /// @note A response that does not is skipped. If only a close of the
   /// connection would end it, the exchange fails.
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -39,6 +39,9 @@
   /// Set after several missed heartbeats. The instance may have crashed, or may
   /// only be unable to reach control.
   bool silent = false;
+  /// The instance told a caller's entry that it is leaving. Holds for this
+  /// start, whatever its heartbeats say.
+  bool leaving = false;
 
   friend bool operator==(const InstanceRecord&,
                          const InstanceRecord&) = default;
@@ -52,6 +55,15 @@
   friend bool operator==(const InstanceBeat&, const InstanceBeat&) = default;
 };
 
+/// @brief A start of an upstream that told an entry that it is leaving.
+struct LeavingInstance {
+  UpstreamId id;
+  std::uint64_t born = 0;
+
+  friend auto operator<=>(const LeavingInstance&,
+                          const LeavingInstance&) = default;
+};
+
 /// @brief Directory of the upstream instances. Records may arrive late,
 /// repeatedly, out of order and over several paths.
 /// @note Pure: no I/O, and the time is a parameter. The record with the newest
@@ -71,7 +83,7 @@
   };
 
   /// @brief Merges a record received from the instance or from another process.
-  Change Merge(const InstanceRecord& record, TimePoint now);
+  Change Merge(const InstanceRecord& received, TimePoint now);
 
   /// @brief Applies a heartbeat, which is ignored for an unknown instance or
   /// start.
@@ -86,6 +98,11 @@
                                            std::optional<std::uint64_t> born,
                                            TimePoint now);
 
+  /// @brief Marks a start as leaving, which it told in an answer.
+  /// @return Whether this is news. A start that is not known yet is remembered;
+  /// an older or newer start of the same id is not affected.
+  bool MarkLeaving(const LeavingInstance& leaving);
+
   /// @brief Marks instances last heard from before a time as silent.
   /// @return The records of the newly marked instances.
   std::vector<InstanceRecord> MarkSilent(TimePoint heard_before);
@@ -113,10 +130,15 @@
     TimePoint last_heard;
   };
 
+  Change MergeRecord(const InstanceRecord& record, TimePoint now);
+  InstanceRecord WithLeaving(InstanceRecord record) const;
+  void ForgetUnknownLeaving();
   void RecordAddressOwner(const InstanceRecord& record);
 
   std::map<UpstreamId, Instance> instances_;
   std::vector<UpstreamId> changed_;
+  /// Latest start of each id that told that it is leaving.
+  std::map<UpstreamId, std::uint64_t> leaving_;
   /// Latest start among the instances that registered an address.
   std::map<Endpoint, std::uint64_t> newest_born_by_address_;
 };
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -14,6 +14,7 @@
 #include "rattanward/domain/routing.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/quiet_period.h"
 
 namespace rattanward::policy {
 
@@ -167,6 +168,9 @@
   /// The other entries are told at once of a prompt with more uncached tokens
   /// than this.
   std::uint32_t urgent_tokens = 1500;
+  /// Hash of the entry's process id; requests of different entries return to
+  /// an upstream at different times after it asked for quiet.
+  std::uint64_t entry_hash = 0;
   /// Whether prompt parts placed by other entries count as cached.
   bool use_remote_placements = true;
 
@@ -198,7 +202,8 @@
 
   /// @brief Adds or updates an upstream instance. A restart of the instance
   /// resets its load and cached parts.
-  void SetInstance(const membership::InstanceRecord& record);
+  /// @return Whether it is new or has restarted.
+  bool SetInstance(const membership::InstanceRecord& record);
   void RemoveInstance(const UpstreamId& id);
 
   /// @brief Sets the number of entries that share the upstreams, this one
@@ -251,6 +256,18 @@
   /// with each consecutive failure and the cached parts are forgotten.
   void RecordFailure(const UpstreamId& id, bool unreachable, TimePoint now);
 
+  /// @brief Records that an upstream wants no request of this entry until the
+  /// given time.
+  void RecordQuietRequest(const UpstreamId& id, TimePoint until);
+
+  /// @brief The earliest end among the quiet periods, if every upstream of a
+  /// service that may be used has asked for one.
+  std::optional<TimePoint> QuietUntil(const ServiceName& service,
+                                      TimePoint now) const;
+
+  /// @brief Number of upstreams that want no request of this entry now.
+  std::size_t QuietUpstreams(TimePoint now) const;
+
   /// @brief Records that an upstream answered, which resets its count of
   /// consecutive failures.
   void RecordAnswer(const UpstreamId& id);
@@ -305,6 +322,7 @@
     /// Consecutive times that the instance was unreachable.
     std::uint32_t failures = 0;
     TimePoint avoid_until;
+    QuietPeriod quiet;
   };
   struct Service {
     RoutedService declared;
@@ -330,6 +348,7 @@
   };
 
   bool IsUsable(const Instance& instance, TimePoint now) const;
+  bool MayReturn(const Instance& instance, TimePoint now) const;
   void DecayOutcomes(TimePoint now);
   double MsSinceOrigin(TimePoint now) const;
   UpstreamLoad TotalLoad(const Instance& instance, TimePoint now) const;
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -41,6 +41,8 @@
   std::vector<CrashWitness> witnesses;
   /// Changes that no control VM has confirmed yet; see PartQuarantine.
   std::vector<policy::PartSuspicion> suspicions;
+  /// Upstreams that told this entry lately that they are leaving.
+  std::vector<membership::LeavingInstance> leaving;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
@@ -123,12 +125,17 @@
   static auto Tie(auto& m) { return std::tie(m.part, m.clearances, m.crashes); }
 };
 
+template <>
+struct FieldsOf<membership::LeavingInstance> {
+  static auto Tie(auto& m) { return std::tie(m.id, m.born); }
+};
+
 template <>
 struct FieldsOf<EntryReport> {
   static auto Tie(auto& m) {
     return std::tie(m.process, m.failure_domain, m.incarnation, m.sequence,
                     m.routing, m.push_heeded, m.peer_endpoint, m.witnesses,
-                    m.suspicions);
+                    m.suspicions, m.leaving);
   }
 };
 
@@ -173,7 +180,7 @@
 struct FieldsOf<membership::InstanceRecord> {
   static auto Tie(auto& m) {
     return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
-                    m.version, m.slots, m.state, m.silent);
+                    m.version, m.slots, m.state, m.silent, m.leaving);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -61,6 +61,9 @@
   /// told them, or stronger ones, to this entry.
   void AddSuspicions(const std::vector<policy::PartSuspicion>& suspicions);
 
+  /// @brief Includes an upstream that is leaving in the next reports.
+  void AddLeaving(const membership::LeavingInstance& upstream);
+
   /// @brief Sends a report to every control VM.
   void SendReports();
 
@@ -86,6 +89,8 @@
   ControlLinkHooks hooks_;
   std::map<Endpoint, Control> controls_;
   std::vector<protocol::CrashWitness> witnesses_;
+  /// With the time until which they are reported.
+  std::vector<std::pair<TimePoint, membership::LeavingInstance>> leaving_;
   /// By part.
   std::map<std::uint64_t, policy::PartSuspicion> unconfirmed_suspicions_;
 };
--- a/include/rattanward/proxy/dialect.h
+++ b/include/rattanward/proxy/dialect.h
@@ -55,6 +55,11 @@
   bool has_signature = false;
   /// The response states that the request did not run.
   bool not_run = false;
+  /// The upstream states that it is leaving and wants no further request.
+  bool leaving = false;
+  /// The upstream turned the request away and wants no request of this entry
+  /// for so long.
+  std::optional<Duration> quiet_for;
 
   friend bool operator==(const ResponseTraits&,
                          const ResponseTraits&) = default;
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -55,6 +55,12 @@
   virtual void OnReleased(
       const Exchange& exchange, const policy::PlacementCharge& charge,
       std::shared_ptr<http::ClientConnection> connection) = 0;
+  /// @brief Start of the process that an upstream id stands for now.
+  virtual std::uint64_t StartOf(const UpstreamId& upstream) const = 0;
+  /// @brief The upstream told that it is leaving.
+  virtual void OnLeaving(const Exchange& exchange) = 0;
+  /// @brief The upstream wants no request of this entry for so long.
+  virtual void OnQuietRequest(const Exchange& exchange, Duration quiet_for) = 0;
   /// @brief The upstream rejected the request without running it.
   virtual void OnRejected(const Exchange& exchange) = 0;
   /// @brief No connection to the upstream could be opened.
@@ -125,6 +131,8 @@
   TimePoint answered_at() const;
   bool waiting() const { return state_ == State::kWaiting; }
   bool finished() const { return state_ == State::kFinished; }
+  /// @brief Start of the upstream when the request was sent to it.
+  std::uint64_t upstream_start() const { return upstream_start_; }
   /// @brief What was known against the prompt's parts when the request was
   /// sent.
   const std::vector<policy::PartSuspicion>& known_at_send() const {
@@ -135,6 +143,7 @@
   /// have run.
   bool is_retryable() const;
 
+  void OnReceivedHead(const http::ResponseHead& head) override;
   bool IsMatchingResponse(const http::ResponseHead& head) const override;
   void OnHead(const http::ResponseHead& head, http::Framing framing,
               std::uint64_t length) override;
@@ -183,7 +192,9 @@
   /// Whether any upstream may have started to run the request.
   bool may_have_run_ = false;
   http::ResponseHead response_;
+  /// Of the latest response head, whether it belongs to the request or not.
   ResponseTraits response_traits_;
+  std::uint64_t upstream_start_ = 0;
   std::vector<policy::PartSuspicion> known_at_send_;
   /// Whether the response head of the current attempt has arrived.
   bool response_begun_ = false;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -36,6 +36,8 @@
   std::size_t max_connections = 2048;
   std::size_t max_body_bytes = 16U << 20U;
   policy::RetryLimits retries;
+  /// Limit of the time for which an upstream can ask for quiet.
+  Duration max_quiet{std::chrono::seconds(60)};
   /// Requests that need a key are sent only within this time after control
   /// confirmed that the routes are current.
   Duration key_lease{std::chrono::milliseconds(4500)};
@@ -50,6 +52,8 @@
   std::function<void(const protocol::CrashWitness&)> witness;
   /// What is known against parts of prompts has changed at this entry.
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
+  /// An upstream told this entry that it is leaving.
+  std::function<void(const membership::LeavingInstance&)> leaving;
   /// Long prompts were sent; see TakeUrgentLoad().
   std::function<void()> urgent_load;
   port::EventSink events;
@@ -150,6 +154,9 @@
   void OnReleased(const Exchange& exchange,
                   const policy::PlacementCharge& charge,
                   std::shared_ptr<http::ClientConnection> connection) override;
+  std::uint64_t StartOf(const UpstreamId& upstream) const override;
+  void OnLeaving(const Exchange& exchange) override;
+  void OnQuietRequest(const Exchange& exchange, Duration quiet_for) override;
   void OnRejected(const Exchange& exchange) override;
   void OnUnreachable(const Exchange& exchange) override;
   void OnConnectionLost(const Exchange& exchange) override;
@@ -187,6 +194,8 @@
       std::uint64_t fingerprint,
       const std::vector<policy::PromptPart>& prompt) const;
   void RefuseQuarantined();
+  void ApplyDirectoryChanges();
+  Status CheckWorthWaiting(const Exchange& exchange) const;
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
   void LogPartChange(const policy::PartSuspicion& before);
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -100,6 +100,7 @@
   entry.push_heeded = std::max(entry.push_heeded, report.push_heeded);
   entry.last_report_at = MonotonicNow();
   ForwardCrashes(report, reply);
+  MarkLeaving(report.leaving);
   reply.Reply(protocol::MessageKind::kControlReport,
               protocol::Encode(ReportFor(entry)));
   const bool leads = daemon_.replica().ConfirmedLeader();
@@ -231,6 +232,17 @@
   PushDirectoryChanges();
 }
 
+void RoutingHub::MarkLeaving(
+    const std::vector<membership::LeavingInstance>& told) {
+  for (const membership::LeavingInstance& leaving : told) {
+    const InstanceRecord* record = directory_.Find(leaving.id);
+    if (directory_.MarkLeaving(leaving) && record != nullptr) {
+      SendRecordsToControls({*record});
+    }
+  }
+  PushDirectoryChanges();
+}
+
 void RoutingHub::HandleInstanceBeats(const adapter::InboundMessage& message) {
   const auto incoming =
       protocol::Decode<protocol::InstanceBeats>(message.envelope.body);
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -40,6 +40,8 @@
       {EventId::kUpstreamProbation, "upstream-probation"},
       {EventId::kUpstreamRestored, "upstream-restored"},
       {EventId::kUpstreamBroke, "upstream-broke"},
+      {EventId::kUpstreamLeaving, "upstream-leaving"},
+      {EventId::kUpstreamQuiet, "upstream-quiet"},
       {EventId::kEntryPeerLost, "entry-peer-lost"},
       {EventId::kEntryPeerFound, "entry-peer-found"},
       {EventId::kLeaderElected, "leader-elected"},
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -238,6 +238,7 @@
 void ClientConnection::ProcessHead() {
   constexpr int kFirstFinalStatus = 200;
   const ResponseHead& head = parser_->head();
+  handler_->OnReceivedHead(head);
   skipping_response_ =
       head.status < kFirstFinalStatus || !handler_->IsMatchingResponse(head);
   if (skipping_response_) {
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -10,6 +10,8 @@
 /// Largest number of addresses whose latest start is kept. All are cleared when
 /// it is reached.
 constexpr std::size_t kMaxAddresses = 16384;
+/// Number of leaving starts above which those without a record are dropped.
+constexpr std::size_t kMaxLeaving = 4096;
 
 /// Whether two records differ in the sequence at most.
 bool SameContent(const InstanceRecord& a, const InstanceRecord& b) {
@@ -20,8 +22,52 @@
 
 }  // namespace
 
-InstanceDirectory::Change InstanceDirectory::Merge(const InstanceRecord& record,
-                                                   TimePoint now) {
+InstanceDirectory::Change InstanceDirectory::Merge(
+    const InstanceRecord& received, TimePoint now) {
+  const bool newly_leaving =
+      received.leaving && MarkLeaving({received.id, received.stamp.born});
+  const Change change = MergeRecord(WithLeaving(received), now);
+  return newly_leaving ? Change::kChanged : change;
+}
+
+bool InstanceDirectory::MarkLeaving(const LeavingInstance& leaving) {
+  const auto [mark, added] = leaving_.try_emplace(leaving.id, leaving.born);
+  if (!added && mark->second >= leaving.born) {
+    return false;
+  }
+  mark->second = leaving.born;
+  const auto found = instances_.find(leaving.id);
+  if (found != instances_.end() &&
+      found->second.record.stamp.born == leaving.born) {
+    found->second.record = WithLeaving(found->second.record);
+    changed_.push_back(leaving.id);
+  }
+  if (leaving_.size() > kMaxLeaving) {
+    ForgetUnknownLeaving();
+  }
+  return true;
+}
+
+/// Drops the marks of starts that have no record.
+void InstanceDirectory::ForgetUnknownLeaving() {
+  std::erase_if(leaving_, [this](const auto& mark) {
+    const InstanceRecord* record = Find(mark.first);
+    return record == nullptr || record->stamp.born != mark.second;
+  });
+}
+
+/// Adds what an instance told in its answers to what it registered.
+InstanceRecord InstanceDirectory::WithLeaving(InstanceRecord record) const {
+  const auto mark = leaving_.find(record.id);
+  record.leaving = mark != leaving_.end() && mark->second == record.stamp.born;
+  if (record.leaving && record.state == InstanceState::kReady) {
+    record.state = InstanceState::kDraining;
+  }
+  return record;
+}
+
+InstanceDirectory::Change InstanceDirectory::MergeRecord(
+    const InstanceRecord& record, TimePoint now) {
   RecordAddressOwner(record);
   const auto found = instances_.find(record.id);
   if (found == instances_.end()) {
@@ -31,7 +77,6 @@
       // An earlier process at this address. The record is kept so that its
       // older records are recognized as stale.
       added.record.state = InstanceState::kGone;
-      return Change::kStale;
     }
     changed_.push_back(record.id);
     return Change::kChanged;
@@ -105,6 +150,7 @@
   }
   if (born && *born > record.stamp.born) {
     record.stamp = {*born, std::numeric_limits<std::uint64_t>::max()};
+    record.leaving = false;
   }
   record.state = InstanceState::kGone;
   record.silent = false;
@@ -162,6 +208,9 @@
     forgotten.push_back(item.first);
     return true;
   });
+  for (const UpstreamId& id : forgotten) {
+    leaving_.erase(id);
+  }
   return forgotten;
 }
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -28,7 +28,7 @@
   IndexInstances();
 }
 
-void Placer::SetInstance(const membership::InstanceRecord& record) {
+bool Placer::SetInstance(const membership::InstanceRecord& record) {
   Instance& instance = instances_[record.id];
   const bool restarted = instance.record.stamp.born != record.stamp.born;
   if (restarted) {
@@ -38,6 +38,7 @@
   instance.record = record;
   instance.hash = StableHash(record.id.str());
   IndexInstances();
+  return restarted;
 }
 
 void Placer::RemoveInstance(const UpstreamId& id) {
@@ -91,7 +92,52 @@
 
 bool Placer::IsUsable(const Instance& instance, TimePoint now) const {
   return instance.record.state == membership::InstanceState::kReady &&
-         now >= instance.avoid_until;
+         now >= instance.avoid_until && MayReturn(instance, now);
+}
+
+/// Whether an upstream that asked for quiet may get another request of this
+/// entry.
+bool Placer::MayReturn(const Instance& instance, TimePoint now) const {
+  if (instance.quiet.Over(now)) {
+    return true;
+  }
+  const double share = static_cast<double>(instance.record.slots) /
+                       static_cast<double>(entries_);
+  constexpr double kMaxWeight = 18446744073709551616.0;  // 2^64
+  const double spread = static_cast<double>(RendezvousWeight(
+                            instance.hash, options_.entry_hash)) /
+                        kMaxWeight;
+  return instance.quiet.Allows(instance.local_load.running, share, spread, now);
+}
+
+void Placer::RecordQuietRequest(const UpstreamId& id, TimePoint until) {
+  const auto found = instances_.find(id);
+  if (found != instances_.end()) {
+    found->second.quiet.ExtendTo(until);
+  }
+}
+
+std::optional<TimePoint> Placer::QuietUntil(const ServiceName& service,
+                                            TimePoint now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> earliest;
+  for (const Instance* instance : found->second.instances) {
+    if (!instance->quiet.Active(now)) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(instance->quiet.end()),
+                        instance->quiet.end());
+  }
+  return earliest;
+}
+
+std::size_t Placer::QuietUpstreams(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      instances_.begin(), instances_.end(),
+      [now](const auto& item) { return item.second.quiet.Active(now); }));
 }
 
 const Placer::Instance* Placer::FindBest(const PlacementRequest& request,
--- /dev/null
+++ b/src/policy/quiet_period.cc
@@ -0,0 +1,30 @@
+#include "rattanward/policy/quiet_period.h"
+
+#include <algorithm>
+
+namespace rattanward::policy {
+
+void QuietPeriod::ExtendTo(TimePoint end) { end_ = std::max(end_, end); }
+
+bool QuietPeriod::Allows(std::uint32_t running, double share, double spread,
+                         TimePoint now) const {
+  if (Over(now)) {
+    return true;
+  }
+  if (Active(now)) {
+    return false;
+  }
+  const std::chrono::duration<double> returned = now - end_;
+  const std::chrono::duration<double> return_time = kReturnTime;
+  // The spread decides when the first request returns; less than one request
+  // is the part of an entry among many.
+  const double allowed =
+      std::max(share, 1.0) * (returned / return_time) + spread;
+  return running + 1 <= allowed;
+}
+
+bool WaitsForQuietEnd(TimePoint quiet_end, TimePoint deadline, TimePoint now) {
+  return quiet_end - now <= (deadline - now) / 2;
+}
+
+}  // namespace rattanward::policy
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -14,6 +14,9 @@
 constexpr std::size_t kMaxControlVms = 32;
 /// Maximum number of crashes kept; every report includes all of them.
 constexpr std::size_t kMaxWitnesses = 64;
+/// Time for which reports name an upstream that is leaving. By then its own
+/// heartbeats say so, or it is gone.
+constexpr Duration kLeavingReportTime{std::chrono::seconds(10)};
 /// The rest follows with the next reports.
 constexpr std::size_t kMaxSuspicionsPerReport = 128;
 
@@ -76,7 +79,13 @@
   }
 }
 
+void ControlLink::AddLeaving(const membership::LeavingInstance& upstream) {
+  leaving_.emplace_back(MonotonicNow() + kLeavingReportTime, upstream);
+}
+
 void ControlLink::SendReports() {
+  const TimePoint now = MonotonicNow();
+  std::erase_if(leaving_, [now](const auto& item) { return item.first < now; });
   for (auto& [endpoint, control] : controls_) {
     SendReport(endpoint, control);
   }
@@ -96,6 +105,9 @@
     }
     report.suspicions.push_back(suspicion);
   }
+  for (const auto& [until, upstream] : leaving_) {
+    report.leaving.push_back(upstream);
+  }
   protocol::Envelope envelope;
   envelope.kind = protocol::MessageKind::kEntryReport;
   envelope.body = protocol::Encode(report);
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -72,6 +72,10 @@
               [this](const std::vector<policy::PartSuspicion>& suspicions) {
                 link_.AddSuspicions(suspicions);
               },
+              [this](const membership::LeavingInstance& upstream) {
+                link_.AddLeaving(upstream);
+                link_.SendReports();
+              },
               [this] { ScheduleUrgentLoad(); }, events_}),
       link_(io, MakeTransportOptions(options_, events_),
             MakeSelfReport(options_), LinkHooks()),
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -168,6 +168,7 @@
   ++attempts_;
   sent_at_ = MonotonicNow();
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
+  upstream_start_ = owner_.StartOf(upstream_);
   known_at_send_ = owner_.KnownAgainstParts(*this);
   charge_ = owner_.OnSent(*this);
   body_.clear();
@@ -193,14 +194,24 @@
   return true;
 }
 
-bool Exchange::IsMatchingResponse(const http::ResponseHead& head) const {
-  const ResponseTraits traits =
+void Exchange::OnReceivedHead(const http::ResponseHead& head) {
+  response_traits_ =
       owner_.dialect().ReadResponse(head, request_.traits.attempt);
+  if (response_traits_.leaving) {
+    owner_.OnLeaving(*this);
+  }
+  if (response_traits_.quiet_for) {
+    owner_.OnQuietRequest(*this, *response_traits_.quiet_for);
+  }
+}
+
+bool Exchange::IsMatchingResponse(const http::ResponseHead& /*head*/) const {
   // On a reused connection, a response without an id may be a second copy of
   // the response before.
   const bool must_name =
       connection_->reused() && !request_.traits.attempt.empty();
-  return traits.matches_request && (traits.names_request || !must_name);
+  return response_traits_.matches_request &&
+         (response_traits_.names_request || !must_name);
 }
 
 void Exchange::OnHead(const http::ResponseHead& head, Framing framing,
@@ -208,8 +219,6 @@
   owner_.OnResponseHead(*this);
   response_begun_ = true;
   response_framing_ = framing;
-  response_traits_ =
-      owner_.dialect().ReadResponse(head, request_.traits.attempt);
   if (!response_traits_.not_run) {
     may_have_run_ = true;
   }
@@ -366,8 +375,13 @@
 }
 
 void Exchange::HandleRejection() {
-  owner_.OnOutcome(*this, false);
-  owner_.OnRejected(*this);
+  if (response_traits_.quiet_for) {
+    // Neither a failure of the upstream nor an attempt of the request.
+    --attempts_;
+  } else {
+    owner_.OnOutcome(*this, false);
+    owner_.OnRejected(*this);
+  }
   excluded_.insert(upstream_);
   Release();
   const Error refusal =
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -4,6 +4,8 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "rattanward/policy/rendezvous.h"
+#include "rattanward/policy/retry_advice.h"
 #include "rattanward/policy/tier_gate.h"
 
 namespace rattanward::proxy {
@@ -12,6 +14,12 @@
 using adapter::MonotonicNow;
 using membership::InstanceState;
 
+policy::PlacerOptions MakePlacerOptions(const ProxyOptions& options) {
+  policy::PlacerOptions placer;
+  placer.entry_hash = policy::StableHash(options.process.str());
+  return placer;
+}
+
 constexpr Duration kMaintenancePeriod{std::chrono::milliseconds(100)};
 /// After this time, an entry without upstreams can become ready.
 constexpr Duration kFirstUpstreamTimeout{std::chrono::seconds(3)};
@@ -35,7 +43,7 @@
                 OnRequest(caller, std::move(request));
               }),
       pool_(io),
-      placer_(options_.failure_domain),
+      placer_(options_.failure_domain, MakePlacerOptions(options_)),
       started_at_(MonotonicNow()) {
   server_.on_rejected = [this](const Error& error) {
     meter_.RecordMalformed();
@@ -81,9 +89,13 @@
   for (const membership::InstanceRecord& record : records) {
     directory_.Merge(record, now);
   }
+  ApplyDirectoryChanges();
+}
+
+void Proxy::ApplyDirectoryChanges() {
   for (const membership::InstanceRecord& record : directory_.TakeChanges()) {
-    placer_.SetInstance(record);
-    if (record.state != InstanceState::kReady) {
+    const bool restarted = placer_.SetInstance(record);
+    if (restarted || record.state != InstanceState::kReady) {
       pool_.CloseAllIdle(record.id);
     }
     hooks_.events({record.state == InstanceState::kReady
@@ -203,6 +215,11 @@
   const auto upstream = placer_.Choose(exchange->placement(),
                                        exchange->excluded(), MonotonicNow());
   if (!upstream) {
+    const Status worth_waiting = CheckWorthWaiting(*exchange);
+    if (!worth_waiting) {
+      exchange->Refuse(worth_waiting.error());
+      return true;
+    }
     if (placer_.NoneAvailable(service, MonotonicNow())) {
       full_services->insert(service);
     } else if (!placer_.HasAlternative(service, exchange->excluded())) {
@@ -220,6 +237,22 @@
   return true;
 }
 
+/// Errors: kNoUpstream if every upstream has asked for quiet for too long.
+Status Proxy::CheckWorthWaiting(const Exchange& exchange) const {
+  const TimePoint now = MonotonicNow();
+  const std::optional<TimePoint> quiet_until =
+      placer_.QuietUntil(exchange.placement().service, now);
+  if (!quiet_until ||
+      policy::WaitsForQuietEnd(*quiet_until, exchange.deadline(), now)) {
+    return outcome::success();
+  }
+  Error error = MakeError(ErrorCode::kNoUpstream,
+                          "every upstream has asked for no requests");
+  error.retry_after =
+      policy::RetryAdvice(*quiet_until - now, exchange.deadline() - now);
+  return error;
+}
+
 std::shared_ptr<http::ClientConnection> Proxy::Connect(
     const UpstreamId& upstream) {
   const membership::InstanceRecord* record = directory_.Find(upstream);
@@ -259,6 +292,37 @@
   ScheduleDrain();
 }
 
+std::uint64_t Proxy::StartOf(const UpstreamId& upstream) const {
+  const membership::InstanceRecord* record = directory_.Find(upstream);
+  return record == nullptr ? 0 : record->stamp.born;
+}
+
+void Proxy::OnLeaving(const Exchange& exchange) {
+  const membership::LeavingInstance leaving{exchange.upstream(),
+                                            exchange.upstream_start()};
+  if (!directory_.MarkLeaving(leaving)) {
+    return;
+  }
+  hooks_.events({EventId::kUpstreamLeaving,
+                 {{"upstream", leaving.id.str()},
+                  {"request", exchange.routed().traits.attempt.str()}}});
+  ApplyDirectoryChanges();
+  hooks_.leaving(leaving);
+}
+
+void Proxy::OnQuietRequest(const Exchange& exchange, Duration quiet_for) {
+  if (StartOf(exchange.upstream()) != exchange.upstream_start()) {
+    return;
+  }
+  const Duration limited = std::min(quiet_for, options_.max_quiet);
+  placer_.RecordQuietRequest(exchange.upstream(), MonotonicNow() + limited);
+  Log(EventId::kUpstreamQuiet, exchange,
+      {{"quiet_ms",
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(limited)
+                .count())}});
+}
+
 void Proxy::OnRejected(const Exchange& exchange) {
   placer_.RecordFailure(exchange.upstream(), false, MonotonicNow());
 }
@@ -302,6 +366,7 @@
          ScrapeLine("requests_open", exchanges_.size()) +
          ScrapeLine("requests_waiting", queue_.size()) +
          ScrapeLine("upstreams_known", directory_.size()) +
+         ScrapeLine("upstreams_quiet", placer_.QuietUpstreams(MonotonicNow())) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -41,9 +41,11 @@
                         MakeRoute("/once/", RouteKind::kAtMostOnce),
                         MakeRoute("/stream/", RouteKind::kStream),
                         MakeRoute("/resume/", RouteKind::kStream),
-                        MakeRoute("/quick/", RouteKind::kAtMostOnce)};
+                        MakeRoute("/quick/", RouteKind::kAtMostOnce),
+                        MakeRoute("/single/", RouteKind::kAtMostOnce)};
   declaration.routes[3].resumable = true;
   declaration.routes[4].timeout = std::chrono::milliseconds(150);
+  declaration.routes[5].max_attempts = 1;
   return declaration;
 }
 
@@ -68,6 +70,9 @@
         [this](const std::vector<policy::PartSuspicion>& changed) {
           suspicions.insert(suspicions.end(), changed.begin(), changed.end());
         };
+    hooks.leaving = [this](const membership::LeavingInstance& upstream) {
+      leaving.push_back(upstream);
+    };
     hooks.urgent_load = [] {};
     hooks.events = [this](const Event& event) { events.push_back(event); };
     data_path = std::make_unique<proxy::Proxy>(io, options, dialect, hooks);
@@ -116,6 +121,7 @@
   TestDialect dialect;
   std::vector<protocol::CrashWitness> witnesses;
   std::vector<policy::PartSuspicion> suspicions;
+  std::vector<membership::LeavingInstance> leaving;
   std::vector<Event> events;
   std::unique_ptr<proxy::Proxy> data_path;
   std::vector<std::unique_ptr<LoopbackUpstream>> upstreams;
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -51,9 +51,16 @@
   proxy::ResponseTraits ReadResponse(const http::ResponseHead& head,
                                      const AttemptId& attempt) const override {
     const std::string* id = head.fields.Find("id");
-    return {id == nullptr || *id == attempt.str(), id != nullptr,
-            head.fields.Find("signed") != nullptr,
-            head.fields.Find("not-run") != nullptr};
+    proxy::ResponseTraits traits;
+    traits.matches_request = id == nullptr || *id == attempt.str();
+    traits.names_request = id != nullptr;
+    traits.has_signature = head.fields.Find("signed") != nullptr;
+    traits.not_run = head.fields.Find("not-run") != nullptr;
+    traits.leaving = head.fields.Find("leaving") != nullptr;
+    if (const std::string* quiet = head.fields.Find("quiet-ms")) {
+      traits.quiet_for = std::chrono::milliseconds(std::stol(*quiet));
+    }
+    return traits;
   }
 };
 
--- a/tests/src/fuzz-instance_directory.cc
+++ b/tests/src/fuzz-instance_directory.cc
@@ -128,6 +128,20 @@
   }
 }
 
+/// Exchanges all records twice, as control VMs do periodically: only after the
+/// first exchange does the other directory know of every takeover of an
+/// address.
+void ExchangeAll(InstanceDirectory* a, InstanceDirectory* b) {
+  for (int round = 0; round < 2; ++round) {
+    for (const InstanceRecord& record : a->All()) {
+      b->Merge(record, TimePoint());
+    }
+    for (const InstanceRecord& record : b->All()) {
+      a->Merge(record, TimePoint());
+    }
+  }
+}
+
 }  // namespace
 
 TEST_CASE("late, repeated or reordered calls give the same ready upstreams") {
@@ -179,16 +193,58 @@
         }
       }
     }
-    for (const InstanceRecord& record : directory_a.All()) {
-      directory_b.Merge(record, TimePoint());
+    ExchangeAll(&directory_a, &directory_b);
+    RC_ASSERT(Ready(directory_a) == Ready(directory_b));
+  }));
+}
+
+TEST_CASE("a start that is leaving is never ready again, in any order") {
+  CHECK(rc::check([] {
+    const std::vector<Call> calls = GenerateCalls();
+    InstanceDirectory told;
+    InstanceDirectory other;
+    std::set<std::pair<std::string, std::uint64_t>> leaving;
+    for (const Call& call : calls) {
+      if (*rc::gen::inRange(0, 3) == 0) {
+        // Before or after the first record of this start.
+        const Call& chosen = *rc::gen::elementOf(calls);
+        const InstanceRecord record = ToRecord(chosen);
+        told.MarkLeaving({record.id, record.stamp.born});
+        leaving.insert({record.id.str(), record.stamp.born});
+      }
+      Deliver(*rc::gen::arbitrary<bool>() ? &told : &other, call);
     }
-    for (const InstanceRecord& record : directory_b.All()) {
-      directory_a.Merge(record, TimePoint());
+    ExchangeAll(&told, &other);
+    for (const InstanceDirectory* directory : {&told, &other}) {
+      for (const InstanceRecord& record : directory->All()) {
+        const bool marked =
+            leaving.count({record.id.str(), record.stamp.born}) > 0;
+        RC_ASSERT(!marked || record.state != InstanceState::kReady);
+        RC_ASSERT(marked || !record.leaving);
+      }
     }
-    RC_ASSERT(Ready(directory_a) == Ready(directory_b));
+    RC_ASSERT(Ready(told) == Ready(other));
   }));
 }
 
+TEST_CASE("the next start of an id that left is ready at once") {
+  InstanceDirectory directory;
+  Call call;
+  directory.Merge(ToRecord(call), TimePoint());
+  CHECK(directory.MarkLeaving({UpstreamId("i0"), 1}));
+  CHECK_FALSE(directory.MarkLeaving({UpstreamId("i0"), 1}));
+  CHECK(Ready(directory).empty());
+  call.sequence = 7;
+  directory.Merge(ToRecord(call), TimePoint());
+  CHECK(Ready(directory).empty());
+  call.born = 2;
+  call.sequence = 1;
+  directory.Merge(ToRecord(call), TimePoint());
+  CHECK(Ready(directory).size() == 1);
+  CHECK_FALSE(directory.MarkLeaving({UpstreamId("i0"), 1}));
+  CHECK(Ready(directory).size() == 1);
+}
+
 TEST_CASE("silence is a change, and ends with the next heartbeat") {
   InstanceDirectory directory;
   Call call;
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -224,6 +224,41 @@
   CHECK(dialect.ReadResponse(head, AttemptId("id1")).not_run);
 }
 
+TEST_CASE("what an upstream says of itself in an answer is decoded") {
+  const PlatformDialect dialect;
+  http::ResponseHead head;
+  head.status = 200;
+  head.fields.Set("Server-Leaving", "1");
+  head.fields.Set("Retry-After", "3");
+  const auto leaving = dialect.ReadResponse(head, AttemptId("id1"));
+  CHECK(leaving.leaving);
+  CHECK_FALSE(leaving.quiet_for);  // Only a 503 asks for quiet.
+  head.fields.Set("Server-Leaving", "0");
+  head.status = 503;
+  struct Case {
+    const char* text;
+    Duration quiet;
+  };
+  const std::vector<Case> cases = {
+      {"3", std::chrono::seconds(3)},
+      {" 0.25 ", std::chrono::milliseconds(250)},
+      {"0", Duration(0)},
+      {"99999999999999999999", std::chrono::hours(24)},
+      // A date or a malformed value stands for a second.
+      {"Fri, 04 Dec 2026 11:00:00 GMT", std::chrono::seconds(1)},
+      {"-1", std::chrono::seconds(1)},
+      {"nan", std::chrono::seconds(1)},
+      {"1e9", std::chrono::seconds(1)},
+      {"", std::chrono::seconds(1)}};
+  for (const Case& one : cases) {
+    CAPTURE(one.text);
+    head.fields.Set("Retry-After", one.text);
+    const auto traits = dialect.ReadResponse(head, AttemptId("id1"));
+    CHECK_FALSE(traits.leaving);
+    CHECK(traits.quiet_for == one.quiet);
+  }
+}
+
 TEST_CASE("a valid settings file is decoded") {
   const auto settings = DecodeSettings(R"({"node_name":"edge-1","role":"entry",
    "zone":"z","ip":"10.1.0.40","listen":{"front":"10.1.0.40:8227",
