Quarantine the last of the parts that are near their limit

Traced: requests that run beside a crashing one raise what they share, which so is one crash ahead; and a part whose suspicion this crash doesn't raise was not considered.

Change: of the parts at the limit or one crash below, the one with the fewest clearances and then the last is quarantined.

--- a/src/policy/part_quarantine.cc
+++ b/src/policy/part_quarantine.cc
@@ -12,32 +12,35 @@
                                    : PartQuarantine::kClearedCrashLimit;
 }
 
-/// Whether `a` explains a crash better than `b`, which comes earlier in the
-/// prompt: later parts are shared by fewer requests.
-bool ExplainsBetter(const PartSuspicion& a, const PartSuspicion& b) {
-  if (a.clearances != b.clearances) {
-    return a.clearances < b.clearances;
+/// Whether one more crash, or none, is missing for the limit. The crashes of
+/// requests that run at the same time as a crashing one put the parts that they
+/// share one ahead at times.
+bool IsNearLimit(const PartSuspicion& suspicion) {
+  return suspicion.crashes + 1 >= CrashLimit(suspicion);
+}
+
+/// If parts reach their limit by a crash, quarantines one of those near it,
+/// since one is enough to stop such requests: that with the fewest clearances,
+/// and the last of these. Later parts are shared by fewer requests.
+void QuarantineOne(std::vector<PartSuspicion>* raised) {
+  if (std::none_of(raised->begin(), raised->end(),
+                   &PartQuarantine::ReachesLimit)) {
+    return;
   }
-  return a.crashes >= b.crashes;
-}
-
-/// Of the parts that reach their limit by the same crash, keeps the one that
-/// explains it best: one part is enough to stop such requests.
-void KeepOneAtLimit(std::vector<PartSuspicion>* raised) {
   const PartSuspicion* best = nullptr;
   for (const PartSuspicion& candidate : *raised) {
-    if (PartQuarantine::ReachesLimit(candidate) &&
-        (best == nullptr || ExplainsBetter(candidate, *best))) {
+    if (IsNearLimit(candidate) &&
+        (best == nullptr || candidate.clearances <= best->clearances)) {
       best = &candidate;
     }
   }
-  if (best == nullptr) {
-    return;
-  }
-  const std::uint64_t kept = best->part;
-  std::erase_if(*raised, [kept](const PartSuspicion& candidate) {
-    return PartQuarantine::ReachesLimit(candidate) && candidate.part != kept;
+  PartSuspicion quarantined = *best;
+  quarantined.crashes = std::max(quarantined.crashes, CrashLimit(quarantined));
+  std::erase_if(*raised, [&](const PartSuspicion& candidate) {
+    return PartQuarantine::ReachesLimit(candidate) ||
+           candidate.part == quarantined.part;
   });
+  raised->push_back(quarantined);
 }
 
 }  // namespace
@@ -79,20 +82,22 @@
     explained = explained || ReachesLimit(Current(known.part));
     PartSuspicion next = known;
     ++next.crashes;
-    if (IsStronger(next, Current(known.part))) {
-      raised.push_back(next);
-    }
+    // A part that this crash doesn't raise may still explain it best.
+    const PartSuspicion current = Current(known.part);
+    raised.push_back(IsStronger(next, current) ? next : current);
   }
   if (explained) {
     return {};
   }
-  KeepOneAtLimit(&raised);
-  for (PartSuspicion& suspicion : raised) {
-    Raise(suspicion, now);
-    ClearIfAnsweredBefore(suspicion.part, now);
-    suspicion = Current(suspicion.part);
+  QuarantineOne(&raised);
+  std::vector<PartSuspicion> changed;
+  for (const PartSuspicion& suspicion : raised) {
+    if (Raise(suspicion, now)) {
+      ClearIfAnsweredBefore(suspicion.part, now);
+      changed.push_back(Current(suspicion.part));
+    }
   }
-  return raised;
+  return changed;
 }
 
 std::vector<PartSuspicion> PartQuarantine::RecordSuccess(
--- a/tests/fakes/crash_fleet.h
+++ b/tests/fakes/crash_fleet.h
@@ -55,12 +55,12 @@
     if (at.quarantine.FindQuarantined(parts)) {
       return false;
     }
-    const auto upstream = Draw(options_.upstreams);
-    if (down_until_[upstream] > now_) {
-      return true;  // Counts as failed for another reason.
+    const std::optional<std::size_t> upstream = DrawUpstream();
+    if (!upstream) {
+      return true;  // Waits and fails for another reason.
     }
     const int begins = now_ + 2 + static_cast<int>(Draw(8));
-    requests_.push_back({entry, at.incarnation, upstream, begins,
+    requests_.push_back({entry, at.incarnation, *upstream, begins,
                          begins + 4 + static_cast<int>(Draw(30)), parts,
                          at.quarantine.KnownAgainst(parts)});
     return true;
@@ -142,6 +142,17 @@
 
   std::size_t Draw(std::size_t count) { return draw_(count); }
 
+  /// Returns one that is up; entries avoid those that they can't reach.
+  std::optional<std::size_t> DrawUpstream() {
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < down_until_.size(); ++i) {
+      if (down_until_[i] <= now_) {
+        up.push_back(i);
+      }
+    }
+    return up.empty() ? std::nullopt : std::optional(up[Draw(up.size())]);
+  }
+
   int Delay() {
     constexpr int kReconnectSteps = 10;
     const bool lost = static_cast<int>(Draw(100)) < options_.news_lost;
