Split the data path's answers and the crash news off; one text for times

Witnesses over 4,096 were dropped for good.

Change: exchange_end.cc has what ends an attempt or an exchange; CrashNews, pure, has what control knows of crashes and what of a report is new, and drops the oldest witness for a further one. MillisecondText replaces four conversions, http::IsSuccess is shared.

Conclusion: no decision changes but the limit of witnesses.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,8 +12,8 @@
 #include "rattanward/control/control_daemon.h"
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
+#include "rattanward/membership/crash_news.h"
 #include "rattanward/membership/instance_directory.h"
-#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
 
@@ -112,13 +111,10 @@
   void HandleInstanceBeats(const adapter::InboundMessage& message);
   void MarkLeaving(const std::vector<membership::LeavingInstance>& told);
   void HandleCrashes(const adapter::InboundMessage& message);
-  protocol::CrashesTold TakeNews(
-      const std::vector<protocol::CrashWitness>& witnesses,
-      const std::vector<policy::PartSuspicion>& suspicions);
-  protocol::CrashesTold AllCrashes() const;
   void ForwardCrashes(const protocol::EntryReport& report,
                       const adapter::ReplyHandle& reply);
   void PushToEntries(const protocol::CrashesTold& news);
+  void SendToControls(const protocol::CrashesTold& news);
   protocol::ControlReport ReportFor(const Entry& entry) const;
   void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void UpdateRoutingTexts();
@@ -143,8 +139,7 @@
   std::map<ProcessId, Entry> entries_;
   std::vector<Waiter> waiters_;
   std::vector<membership::InstanceBeat> pending_beats_;
-  std::set<protocol::CrashWitness> crash_witnesses_;
-  policy::PartQuarantine part_suspicions_;
+  membership::CrashNews crash_news_;
   RoutingTexts routing_texts_;
   std::uint64_t push_number_ = 0;
   TimePoint next_full_push_;
--- a/include/rattanward/domain/time.h
+++ b/include/rattanward/domain/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace rattanward {
 
@@ -21,4 +22,10 @@
 /// @brief Moment on a process's monotonic time line.
 using TimePoint = MonotonicClock::time_point;
 
+/// @brief Whole milliseconds of a duration as text, for logs and messages.
+inline std::string MillisecondText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace rattanward
--- a/include/rattanward/http/message.h
+++ b/include/rattanward/http/message.h
@@ -99,6 +99,13 @@
 std::string EncodeChunk(std::string_view piece);
 
 /// @brief End of a chunked body without trailer fields.
+/// @brief Whether a status reports success (2xx).
+constexpr bool IsSuccess(int status) {
+  constexpr int kOk = 200;
+  constexpr int kMultipleChoices = 300;
+  return status >= kOk && status < kMultipleChoices;
+}
+
 /// @brief Decodes the Retry-After of a response, in seconds with or without a
 /// fraction.
 /// @return At most 24 h. 1 s for a date or a malformed value: the peer asks for
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -30,8 +30,6 @@
 constexpr Duration kTooFewVotersGracePeriod{std::chrono::seconds(20)};
 /// An entry whose last report is older is removed.
 constexpr Duration kEntryRetention{std::chrono::seconds(10)};
-/// Further crash witnesses are dropped.
-constexpr std::size_t kMaxCrashWitnesses = 4096;
 /// Up to this number of entries, every entry communicates with every other.
 /// Above it, entries reach other failure domains through relays.
 constexpr std::size_t kFullMeshEntries = 16;
@@ -181,9 +179,9 @@
     entry.directory_sent = true;
     PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
                 protocol::InstancePush{push_number_, directory_.All()});
-    if (!crash_witnesses_.empty() || part_suspicions_.size() > 0) {
-      PushMessage(entry.handle, protocol::MessageKind::kCrashesTold,
-                  AllCrashes());
+    const protocol::CrashesTold crashes = crash_news_.All();
+    if (!membership::IsEmpty(crashes)) {
+      PushMessage(entry.handle, protocol::MessageKind::kCrashesTold, crashes);
     }
   }
 }
@@ -261,39 +259,11 @@
   if (!incoming) {
     return;
   }
-  PushToEntries(
-      TakeNews(incoming.value().witnesses, incoming.value().suspicions));
-}
-
-protocol::CrashesTold RoutingHub::AllCrashes() const {
-  return {{crash_witnesses_.begin(), crash_witnesses_.end()},
-          part_suspicions_.All()};
-}
-
-/// Records what entries report, and returns what was not known before.
-protocol::CrashesTold RoutingHub::TakeNews(
-    const std::vector<protocol::CrashWitness>& witnesses,
-    const std::vector<policy::PartSuspicion>& suspicions) {
-  protocol::CrashesTold news;
-  for (const protocol::CrashWitness& witness : witnesses) {
-    if (crash_witnesses_.size() < kMaxCrashWitnesses &&
-        crash_witnesses_.insert(witness).second) {
-      news.witnesses.push_back(witness);
-    }
-  }
-  const TimePoint now = MonotonicNow();
-  for (const policy::PartSuspicion& suspicion : suspicions) {
-    const auto known = part_suspicions_.KnownAgainst({suspicion.part}).front();
-    part_suspicions_.Merge(suspicion, now);
-    if (policy::IsStronger(suspicion, known)) {
-      news.suspicions.push_back(suspicion);
-    }
-  }
-  return news;
+  PushToEntries(crash_news_.Record(incoming.value(), MonotonicNow()));
 }
 
 void RoutingHub::PushToEntries(const protocol::CrashesTold& news) {
-  if (news.witnesses.empty() && news.suspicions.empty()) {
+  if (membership::IsEmpty(news)) {
     return;
   }
   const std::string body = protocol::Encode(news);
@@ -302,25 +272,24 @@
   }
 }
 
+void RoutingHub::SendToControls(const protocol::CrashesTold& news) {
+  if (!membership::IsEmpty(news)) {
+    daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold,
+                               protocol::Encode(news));
+  }
+}
+
 /// Forwards what is new in a report to all entries and the other control VMs.
 /// The reporting entry gets an answer for each of its suspicions.
 void RoutingHub::ForwardCrashes(const protocol::EntryReport& report,
                                 const adapter::ReplyHandle& reply) {
   const protocol::CrashesTold news =
-      TakeNews(report.witnesses, report.suspicions);
+      crash_news_.Record({report.witnesses, report.suspicions}, MonotonicNow());
   PushToEntries(news);
-  if (!news.witnesses.empty() || !news.suspicions.empty()) {
-    daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold,
-                               protocol::Encode(news));
-  }
+  SendToControls(news);
   if (news.suspicions.size() < report.suspicions.size()) {
-    std::vector<std::uint64_t> parts;
-    for (const policy::PartSuspicion& suspicion : report.suspicions) {
-      parts.push_back(suspicion.part);
-    }
-    PushMessage(
-        reply, protocol::MessageKind::kCrashesTold,
-        protocol::CrashesTold{{}, part_suspicions_.KnownAgainst(parts)});
+    PushMessage(reply, protocol::MessageKind::kCrashesTold,
+                crash_news_.KnownAgainst(report.suspicions));
   }
 }
 
@@ -489,9 +458,9 @@
   add("upstreams", directory_.size());
   add("pushes_total", push_number_);
   add("acknowledgements_waiting", waiters_.size());
-  add("crashes_known", crash_witnesses_.size());
-  add("prompt_parts_suspected", part_suspicions_.size());
-  add("prompt_parts_quarantined", part_suspicions_.quarantined());
+  add("crashes_known", crash_news_.witnesses());
+  add("prompt_parts_suspected", crash_news_.suspected_parts());
+  add("prompt_parts_quarantined", crash_news_.quarantined_parts());
   return text;
 }
 
@@ -515,12 +484,8 @@
   if (now >= next_full_push_) {
     next_full_push_ = now + kFullPushPeriod;
     SendRecordsToControls(directory_.All());
-    part_suspicions_.Expire(now);
-    if (part_suspicions_.size() > 0) {
-      daemon_.voters().SendToAll(
-          protocol::MessageKind::kCrashesTold,
-          protocol::Encode(protocol::CrashesTold{{}, part_suspicions_.All()}));
-    }
+    crash_news_.Expire(now);
+    SendToControls(crash_news_.Suspicions());
   }
 }
 
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -9,13 +9,6 @@
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMaxRetryAfter = std::chrono::minutes(1);
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-                 .count()) +
-         " ms";
-}
-
 }  // namespace
 
 Duration ExpectedWait(const std::vector<WorkAhead>& ahead,
@@ -41,7 +34,7 @@
   const Duration remaining = estimate.deadline - estimate.now;
   if (remaining <= Duration(0)) {
     return Error{ErrorCode::kDeadlinePassed, Verdict::kNotRun,
-                 "the deadline passed " + Milliseconds(-remaining) + " ago",
+                 "the deadline passed " + MillisecondText(-remaining) + " ago",
                  RetryAfterBacklog(estimate.slot_wait)};
   }
   const Duration needed = estimate.slot_wait + estimate.first_token_wait;
@@ -49,8 +42,8 @@
     return std::nullopt;
   }
   return Error{ErrorCode::kDeadlineUnattainable, Verdict::kNotRun,
-               "the answer is expected to begin in " + Milliseconds(needed) +
-                   ", but the deadline is in " + Milliseconds(remaining),
+               "the answer is expected to begin in " + MillisecondText(needed) +
+                   ", but the deadline is in " + MillisecondText(remaining),
                RetryAfterBacklog(needed - remaining)};
 }
 
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -123,14 +123,10 @@
   UpstreamState* upstream = upstreams_.Find(open.upstream);
   if (upstream != nullptr && result.quiet_for) {
     const Duration counted = upstream->quiet.Ask(*result.quiet_for, now);
-    events_.push_back(
-        {EventId::kUpstreamQuiet,
-         {{"request", open.info.id.str()},
-          {"upstream", open.upstream.str()},
-          {"quiet_ms",
-           std::to_string(
-               std::chrono::duration_cast<std::chrono::milliseconds>(counted)
-                   .count())}}});
+    events_.push_back({EventId::kUpstreamQuiet,
+                       {{"request", open.info.id.str()},
+                        {"upstream", open.upstream.str()},
+                        {"quiet_ms", MillisecondText(counted)}}});
   } else if (upstream != nullptr) {
     upstream->avoid_until =
         std::max(upstream->avoid_until, now + AvoidDuration(result));
--- /dev/null
+++ b/src/proxy/exchange_end.cc
@@ -0,0 +1,314 @@
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/http/server.h"
+#include "rattanward/proxy/exchange.h"
+
+namespace rattanward::proxy {
+namespace {
+
+using adapter::MonotonicNow;
+using http::ClientFailure;
+using http::Framing;
+
+/// Number of failed connection attempts tolerated per request.
+constexpr std::uint32_t kMaxUnreachableUpstreams = 4;
+constexpr int kServerError = 500;
+
+/// Whether a status tells the caller that the request did not run and will not
+/// run.
+bool StatusImpliesNotRun(int status) {
+  constexpr int kTimeout = 408;
+  constexpr int kMisdirected = 421;
+  constexpr int kTooMany = 429;
+  constexpr int kUnavailable = 503;
+  return status == kTimeout || status == kMisdirected || status == kTooMany ||
+         status == kUnavailable;
+}
+
+std::string_view FramingName(Framing framing) {
+  switch (framing) {
+    case Framing::kNone:
+      return "none";
+    case Framing::kLength:
+      return "length";
+    case Framing::kChunked:
+      return "chunked";
+    case Framing::kUntilClose:
+      return "until-close";
+  }
+  return "";
+}
+
+/// Ids of the prompt's parts in order, for the log.
+std::string PartIds(const std::vector<policy::PromptPart>& prompt) {
+  constexpr std::size_t kMaxLoggedParts = 16;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(prompt.size(), kMaxLoggedParts); ++i) {
+    if (i > 0) {
+      text += ',';
+    }
+    text += std::to_string(prompt[i].id);
+  }
+  return text;
+}
+
+}  // namespace
+
+void Exchange::OnComplete() {
+  const auto self = shared_from_this();
+  if (event_stream_ && StreamIsWhole()) {
+    FinishStream();
+  } else if (event_stream_) {
+    HandleConnectionLoss("the upstream's stream ended inside an event");
+  } else if (response_traits_.not_run) {
+    HandleRejection();
+  } else {
+    FinishWholeResponse();
+  }
+}
+
+/// The end of the upstream's message alone doesn't show that: an answer without
+/// length or chunks ends wherever its connection does.
+bool Exchange::StreamIsWhole() const {
+  const bool has_events = splitter_.events() > events_before_send_;
+  return !splitter_.inside_event() &&
+         (has_events || response_framing_ != Framing::kUntilClose);
+}
+
+/// An answer that ends with its connection may have been cut off unnoticed.
+void Exchange::ReportWholeAnswer() {
+  if (response_framing_ != Framing::kUntilClose) {
+    owner_.OnWholeAnswer(*this);
+  }
+}
+
+void Exchange::FinishStream() {
+  owner_.OnOutcome(*this, true);
+  ReportWholeAnswer();
+  StartStream();
+  const std::size_t partial_event_bytes = splitter_.partial_event_bytes();
+  request_.caller->Write(splitter_.TakePartialEvent());
+  Release();
+  request_.caller->FinishBody();
+  End(EventId::kRequestFinished,
+      {{"status", std::to_string(response_.status)},
+       {"framing", std::string(FramingName(response_framing_))},
+       {"events", std::to_string(splitter_.events())},
+       {"partial_event_bytes", std::to_string(partial_event_bytes)},
+       {"first_event_ms",
+        MillisecondText(first_event_at_ - request_.request.arrived)},
+       {"longest_pause_ms", MillisecondText(longest_pause_)}});
+}
+
+void Exchange::FinishWholeResponse() {
+  owner_.OnOutcome(*this, response_.status < kServerError);
+  const bool missing_signature =
+      http::IsSuccess(response_.status) && !response_traits_.has_signature;
+  const bool should_retry =
+      is_retryable() && (response_.status >= kServerError || missing_signature);
+  if (should_retry && attempts_ < request_.route->max_attempts &&
+      owner_.TryTakeRetry(*this)) {
+    excluded_.insert(upstream_);
+    Release();
+    Requeue();
+    return;
+  }
+  Release();
+  if (missing_signature || StatusImpliesNotRun(response_.status)) {
+    // The response lacks its signature, or its status implies that the request
+    // did not run although the upstream did not state that.
+    Fail(MakeError(ErrorCode::kUpstreamFailed,
+                   "the upstream responded with status " +
+                       std::to_string(response_.status) +
+                       " without stating that the request did not run",
+                   Verdict::kMayHaveRun));
+    return;
+  }
+  if (http::IsSuccess(response_.status)) {
+    ReportWholeAnswer();
+  }
+  request_.caller->Respond(response_, body_);
+  End(response_.status >= kServerError ? EventId::kRequestFailed
+                                       : EventId::kRequestFinished,
+      {{"status", std::to_string(response_.status)},
+       {"bytes", std::to_string(body_.size())}});
+}
+
+void Exchange::HandleRejection() {
+  if (response_traits_.quiet_for) {
+    // Neither a failure of the upstream nor an attempt of the request.
+    --attempts_;
+  } else {
+    owner_.OnOutcome(*this, false);
+    owner_.OnRejected(*this);
+  }
+  excluded_.insert(upstream_);
+  Release();
+  const Error refusal =
+      MakeError(ErrorCode::kNoUpstream,
+                "the upstream rejected the request without running it");
+  if (attempts_ < request_.route->max_attempts && owner_.TryTakeRetry(*this)) {
+    Requeue();
+    return;
+  }
+  Fail(refusal);
+}
+
+void Exchange::OnFailure(ClientFailure failure) {
+  const auto self = shared_from_this();
+  if (state_ != State::kSent) {
+    return;
+  }
+  if (failure == ClientFailure::kNotSent) {
+    const bool reused = connection_->reused();
+    --attempts_;
+    if (!reused) {
+      ++unreachable_count_;
+      owner_.OnUnreachable(*this);
+    }
+    Release();
+    if (unreachable_count_ > kMaxUnreachableUpstreams) {
+      Fail(MakeError(ErrorCode::kNoUpstream, "no upstream is reachable"));
+    } else {
+      Requeue();
+    }
+    return;
+  }
+  HandleConnectionLoss(failure == ClientFailure::kMalformed
+                           ? "the upstream's response is malformed"
+                           : "the upstream broke off");
+}
+
+void Exchange::HandleConnectionLoss(const std::string& reason) {
+  may_have_run_ = true;
+  owner_.OnOutcome(*this, false);
+  owner_.OnConnectionLost(*this);
+  owner_.Log(
+      EventId::kUpstreamBroke, *this,
+      {{"reason", reason},
+       {"answer_begun", response_begun_ ? "1" : "0"},
+       {"framing", std::string(FramingName(response_framing_))},
+       {"partial_event_bytes", std::to_string(splitter_.partial_event_bytes())},
+       {"reused", connection_->reused() ? "1" : "0"},
+       {"idle_ms", MillisecondText(connection_->idle_before())},
+       {"kept_ms", MillisecondText(connection_->keep_alive())},
+       {"after_ms", MillisecondText(MonotonicNow() - sent_at_)},
+       {"parts", PartIds(placement_.prompt)}});
+  excluded_.insert(upstream_);
+  Release();
+  splitter_.DiscardPartialEvent();
+  const Error error =
+      MakeError(ErrorCode::kUpstreamBroken, reason, Verdict::kMayHaveRun);
+  // A stream can be resumed only if its events have ids.
+  const bool can_resume = !stream_started_ || !splitter_.last_id().empty();
+  if (is_retryable() && can_resume &&
+      attempts_ < request_.route->max_attempts && owner_.TryTakeRetry(*this)) {
+    Requeue();
+    return;
+  }
+  Fail(error);
+}
+
+void Exchange::Requeue() {
+  state_ = State::kWaiting;
+  owner_.Log(
+      stream_started_ ? EventId::kStreamResumed : EventId::kRequestRetried,
+      *this,
+      {{"attempts", std::to_string(attempts_)},
+       {"left_ms", MillisecondText(RemainingTime())}});
+  owner_.Enqueue(shared_from_this());
+}
+
+void Exchange::Refuse(const Error& error) { Fail(error); }
+
+/// Sends the final error response. If the request may have run, a status that
+/// implies that it did not run is replaced.
+void Exchange::Fail(Error error) {
+  if (state_ == State::kFinished) {
+    return;
+  }
+  const auto self = shared_from_this();
+  Release();
+  if (stream_started_) {
+    request_.caller->Flush();
+    if (state_ == State::kFinished) {
+      return;  // The caller had closed its connection.
+    }
+    request_.caller->Abort();
+  } else {
+    if (may_have_run_ && StatusImpliesNotRun(HttpStatus(error.code))) {
+      error.code = ErrorCode::kUpstreamBroken;
+      error.verdict = Verdict::kMayHaveRun;
+    }
+    if (StatusImpliesNotRun(HttpStatus(error.code)) && !error.retry_after) {
+      error.retry_after = owner_.RetryAfter(*this);
+    }
+    RespondError(*request_.caller, error);
+  }
+  End(may_have_run_ ? EventId::kRequestFailed : EventId::kRequestShed,
+      {{"error", std::string(ErrorName(error.code))},
+       {"reason", error.message},
+       {"status", std::to_string(HttpStatus(error.code))},
+       {"begun", stream_started_ ? "1" : "0"},
+       {"retry_after_ms",
+        error.retry_after ? MillisecondText(*error.retry_after) : "-"}});
+}
+
+void Exchange::OnCallerGone() {
+  if (state_ == State::kFinished) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const bool was_sent = state_ == State::kSent;
+  Release();
+  End(EventId::kCallerLeft, {{"sent", was_sent ? "1" : "0"},
+                             {"events", std::to_string(splitter_.events())}});
+}
+
+void Exchange::OnDeadline() {
+  if (state_ == State::kFinished) {
+    return;
+  }
+  const bool sent =
+      state_ == State::kSent && connection_ && connection_->sent_any();
+  may_have_run_ = may_have_run_ || sent;
+  if (sent && !streams()) {
+    owner_.OnOutcome(*this, false);
+  }
+  Fail(may_have_run_
+           ? MakeError(ErrorCode::kUpstreamSilent,
+                       "no response before the request's deadline",
+                       Verdict::kMayHaveRun)
+           : MakeError(ErrorCode::kDeadlinePassed,
+                       "no upstream had capacity before the request's "
+                       "deadline"));
+}
+
+/// Releases the capacity charged at the upstream. A connection with an
+/// unfinished response is closed, which cancels the request there.
+void Exchange::Release() {
+  if (!connection_) {
+    return;
+  }
+  const auto connection = std::exchange(connection_, nullptr);
+  if (!connection->Reusable(MonotonicNow())) {
+    connection->Close();
+  }
+  owner_.OnReleased(*this, std::exchange(charge_, {}), connection);
+}
+
+void Exchange::End(EventId id, std::vector<EventField> fields) {
+  state_ = State::kFinished;
+  timer_.cancel();
+  fields.push_back(
+      {"took_ms", MillisecondText(MonotonicNow() - request_.request.arrived)});
+  fields.push_back({"attempts", std::to_string(attempts_)});
+  owner_.Log(id, *this, std::move(fields));
+  owner_.Forget(shared_from_this());
+}
+
+}  // namespace rattanward::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -317,10 +317,7 @@
   const Duration counted = placer_.RecordQuietRequest(
       exchange.upstream(), quiet_for, MonotonicNow());
   Log(EventId::kUpstreamQuiet, exchange,
-      {{"quiet_ms",
-        std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(counted)
-                .count())}});
+      {{"quiet_ms", MillisecondText(counted)}});
 }
 
 void Proxy::OnRejected(const Exchange& exchange) {
--- a/tests/src/unit-membership.cc
+++ b/tests/src/unit-membership.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "rattanward/membership/crash_news.h"
 #include "rattanward/membership/gossip.h"
 #include "rattanward/membership/upstream_directory.h"
 #include "rattanward/protocol/message_fields.h"
@@ -187,4 +188,24 @@
 }
 
 }  // namespace
+TEST_CASE("crash news is passed on once, and the oldest witness is dropped") {
+  CrashNews news;
+  protocol::CrashesTold told;
+  told.witnesses = {{1, UpstreamId("u"), 1}};
+  told.suspicions = {{66, 0, 2}};
+  CHECK(news.Record(told, TimePoint()) == told);
+  CHECK(IsEmpty(news.Record(told, TimePoint())));
+  // An entry that knows less is told what is known.
+  CHECK(IsEmpty(news.Record({{}, {{66, 0, 1}}}, TimePoint())));
+  CHECK(news.KnownAgainst({{66, 0, 1}}).suspicions == told.suspicions);
+  protocol::CrashesTold many;
+  for (std::uint64_t i = 0; i < CrashNews::kMaxWitnesses; ++i) {
+    many.witnesses.push_back({100 + i, UpstreamId("u"), 1});
+  }
+  CHECK(news.Record(many, TimePoint()).witnesses.size() ==
+        CrashNews::kMaxWitnesses);
+  CHECK(news.witnesses() == CrashNews::kMaxWitnesses);
+  CHECK(news.All().witnesses == many.witnesses);
+}
+
 }  // namespace rattanward::membership
