Keep a control VM up whose disk refuses writes

Seen: while a control VM's disk took no bytes for 3.6 s, its process ended four times in 4 s with a line of bare text, and dropped at each end the connections of entries, its claims and its news of upstreams.

Cause: every failed write was a failed storage, and a replica with failed storage ends its process. After a failed sync that is right; a write that was refused before anything was synced leaves the folder as it was.

Change: file_io tells a refusal (ENOSPC and the like, before a sync) from a failure. A replica whose storage refuses a write is suspended: its node is dropped, it neither votes nor leads, its ledger stays readable, pending commands end as unknown. It opens the folder anew with backoff, proves it by a write and starts a node from what is on disk.

Conclusion: degraded, not gone.

--- a/include/rattanward/adapter/file_io.h
+++ b/include/rattanward/adapter/file_io.h
@@ -28,11 +28,13 @@
 };
 
 /// @brief Opens a file with open(2) flags, mode 0600.
-/// Errors: kStorageFailed.
+/// Errors: kStorageRefused if the disk or the process has no room for it,
+/// kStorageFailed.
 Result<FileDescriptor> OpenFile(const std::string& path, int flags);
 
 /// @brief Writes all bytes at the descriptor's position.
-/// Errors: kStorageFailed.
+/// Errors: kStorageRefused if the disk takes no more, kStorageFailed. Some of
+/// the bytes may have been written.
 Status WriteAll(const FileDescriptor& file, std::string_view bytes);
 
 /// @brief Syncs a file's data and size.
@@ -48,14 +50,15 @@
 Result<std::string> ReadFile(const std::string& path);
 
 /// @brief Creates or empties a file, writes it and syncs it.
-/// Errors: kStorageFailed.
+/// Errors: kStorageRefused if the disk takes no more, kStorageFailed.
 Status WriteFile(const std::string& path, std::string_view bytes);
 
 /// @brief Replaces a file at once: temporary file, sync, rename, sync folder.
 /// @param folder The folder of the file.
 /// @param name The file's name in it; NAME.tmp is used on the way.
 /// @param bytes The new content.
-/// Errors: kStorageFailed.
+/// Errors: kStorageRefused if the disk takes no more, and then the old file
+/// stays; kStorageFailed.
 Status ReplaceFile(const std::string& folder, const std::string& name,
                    std::string_view bytes);
 
--- a/include/rattanward/adapter/file_log_storage.h
+++ b/include/rattanward/adapter/file_log_storage.h
@@ -24,6 +24,14 @@
   /// else, or a log without its snapshot; kStorageFailed.
   static Result<FileLogStorage> Open(const std::string& folder);
 
+  /// @brief Opens the folder anew after a refused write and proves that it
+  /// takes writes: reads and checks it like Open(), then saves a record that
+  /// repeats the hard state.
+  /// @return A storage that replaces this one. TakeState() is what is on disk.
+  /// Errors: as Open() and Save(); then this storage stays closed, and the call
+  /// can be repeated.
+  Result<FileLogStorage> Reopen();
+
   const VoterId& id() const { return id_; }
   /// @brief Whether Open() made a new home.
   bool created() const { return created_; }
@@ -38,8 +46,10 @@
 
   /// @brief Writes and syncs the durable part of an output.
   /// @return Success once it is all on disk.
-  /// Errors: kStorageFailed, and then on every later call: what is on disk is
-  /// unknown until the folder is opened anew.
+  /// Errors: kStorageRefused if the write was refused before anything of it was
+  /// synced, so that the folder holds what it held before, perhaps with a torn
+  /// tail; see Reopen(). kStorageFailed if a sync failed: what is on disk is
+  /// unknown. After either, every later call fails.
   Status Save(const consensus::Output& output);
 
  private:
--- a/include/rattanward/control/replica.h
+++ b/include/rattanward/control/replica.h
@@ -23,8 +23,8 @@
   /// Called after log entries were applied, a snapshot was installed or the
   /// role changed.
   std::function<void()> on_state_change;
-  /// Called once if the log cannot be written or a snapshot cannot be restored.
-  /// The process must stop.
+  /// Called once if it is unknown what is on disk, or a snapshot cannot be
+  /// restored. The process must stop.
   std::function<void(const Error&)> on_storage_failure;
   port::EventSink events;
 };
@@ -34,6 +34,9 @@
 /// @note All calls and callbacks are on the io_context's thread. The node's
 /// output is processed in a posted handler, so that messages and proposals that
 /// arrive together share one disk sync.
+/// If the disk refuses a write, the replica is suspended: to the other members
+/// it is as silent as one that has stopped, while the ledger can still be read
+/// here. It starts again from what is on disk once the folder takes writes.
 class Replica {
  public:
   using OutcomeCallback = std::function<void(Result<ledger::Outcome>)>;
@@ -77,6 +80,16 @@
   /// lease.
   bool HoldsLease() const;
 
+  /// @brief Whether the disk has refused a write and takes none yet.
+  bool suspended() const { return suspended_; }
+
+  /// @brief The leader that this replica knows; empty if there is none. While
+  /// suspended, the one that members last heard of it.
+  const VoterId& leader() const;
+
+  /// @brief Where the leader can be reached, if it is known.
+  std::optional<Endpoint> leader_endpoint() const;
+
   /// @brief Whether this replica holds the lease and its ledger contains
   /// everything that earlier leaders committed.
   bool ConfirmedLeader() const;
@@ -101,6 +114,9 @@
   void ScheduleFlush();
   void Flush();
   bool Persist(const consensus::Output& output);
+  void Suspend(const Error& error);
+  void TryResume(TimePoint now);
+  void FailPending();
   void RestoreLedger(const consensus::Snapshot& snapshot);
   void Apply(const consensus::Entry& entry);
   void CompleteProposal(const consensus::Entry& entry,
@@ -126,6 +142,14 @@
   bool blank_ = false;
   bool flush_scheduled_ = false;
   bool failed_ = false;
+  bool suspended_ = false;
+  /// While suspended: the leader, the next attempt to resume, and the time
+  /// between two attempts.
+  VoterId suspended_leader_;
+  TimePoint resume_at_;
+  Duration resume_delay_{0};
+  /// No snapshot is taken before this, after the disk refused one.
+  TimePoint compact_after_;
 };
 
 }  // namespace rattanward::control
--- a/include/rattanward/domain/error.h
+++ b/include/rattanward/domain/error.h
@@ -72,6 +72,7 @@
   kDamagedRecord = 5001,
   kStorageFailed = 5002,
   kWrongDataFolder = 5003,
+  kStorageRefused = 5004,
 
   kFrameTooLarge = 6001,
   kHandshakeFailed = 6002,
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -63,6 +63,8 @@
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
   kDamagedRecordFound = 5003,
+  kStorageRefused = 5004,
+  kStorageResumed = 5005,
 
   kPeerConnected = 6001,
   kPeerSilent = 6002,
--- a/src/adapter/file_io.cc
+++ b/src/adapter/file_io.cc
@@ -19,11 +19,34 @@
 constexpr mode_t kFolderMode = 0700;
 constexpr std::size_t kReadBytes = 64U << 10U;
 
+/// Whether an error means that a write was refused, and the next may be taken.
+bool IsRefusal(int error) {
+  switch (error) {
+    case ENOSPC:
+    case EDQUOT:
+    case EFBIG:
+    case EROFS:
+    case EMFILE:
+    case ENFILE:
+      return true;
+    default:
+      return false;
+  }
+}
+
 Error Failed(const std::string& what) {
   const std::string reason = std::system_category().message(errno);
   return MakeError(ErrorCode::kStorageFailed, what + ": " + reason);
 }
 
+/// As Failed(), for a step before anything is synced.
+Error FailedBeforeSync(const std::string& what) {
+  const bool refused = IsRefusal(errno);
+  Error error = Failed(what);
+  error.code = refused ? ErrorCode::kStorageRefused : error.code;
+  return error;
+}
+
 }  // namespace
 
 FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
@@ -41,7 +64,7 @@
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
   FileDescriptor file(open(path.c_str(), flags | O_CLOEXEC, kFileMode));
   if (!file.valid()) {
-    return Failed("open " + path);
+    return FailedBeforeSync("open " + path);
   }
   return file;
 }
@@ -53,7 +76,7 @@
       continue;
     }
     if (written <= 0) {
-      return Failed("write");
+      return FailedBeforeSync("write");
     }
     bytes.remove_prefix(static_cast<std::size_t>(written));
   }
@@ -106,7 +129,7 @@
   const std::string temporary = path + ".tmp";
   BOOST_OUTCOME_TRY(WriteFile(temporary, bytes));
   if (rename(temporary.c_str(), path.c_str()) != 0) {
-    return Failed("rename " + temporary);
+    return FailedBeforeSync("rename " + temporary);
   }
   return SyncFolder(folder);
 }
--- a/src/adapter/file_log_storage.cc
+++ b/src/adapter/file_log_storage.cc
@@ -144,6 +144,21 @@
   return storage;
 }
 
+Result<FileLogStorage> FileLogStorage::Reopen() {
+  failed_ = true;
+  lock_ = FileDescriptor();
+  log_ = FileDescriptor();
+  BOOST_OUTCOME_TRY(opened, Open(folder_));
+  if (opened.id() != id_) {
+    return MakeError(ErrorCode::kWrongDataFolder,
+                     folder_ + " now belongs to another voter");
+  }
+  Output unchanged;
+  unchanged.hard_state = opened.hard_state_;
+  BOOST_OUTCOME_TRY(opened.Save(unchanged));
+  return opened;
+}
+
 Status FileLogStorage::Create() {
   BOOST_OUTCOME_TRY(id, RandomHex(kIdBytes));
   id_ = VoterId(std::move(id));
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -185,9 +185,9 @@
 }
 
 void ControlDaemon::RelayStatus(const protocol::EntryStatus& status) {
-  const VoterId& leader = replica_.node().leader();
+  const VoterId& leader = replica_.leader();
   if (!leader.empty() && leader != replica_.id()) {
-    voters_.Send(leader, replica_.node().leader_endpoint(),
+    voters_.Send(leader, replica_.leader_endpoint(),
                  protocol::MessageKind::kEntryStatus, protocol::Encode(status));
   }
 }
@@ -256,7 +256,7 @@
 }
 
 std::string ControlDaemon::LeaderOperatorEndpoint() const {
-  const VoterId& leader = replica_.node().leader();
+  const VoterId& leader = replica_.leader();
   if (leader.empty() || leader == replica_.id()) {
     return std::string();
   }
--- a/src/control/entry_hub.cc
+++ b/src/control/entry_hub.cc
@@ -118,7 +118,7 @@
 }
 
 std::string EntryHub::LeaderEndpoint() const {
-  const auto endpoint = replica_.node().leader_endpoint();
+  const auto endpoint = replica_.leader_endpoint();
   return endpoint ? ToString(*endpoint) : std::string();
 }
 
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <chrono>
+#include <utility>
+#include <variant>
 
 #include "rattanward/adapter/asio_timer_service.h"
 
@@ -13,6 +15,10 @@
 constexpr Duration kAnswerTimeout{std::chrono::seconds(3)};
 /// A smaller log is not worth a snapshot.
 constexpr std::uint64_t kMinCompactBytes = 256U << 10U;
+constexpr Duration kFirstResumeDelay{std::chrono::milliseconds(100)};
+constexpr Duration kLongestResumeDelay{std::chrono::seconds(2)};
+/// Time without a snapshot after the disk refused a write.
+constexpr Duration kCompactPause{std::chrono::seconds(10)};
 
 using adapter::MonotonicNow;
 
@@ -59,18 +65,29 @@
 }
 
 void Replica::Tick() {
+  if (suspended_) {
+    TryResume(MonotonicNow());
+    ExpirePending();
+    return;
+  }
   node_->Tick(MonotonicNow());
   ExpirePending();
   ScheduleFlush();
 }
 
 void Replica::Receive(const consensus::Message& message) {
+  if (suspended_) {
+    if (std::holds_alternative<consensus::AppendRequest>(message.body)) {
+      suspended_leader_ = message.from;
+    }
+    return;
+  }
   node_->Receive(message, MonotonicNow());
   ScheduleFlush();
 }
 
 Error Replica::NoLeaderError() const {
-  return node_->leader().empty() || node_->leader() == node_->id()
+  return leader().empty() || leader() == id()
              ? MakeError(ErrorCode::kNoQuorum, "no quorum of control VMs")
              : MakeError(ErrorCode::kNotLeader, "not the leader");
 }
@@ -78,7 +95,7 @@
 void Replica::Propose(const ledger::Command& command,
                       OutcomeCallback callback) {
   const TimePoint now = MonotonicNow();
-  if (failed_ || !node_->HoldsLease(now)) {
+  if (failed_ || suspended_ || !node_->HoldsLease(now)) {
     callback(NoLeaderError());
     return;
   }
@@ -96,8 +113,7 @@
 void Replica::Read(ReadCallback callback) {
   const TimePoint now = MonotonicNow();
   const consensus::ReadId id = next_read_++;
-  const Status asked = node_->Read(id, now);
-  if (failed_ || !asked) {
+  if (failed_ || suspended_ || !node_->Read(id, now)) {
     callback(NoLeaderError());
     return;
   }
@@ -107,19 +123,37 @@
 
 Result<consensus::LogPosition> Replica::ChangeMembership(
     const consensus::MembershipChange& change) {
+  if (suspended_) {
+    return NoLeaderError();
+  }
   auto position = node_->ChangeMembership(change, MonotonicNow());
   ScheduleFlush();
   return position;
 }
 
-bool Replica::HoldsLease() const { return node_->HoldsLease(MonotonicNow()); }
+bool Replica::HoldsLease() const {
+  return !suspended_ && node_->HoldsLease(MonotonicNow());
+}
+
+const VoterId& Replica::leader() const {
+  return suspended_ ? suspended_leader_ : node_->leader();
+}
+
+std::optional<Endpoint> Replica::leader_endpoint() const {
+  if (!suspended_) {
+    return node_->leader_endpoint();
+  }
+  const consensus::Member* member =
+      consensus::FindMember(node_->membership(), suspended_leader_);
+  return member == nullptr ? std::nullopt : std::optional(member->endpoint);
+}
 
 bool Replica::ConfirmedLeader() const {
   return HoldsLease() && applied_term_ == node_->term();
 }
 
 void Replica::ScheduleFlush() {
-  if (flush_scheduled_ || failed_) {
+  if (flush_scheduled_ || failed_ || suspended_) {
     return;
   }
   flush_scheduled_ = true;
@@ -130,6 +164,9 @@
 }
 
 void Replica::Flush() {
+  if (suspended_) {
+    return;
+  }
   consensus::Output output = node_->TakeOutput();
   if (failed_ || !Persist(output)) {
     return;
@@ -175,6 +212,10 @@
     return true;
   }
   const Status saved = storage_.Save(output);
+  if (!saved && saved.error().code == ErrorCode::kStorageRefused) {
+    Suspend(saved.error());
+    return false;
+  }
   if (!saved) {
     failed_ = true;
     hooks_.on_storage_failure(saved.error());
@@ -188,6 +229,60 @@
   return true;
 }
 
+/// Nothing of the output was acknowledged, since messages and outcomes follow
+/// the write. The node's state is ahead of the disk and is not used again.
+void Replica::Suspend(const Error& error) {
+  const TimePoint now = MonotonicNow();
+  suspended_ = true;
+  suspended_leader_ = node_->leader() == id() ? VoterId() : node_->leader();
+  resume_delay_ = kFirstResumeDelay;
+  resume_at_ = now + resume_delay_;
+  compact_after_ = now + kCompactPause;
+  hooks_.events({EventId::kStorageRefused, {{"reason", error.message}}});
+  FailPending();
+  hooks_.on_state_change();
+}
+
+void Replica::TryResume(TimePoint now) {
+  if (now < resume_at_) {
+    return;
+  }
+  auto reopened = storage_.Reopen();
+  if (!reopened) {
+    const ErrorCode code = reopened.error().code;
+    const bool may_recover =
+        code == ErrorCode::kStorageRefused || code == ErrorCode::kStorageFailed;
+    if (!may_recover) {
+      failed_ = true;
+      hooks_.on_storage_failure(reopened.error());
+      return;
+    }
+    resume_delay_ = std::min(2 * resume_delay_, kLongestResumeDelay);
+    resume_at_ = MonotonicNow() + resume_delay_;
+    return;
+  }
+  storage_ = std::move(reopened.value());
+  suspended_ = false;
+  StartNode(storage_.TakeState());
+  hooks_.events({EventId::kStorageResumed,
+                 {{"log_bytes", std::to_string(storage_.log_bytes())}}});
+  hooks_.on_state_change();
+}
+
+/// Commands may still be committed by another leader.
+void Replica::FailPending() {
+  confirmed_reads_.clear();
+  for (auto& [index, pending] : std::exchange(pending_proposals_, {})) {
+    pending.callback(MakeError(ErrorCode::kOutcomeUnknown,
+                               "the disk refused a write before the commit of "
+                               "the command was known",
+                               Verdict::kMayHaveRun));
+  }
+  for (auto& [id, pending] : std::exchange(pending_reads_, {})) {
+    pending.callback(NoLeaderError());
+  }
+}
+
 void Replica::RestoreLedger(const consensus::Snapshot& snapshot) {
   applied_ = snapshot.last.index;
   applied_term_ = snapshot.last.term;
@@ -245,7 +340,8 @@
 void Replica::CompactIfLarge() {
   const std::uint64_t limit =
       std::max(kMinCompactBytes, 2 * storage_.snapshot_bytes());
-  if (storage_.log_bytes() > limit && applied_ > node_->snapshot_index()) {
+  if (storage_.log_bytes() > limit && applied_ > node_->snapshot_index() &&
+      MonotonicNow() >= compact_after_) {
     node_->Compact(applied_, ledger_.Snapshot());
     ScheduleFlush();
   }
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -344,7 +344,7 @@
 
 void RoutingHub::Declare(ConfigVersion version, std::string text, Done done) {
   if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().node().leader();
+    const VoterId& leader = daemon_.replica().leader();
     const bool other = !leader.empty() && leader != daemon_.replica().id();
     done(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
                    "this control VM is not a confirmed leader"));
@@ -395,7 +395,7 @@
 
 void RoutingHub::ReadNewest(RoutingCallback callback) {
   if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().node().leader();
+    const VoterId& leader = daemon_.replica().leader();
     const bool other = !leader.empty() && leader != daemon_.replica().id();
     callback(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
                        "this control VM is not a confirmed leader"));
@@ -458,6 +458,7 @@
   add("upstreams", directory_.size());
   add("pushes_total", push_number_);
   add("acknowledgements_waiting", waiters_.size());
+  add("storage_suspended", daemon_.replica().suspended() ? 1 : 0);
   add("crashes_known", crash_news_.witnesses());
   add("prompt_parts_suspected", crash_news_.suspected_parts());
   add("prompt_parts_quarantined", crash_news_.quarantined_parts());
--- a/src/domain/error.cc
+++ b/src/domain/error.cc
@@ -61,6 +61,7 @@
     {ErrorCode::kDamagedRecord, "damaged-record", 500},
     {ErrorCode::kStorageFailed, "storage-failed", 500},
     {ErrorCode::kWrongDataFolder, "wrong-data-folder", 500},
+    {ErrorCode::kStorageRefused, "storage-refused", 500},
     {ErrorCode::kFrameTooLarge, "frame-too-large", 500},
     {ErrorCode::kHandshakeFailed, "handshake-failed", 500},
     {ErrorCode::kMalformedMessage, "malformed-message", 500},
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -60,6 +60,8 @@
       {EventId::kSnapshotWritten, "snapshot-written"},
       {EventId::kTornTailCut, "torn-tail-cut"},
       {EventId::kDamagedRecordFound, "damaged-record-found"},
+      {EventId::kStorageRefused, "storage-refused"},
+      {EventId::kStorageResumed, "storage-resumed"},
       {EventId::kPeerConnected, "peer-connected"},
       {EventId::kPeerSilent, "peer-silent"},
       {EventId::kPeerRefused, "peer-refused"},
--- a/src/rpc/voter_calls.cc
+++ b/src/rpc/voter_calls.cc
@@ -49,7 +49,7 @@
     SetError(daemon, error, *reply.mutable_outcome());
   };
   if (!daemon.replica().HoldsLease()) {
-    fail(daemon.replica().node().leader().empty()
+    fail(daemon.replica().leader().empty()
              ? MakeError(ErrorCode::kNoQuorum, "no quorum of control VMs")
              : MakeError(ErrorCode::kNotLeader,
                          "this control VM is not the leader"));
