Stop requests that share a crashing message on the product's own interface

Cause: its quarantine goes by the hash of account and body.

Change: each message of a conversation but the last is a part, named by its hash; the dispatcher ties crashes to them with PartQuarantine. The entries tell each other changes before a caller is answered, with the suspicions of requests, and all they know every 2 s.

--- a/include/rattanward/entry/cluster_link.h
+++ b/include/rattanward/entry/cluster_link.h
@@ -47,7 +47,7 @@
   void ApplyUpstream(const Announcement& announcement);
   void HandleMessage(const adapter::InboundMessage& message,
                      const adapter::ReplyHandle& reply);
-  void BroadcastSuspicions(const std::vector<policy::Suspicion>& suspicions,
+  void BroadcastSuspicions(const protocol::SuspicionsTold& told,
                            const std::function<void()>& on_done);
   void RequestPortions(TimePoint now);
 
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -12,6 +12,7 @@
 #include "rattanward/entry/config_snapshot.h"
 #include "rattanward/policy/dispatcher.h"
 #include "rattanward/port/event_sink.h"
+#include "rattanward/protocol/gossip_messages.h"
 
 namespace rattanward::entry {
 
@@ -27,9 +28,8 @@
 };
 
 /// @brief Sends suspicions to the other entries, then calls back exactly once.
-using SuspicionBroadcaster =
-    std::function<void(const std::vector<policy::Suspicion>& suspicions,
-                       std::function<void()> on_done)>;
+using SuspicionBroadcaster = std::function<void(
+    const protocol::SuspicionsTold& told, std::function<void()> on_done)>;
 
 /// @brief Receives the decisions on one request in order.
 using DecisionSink = std::function<void(const policy::Decision& decision)>;
@@ -122,6 +122,7 @@
   };
 
   void Deliver(const Decisions& decisions);
+  void TellParts(TimePoint now);
   void DeliverAfterBroadcast(Decisions decisions);
   void Tick(TimePoint now);
 
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -15,6 +15,7 @@
 #include "rattanward/domain/upstream.h"
 #include "rattanward/domain/verdict.h"
 #include "rattanward/policy/account_portions.h"
+#include "rattanward/policy/part_quarantine.h"
 
 namespace rattanward::policy {
 
@@ -32,6 +33,9 @@
   bool idempotent = true;
   /// Hash of account and body; equal when a caller resends the same request.
   std::uint64_t fingerprint = 0;
+  /// Hashes of the messages of the prompt that other requests may share: all
+  /// but the last.
+  std::vector<std::uint64_t> shared_parts;
   /// Hash of the start of the prompt, for cache affinity; 0 means none.
   std::uint64_t prefix = 0;
   TimePoint arrived;
@@ -177,6 +181,13 @@
   /// entries before answering the callers, which may resend immediately.
   std::vector<Suspicion> TakeSuspicions();
 
+  /// @brief Returns what changed at this entry against parts of prompts since
+  /// the last call, and from time to time everything, since news may be lost.
+  std::vector<PartSuspicion> TakePartSuspicions(TimePoint now);
+
+  /// @brief Merges what another entry knows against a part of prompts.
+  void MergePartSuspicion(const PartSuspicion& suspicion, TimePoint now);
+
   /// @brief Merges a suspicion received from another entry.
   void MergeSuspicion(const Suspicion& suspicion, TimePoint now);
 
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -41,6 +41,10 @@
   /// @brief Returns the events since the last call.
   std::vector<Event> TakeEvents() { return std::exchange(events_, {}); }
 
+  /// @brief See Dispatcher.
+  std::vector<PartSuspicion> TakePartSuspicions(TimePoint now);
+  void MergePartSuspicion(const PartSuspicion& suspicion, TimePoint now);
+
   Quarantine& quarantine() { return quarantine_; }
   AccountLimits& accounts() { return accounts_; }
 
@@ -107,6 +111,8 @@
                         TimePoint now);
   /// Adds a crash of the upstream to the record of every request running there.
   void RecordCrash(const UpstreamId& upstream, TimePoint now);
+  void AddChangedParts(const std::vector<PartSuspicion>& changed);
+  bool IsQuarantined(const RequestInfo& request) const;
   /// Returns the final error if the request may not be tried again.
   std::optional<Error> CheckRetry(const OpenRequest& open,
                                   const AttemptResult& result, TimePoint now);
@@ -138,6 +144,10 @@
   AccountLimits accounts_;
   RetryBudget retry_budget_;
   Quarantine quarantine_;
+  PartQuarantine part_quarantine_;
+  /// Changes for TakePartSuspicions().
+  std::vector<PartSuspicion> changed_parts_;
+  TimePoint all_parts_told_at_;
   std::unordered_map<RequestId, OpenRequest> open_requests_;
   /// Number of running attempts by fingerprint.
   std::unordered_map<std::uint64_t, std::uint32_t> running_by_fingerprint_;
--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -11,6 +11,7 @@
 #include "rattanward/domain/request_class.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/domain/upstream.h"
+#include "rattanward/policy/part_quarantine.h"
 #include "rattanward/policy/quantile_window.h"
 #include "rattanward/policy/quiet_period.h"
 #include "rattanward/policy/target.h"
@@ -23,6 +24,8 @@
   std::uint64_t fingerprint = 0;
   TimePoint started;
   bool first_token_seen = false;
+  /// What was known against the parts of its prompt when it was started.
+  std::vector<PartSuspicion> known_at_start = {};
 
   friend bool operator==(const RunningAttempt&,
                          const RunningAttempt&) = default;
--- a/include/rattanward/protocol/gossip_messages.h
+++ b/include/rattanward/protocol/gossip_messages.h
@@ -51,6 +51,7 @@
 /// answer, without content, says that the suspicions are heeded.
 struct SuspicionsTold {
   std::vector<policy::Suspicion> suspicions;
+  std::vector<policy::PartSuspicion> parts;
 
   friend bool operator==(const SuspicionsTold&,
                          const SuspicionsTold&) = default;
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -160,9 +160,14 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::PartSuspicion> {
+  static auto Tie(auto& m) { return std::tie(m.part, m.clearances, m.crashes); }
+};
+
 template <>
 struct FieldsOf<SuspicionsTold> {
-  static auto Tie(auto& m) { return std::tie(m.suspicions); }
+  static auto Tie(auto& m) { return std::tie(m.suspicions, m.parts); }
 };
 
 template <>
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -120,11 +120,6 @@
   }
 };
 
-template <>
-struct FieldsOf<policy::PartSuspicion> {
-  static auto Tie(auto& m) { return std::tie(m.part, m.clearances, m.crashes); }
-};
-
 template <>
 struct FieldsOf<membership::LeavingInstance> {
   static auto Tie(auto& m) { return std::tie(m.id, m.born); }
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxHeaderValueBytes = 256;
 /// Number of leading prompt bytes that are hashed to recognize shared prefixes.
 constexpr std::size_t kPromptPrefixBytes = 512;
+constexpr int kNoIndent = -1;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::string_view kServicesPath = "/services/";
 
@@ -102,6 +103,18 @@
   return start.substr(0, kPromptPrefixBytes);
 }
 
+/// Hashes of the messages that other requests may share: all but the last.
+std::vector<std::uint64_t> SharedParts(const Json& body) {
+  constexpr std::size_t kMaxParts = 16;
+  const Json& messages = body["messages"];
+  std::vector<std::uint64_t> parts;
+  for (std::size_t i = 0; i + 1 < messages.size() && i < kMaxParts; ++i) {
+    parts.push_back(Hash(messages[i].dump(kNoIndent, ' ', false,
+                                          Json::error_handler_t::replace)));
+  }
+  return parts;
+}
+
 Status CheckCompletionBody(const ConfigSnapshot& config, const Json& body) {
   if (!body.is_object()) {
     return MakeError(ErrorCode::kMalformedBody,
@@ -183,13 +196,13 @@
   FillPlan(config, account, request, id, *request_class.value(), plan);
   plan.info.model = ModelName(body["model"].get<std::string>());
   plan.info.idempotent = idempotent;
+  plan.info.shared_parts = SharedParts(body);
   plan.info.prefix = Hash(PromptPrefix(body), Hash(plan.info.model.str()));
   plan.shape = body.value("stream", false) ? AnswerShape::kEventStream
                                            : AnswerShape::kBufferedCompletion;
   body["stream"] = true;
   plan.request.path = "/v1/chat/completions";
   plan.request.content_type = "application/json";
-  constexpr int kNoIndent = -1;
   plan.request.body =
       body.dump(kNoIndent, ' ', false, Json::error_handler_t::replace);
   return checked;
--- a/src/entry/cluster_link.cc
+++ b/src/entry/cluster_link.cc
@@ -136,8 +136,8 @@
   if (const Status listening = listener_.Listen(listen_); !listening) {
     return listening.error();
   }
-  core_.set_suspicion_broadcaster([this](const auto& suspicions, auto on_done) {
-    BroadcastSuspicions(suspicions, on_done);
+  core_.set_suspicion_broadcaster([this](const auto& told, auto on_done) {
+    BroadcastSuspicions(told, on_done);
   });
   core_.dispatcher().SetEntryGroup(group_, EntryCore::Now());
   control_.Start();
@@ -235,6 +235,9 @@
       for (const policy::Suspicion& suspicion : decoded.value().suspicions) {
         core_.dispatcher().MergeSuspicion(suspicion, EntryCore::Now());
       }
+      for (const policy::PartSuspicion& part : decoded.value().parts) {
+        core_.dispatcher().MergePartSuspicion(part, EntryCore::Now());
+      }
       reply.Reply(MessageKind::kSuspicions, std::string());
     }
     return;
@@ -255,10 +258,9 @@
   }
 }
 
-void ClusterLink::BroadcastSuspicions(
-    const std::vector<policy::Suspicion>& suspicions,
-    const std::function<void()>& on_done) {
-  for (const policy::Suspicion& suspicion : suspicions) {
+void ClusterLink::BroadcastSuspicions(const protocol::SuspicionsTold& told,
+                                      const std::function<void()>& on_done) {
+  for (const policy::Suspicion& suspicion : told.suspicions) {
     gossip_.AddSuspicion(suspicion);
   }
   // The deleter calls on_done when the last copy is destroyed. Each pending
@@ -267,7 +269,7 @@
                                          [on_done](void*) { on_done(); });
   protocol::Envelope envelope;
   envelope.kind = MessageKind::kSuspicions;
-  envelope.body = protocol::Encode(protocol::SuspicionsTold{suspicions});
+  envelope.body = protocol::Encode(told);
   for (const ProcessId& peer : group_.entries) {
     if (peer != group_.self) {
       gossip_.CallPeer(peer, envelope, kSuspicionAckTimeout,
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -127,15 +127,25 @@
 
 void EntryCore::Tick(TimePoint now) {
   Deliver(dispatcher_.Tick(now));
+  TellParts(now);
   for (const Event& event : dispatcher_.TakeEvents()) {
     events_(event);
   }
 }
 
+/// Changes that no decision waits for.
+void EntryCore::TellParts(TimePoint now) {
+  const protocol::SuspicionsTold told{{}, dispatcher_.TakePartSuspicions(now)};
+  if (!told.parts.empty() && broadcast_suspicions_) {
+    broadcast_suspicions_(told, [] {});
+  }
+}
+
 void EntryCore::DeliverAfterBroadcast(Decisions decisions) {
-  const std::vector<policy::Suspicion> suspicions =
-      dispatcher_.TakeSuspicions();
-  if (suspicions.empty() || !broadcast_suspicions_) {
+  const protocol::SuspicionsTold told{dispatcher_.TakeSuspicions(),
+                                      dispatcher_.TakePartSuspicions(Now())};
+  if ((told.suspicions.empty() && told.parts.empty()) ||
+      !broadcast_suspicions_) {
     Deliver(decisions);
     return;
   }
@@ -144,9 +154,8 @@
       it->second.delivery_pending = true;
     }
   }
-  broadcast_suspicions_(suspicions, [this, decisions = std::move(decisions)] {
-    Deliver(decisions);
-  });
+  broadcast_suspicions_(
+      told, [this, decisions = std::move(decisions)] { Deliver(decisions); });
 }
 
 void EntryCore::Deliver(const Decisions& decisions) {
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -95,6 +95,19 @@
                              : standard->quarantine().TakeUnsent();
 }
 
+std::vector<PartSuspicion> Dispatcher::TakePartSuspicions(TimePoint now) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<PartSuspicion>()
+                             : standard->TakePartSuspicions(now);
+}
+
+void Dispatcher::MergePartSuspicion(const PartSuspicion& suspicion,
+                                    TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->MergePartSuspicion(suspicion, now);
+  }
+}
+
 void Dispatcher::MergeSuspicion(const Suspicion& suspicion, TimePoint now) {
   if (StandardDispatcher* standard = impl_->Standard()) {
     standard->quarantine().Merge(suspicion, now);
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -13,6 +13,9 @@
 constexpr std::uint32_t kMedianPermille = 500;
 /// Interval between two reviews of probation and of expired state.
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(250);
+/// Period in which the other entries are told everything that is known against
+/// parts of prompts.
+constexpr Duration kTellAllPartsPeriod = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -85,6 +88,7 @@
   if (!next_maintenance_ || now >= *next_maintenance_) {
     next_maintenance_ = now + kMaintenancePeriod;
     quarantine_.Expire(now);
+    part_quarantine_.Expire(now);
     accounts_.Expire(now);
     for (const auto& [target, list] : upstreams_.ByTarget()) {
       UpdateProbation(list, now);
@@ -197,8 +201,7 @@
 
 std::optional<Error> StandardDispatcher::CheckStartable(const OpenRequest& open,
                                                         TimePoint now) const {
-  if (quarantine_.StatusOf(open.info.fingerprint) ==
-      QuarantineStatus::kQuarantined) {
+  if (IsQuarantined(open.info)) {
     return QuarantinedError();
   }
   if (auto error = CheckQuiet(open, now)) {
@@ -240,12 +243,40 @@
   open->first_token.reset();
   ++running_by_fingerprint_[open->info.fingerprint];
   upstreams_.AttemptStarted(
-      upstream, {open->info.id, open->info.fingerprint, now, false});
+      upstream, {open->info.id, open->info.fingerprint, now, false,
+                 part_quarantine_.KnownAgainst(open->info.shared_parts)});
   out->push_back(StartAttempt{open->info.id, open->attempt, a.instance,
                               a.endpoint, open->declared.tier,
                               a.not_run_statuses});
 }
 
+bool StandardDispatcher::IsQuarantined(const RequestInfo& request) const {
+  return quarantine_.StatusOf(request.fingerprint) ==
+             QuarantineStatus::kQuarantined ||
+         part_quarantine_.FindQuarantined(request.shared_parts).has_value();
+}
+
+std::vector<PartSuspicion> StandardDispatcher::TakePartSuspicions(
+    TimePoint now) {
+  if (now - all_parts_told_at_ >= kTellAllPartsPeriod) {
+    all_parts_told_at_ = now;
+    changed_parts_ = part_quarantine_.All();
+  }
+  return std::exchange(changed_parts_, {});
+}
+
+void StandardDispatcher::MergePartSuspicion(const PartSuspicion& suspicion,
+                                            TimePoint now) {
+  if (const auto own = part_quarantine_.Merge(suspicion, now)) {
+    AddChangedParts({*own});
+  }
+}
+
+void StandardDispatcher::AddChangedParts(
+    const std::vector<PartSuspicion>& changed) {
+  changed_parts_.insert(changed_parts_.end(), changed.begin(), changed.end());
+}
+
 bool StandardDispatcher::AllTried(const OpenRequest& open) const {
   const UpstreamTable::List& list = upstreams_.Serving(open.target);
   return std::none_of(list.begin(), list.end(), [&](const UpstreamState* u) {
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -141,6 +141,7 @@
     return;
   }
   quarantine_.RecordCompletion(open.info.fingerprint);
+  AddChangedParts(part_quarantine_.RecordSuccess(open.info.shared_parts, now));
   const TimePoint first = open.first_token.value_or(now);
   if (!open.first_token) {
     latency_.RecordFirstToken(open.declared.name, open.target,
@@ -158,6 +159,7 @@
   }
   for (const RunningAttempt& attempt : state->running) {
     quarantine_.AddDeath(attempt.fingerprint, upstream, now);
+    AddChangedParts(part_quarantine_.RecordCrash(attempt.known_at_start, now));
   }
 }
 
@@ -165,8 +167,7 @@
                                                     const AttemptResult& result,
                                                     TimePoint now) {
   Error error = result.error;
-  if (quarantine_.StatusOf(open.info.fingerprint) ==
-      QuarantineStatus::kQuarantined) {
+  if (IsQuarantined(open.info)) {
     return CheckStartable(open, now);
   }
   if (!MayBeRetried(result.end) || result.answer_begun ||
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -248,6 +248,42 @@
   CHECK_FALSE(StartedOn(d.Submit(poison, now).at(0)).empty());
 }
 
+TEST_CASE("dispatcher: requests that share a crashing message are refused") {
+  constexpr std::uint64_t kSystemMessage = 1;
+  constexpr std::uint64_t kBadMessage = 66;
+  constexpr int kEngines = 12;
+  Dispatcher d = MakeStandard(MakeTwoTierConfig());
+  TimePoint now;
+  for (int i = 0; i < kEngines; ++i) {
+    d.UpstreamChanged(MakeEngine("e" + std::to_string(i), 4), now);
+  }
+  const auto submit = [&](const std::string& id, std::uint64_t body,
+                          std::vector<std::uint64_t> parts) {
+    RequestInfo request = MakeRequest(id, "gate", now);
+    request.fingerprint = body;
+    request.shared_parts = std::move(parts);
+    request.idempotent = false;
+    return d.Submit(request, now);
+  };
+  int crashes = 0;
+  for (std::uint64_t i = 0; i < 8; ++i) {
+    now += seconds(2);
+    const std::string bad = "bad" + std::to_string(i);
+    if (!StartedOn(submit(bad, 100 + i, {kSystemMessage, kBadMessage}).at(0))
+             .empty()) {
+      ++crashes;
+      d.Finish(MakeResult(bad, 1, AttemptEnd::kBroken, Verdict::kMayHaveRun),
+               now);
+    }
+    const std::string sound = "sound" + std::to_string(i);
+    CHECK(!StartedOn(submit(sound, 200 + i, {kSystemMessage}).at(0)).empty());
+    d.Finish(MakeResult(sound, 1, AttemptEnd::kCompleted, Verdict::kRan), now);
+  }
+  CHECK(crashes == 3);
+  CHECK(RefusedWith(submit("last", 300, {kBadMessage}).at(0)) ==
+        ErrorCode::kQuarantined);
+}
+
 TEST_CASE("dispatcher: two suspects never share an upstream") {
   Dispatcher d = MakeStandard(MakeTwoTierConfig());
   const TimePoint now;
