Call the time that an upstream asks for its back-off

Cause: read as a newcomer: quiet and wishes are no terms of the field.

Measured: the tests of both data paths, of the dispatcher and of the platform pass, and test-upstream-signals.

Conclusion: no decision changes.

--- a/apps/rattanward-fake-engine/batch.h
+++ b/apps/rattanward-fake-engine/batch.h
@@ -37,7 +37,7 @@
   std::atomic<int> refuse_status{0};
   /// Retry-After in seconds with which each completion request is rejected; 0
   /// disables this fault.
-  std::atomic<std::uint32_t> quiet_s{0};
+  std::atomic<std::uint32_t> backoff_s{0};
   /// Every answer says that the engine is leaving; its announcements don't.
   std::atomic<bool> leaving{false};
   /// Responses carry the id of another request.
--- a/apps/rattanward-fake-engine/main.cc
+++ b/apps/rattanward-fake-engine/main.cc
@@ -103,10 +103,10 @@
     response.status = status;
     return;
   }
-  if (const std::uint32_t quiet = behaviour_.quiet_s; quiet != 0) {
+  if (const std::uint32_t seconds = behaviour_.backoff_s; seconds != 0) {
     ++turned_away_;
     response.status = 503;
-    response.set_header("Retry-After", std::to_string(quiet));
+    response.set_header("Retry-After", std::to_string(seconds));
     return;
   }
   const Json body = Json::parse(request.body, nullptr, false);
@@ -246,8 +246,8 @@
   if (fault.contains("refuse_status")) {
     behaviour_.refuse_status = fault["refuse_status"].get<int>();
   }
-  if (fault.contains("quiet_s")) {
-    behaviour_.quiet_s = fault["quiet_s"].get<std::uint32_t>();
+  if (fault.contains("backoff_s")) {
+    behaviour_.backoff_s = fault["backoff_s"].get<std::uint32_t>();
   }
   if (fault.contains("leaving")) {
     behaviour_.leaving = fault["leaving"].get<bool>();
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -42,7 +42,7 @@
   kUpstreamRestored = 3005,
   kUpstreamBroke = 3008,
   kUpstreamLeaving = 3009,
-  kUpstreamQuiet = 3010,
+  kUpstreamBackoff = 3010,
   kEntryPeerLost = 3006,
   kEntryPeerFound = 3007,
 
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -89,7 +89,7 @@
                                     bool (*on_bytes)(UpstreamAttempt&,
                                                      std::string_view),
                                     void (UpstreamAttempt::*on_end)(CallEnd));
-  void ReadWishes(const http::ResponseHead& head);
+  void ReadSignals(const http::ResponseHead& head);
   bool HandleServiceHead(const http::ResponseHead& head);
   bool AppendBody(std::string_view bytes);
   bool HandleStreamHead(const http::ResponseHead& head);
--- a/include/rattanward/policy/quiet_period.h
+++ b/include/rattanward/policy/backoff_period.h
@@ -11,7 +11,7 @@
 /// @note Pure: the time is a parameter. Answers the load of callers whose
 /// upstreams turn requests away: after the period, the entries come back one
 /// after the other, and each with few requests at first.
-class QuietPeriod {
+class BackoffPeriod {
  public:
   /// Time after the period within which the requests return.
   static constexpr Duration kReturnTime = std::chrono::seconds(2);
@@ -19,10 +19,10 @@
   /// Longest time for which an upstream can ask.
   static constexpr Duration kLongest = std::chrono::seconds(60);
 
-  /// @brief The upstream asks for quiet. Extends the period, but never shortens
-  /// it.
+  /// @brief The upstream asks for back-off. Extends the period, but never
+  /// shortens it.
   /// @return Time that counts, at most kLongest.
-  Duration Ask(Duration quiet_for, TimePoint now);
+  Duration Ask(Duration backoff_for, TimePoint now);
 
   /// @brief Whether the period and the time of return are over, or there was
   /// none.
@@ -46,9 +46,10 @@
   TimePoint end_ = TimePoint::min();
 };
 
-/// @brief Whether a request should wait for the end of the quiet period that
+/// @brief Whether a request should wait for the end of the back-off period that
 /// all its upstreams have asked for. Otherwise it is refused at once, so that
 /// its caller can come back through another entry.
-bool WaitsForQuietEnd(TimePoint quiet_end, TimePoint deadline, TimePoint now);
+bool WaitsForBackoffEnd(TimePoint backoff_end, TimePoint deadline,
+                        TimePoint now);
 
 }  // namespace rattanward::policy
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -98,7 +98,7 @@
   bool answer_begun = false;
   std::uint32_t output_tokens = 0;
   /// The upstream refused the request and wants none of this entry for so long.
-  std::optional<Duration> quiet_for;
+  std::optional<Duration> backoff_for;
   /// Error returned to the caller if the attempt is not retried.
   Error error;
 
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -14,7 +14,7 @@
 #include "rattanward/domain/routing.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
-#include "rattanward/policy/quiet_period.h"
+#include "rattanward/policy/backoff_period.h"
 
 namespace rattanward::policy {
 
@@ -169,7 +169,7 @@
   /// than this.
   std::uint32_t urgent_tokens = 1500;
   /// Hash of the entry's process id; requests of different entries return to
-  /// an upstream at different times after it asked for quiet.
+  /// an upstream at different times after it asked for back-off.
   std::uint64_t entry_hash = 0;
   /// Whether prompt parts placed by other entries count as cached.
   bool use_remote_placements = true;
@@ -259,16 +259,16 @@
   /// @brief Records that an upstream wants no request of this entry for some
   /// time.
   /// @return Time that counts.
-  Duration RecordQuietRequest(const UpstreamId& id, Duration quiet_for,
-                              TimePoint now);
+  Duration RecordBackoff(const UpstreamId& id, Duration backoff_for,
+                         TimePoint now);
 
-  /// @brief The earliest end among the quiet periods, if every upstream of a
+  /// @brief The earliest end among the back-off periods, if every upstream of a
   /// service that may be used has asked for one.
-  std::optional<TimePoint> QuietUntil(const ServiceName& service,
-                                      TimePoint now) const;
+  std::optional<TimePoint> BackoffUntil(const ServiceName& service,
+                                        TimePoint now) const;
 
   /// @brief Number of upstreams that want no request of this entry now.
-  std::size_t QuietUpstreams(TimePoint now) const;
+  std::size_t UpstreamsInBackoff(TimePoint now) const;
 
   /// @brief Records that an upstream answered, which resets its count of
   /// consecutive failures.
@@ -324,7 +324,7 @@
     /// Consecutive times that the instance was unreachable.
     std::uint32_t failures = 0;
     TimePoint avoid_until;
-    QuietPeriod quiet;
+    BackoffPeriod backoff;
   };
   struct Service {
     RoutedService declared;
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -65,7 +65,7 @@
     std::optional<TimePoint> first_token;
     /// Whether the request counts towards its account's limits.
     bool counted = true;
-    /// Attempts that upstreams turned away, asking for quiet.
+    /// Attempts that upstreams turned away, asking for back-off.
     std::uint32_t turned_away = 0;
   };
   using Decisions = std::vector<Decision>;
@@ -132,9 +132,10 @@
   ClassQueue::Cutoff LateCutoff(const Target& target, TimePoint now) const;
   TimePoint DeadlineOf(const OpenRequest& open) const;
   bool IsSuspect(std::uint64_t fingerprint) const;
-  /// Returns an error if every upstream has asked for quiet, for longer than
+  /// Returns an error if every upstream has asked for back-off, for longer than
   /// the request should wait.
-  std::optional<Error> CheckQuiet(const OpenRequest& open, TimePoint now) const;
+  std::optional<Error> CheckBackoff(const OpenRequest& open,
+                                    TimePoint now) const;
 
   Config config_;
   ClassQueue queue_;
--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -11,9 +11,9 @@
 #include "rattanward/domain/request_class.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/domain/upstream.h"
+#include "rattanward/policy/backoff_period.h"
 #include "rattanward/policy/part_quarantine.h"
 #include "rattanward/policy/quantile_window.h"
-#include "rattanward/policy/quiet_period.h"
 #include "rattanward/policy/target.h"
 
 namespace rattanward::policy {
@@ -71,7 +71,7 @@
   std::vector<TimePoint> recent_ends;
   /// Nothing is sent before this time, because of a refusal or failure.
   TimePoint avoid_until;
-  QuietPeriod quiet;
+  BackoffPeriod backoff;
   QuantileWindow first_token_us;
   ProbationState probation;
   /// Whether the last probation event for this upstream was its begin.
--- a/include/rattanward/proxy/dialect.h
+++ b/include/rattanward/proxy/dialect.h
@@ -59,7 +59,7 @@
   bool leaving = false;
   /// The upstream turned the request away and wants no request of this entry
   /// for so long.
-  std::optional<Duration> quiet_for;
+  std::optional<Duration> backoff_for;
 
   friend bool operator==(const ResponseTraits&,
                          const ResponseTraits&) = default;
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -60,7 +60,7 @@
   /// @brief The upstream told that it is leaving.
   virtual void OnLeaving(const Exchange& exchange) = 0;
   /// @brief The upstream wants no request of this entry for so long.
-  virtual void OnQuietRequest(const Exchange& exchange, Duration quiet_for) = 0;
+  virtual void OnBackoff(const Exchange& exchange, Duration backoff_for) = 0;
   /// @brief The upstream rejected the request without running it.
   virtual void OnRejected(const Exchange& exchange) = 0;
   /// @brief No connection to the upstream could be opened.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -154,7 +154,7 @@
                   std::shared_ptr<http::ClientConnection> connection) override;
   std::uint64_t StartOf(const UpstreamId& upstream) const override;
   void OnLeaving(const Exchange& exchange) override;
-  void OnQuietRequest(const Exchange& exchange, Duration quiet_for) override;
+  void OnBackoff(const Exchange& exchange, Duration backoff_for) override;
   void OnRejected(const Exchange& exchange) override;
   void OnUnreachable(const Exchange& exchange) override;
   void OnConnectionLost(const Exchange& exchange) override;
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -41,7 +41,7 @@
       {EventId::kUpstreamRestored, "upstream-restored"},
       {EventId::kUpstreamBroke, "upstream-broke"},
       {EventId::kUpstreamLeaving, "upstream-leaving"},
-      {EventId::kUpstreamQuiet, "upstream-quiet"},
+      {EventId::kUpstreamBackoff, "upstream-backoff"},
       {EventId::kEntryPeerLost, "entry-peer-lost"},
       {EventId::kEntryPeerFound, "entry-peer-found"},
       {EventId::kLeaderElected, "leader-elected"},
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -162,19 +162,19 @@
 }
 
 /// Reads what the upstream wants of this entry beyond the request.
-void UpstreamAttempt::ReadWishes(const http::ResponseHead& head) {
+void UpstreamAttempt::ReadSignals(const http::ResponseHead& head) {
   const std::string* leaving = head.fields.Find("X-Rattanward-Leaving");
   if (leaving != nullptr && *leaving != "0" && on_leaving) {
     on_leaving();
   }
   const std::string* retry_after = head.fields.Find("Retry-After");
   if (head.status == kUnavailable && retry_after != nullptr) {
-    result_.quiet_for = http::ParseRetryAfter(*retry_after);
+    result_.backoff_for = http::ParseRetryAfter(*retry_after);
   }
 }
 
 bool UpstreamAttempt::HandleServiceHead(const http::ResponseHead& head) {
-  ReadWishes(head);
+  ReadSignals(head);
   status_ = head.status;
   const std::string id = RequestIdOf(head);
   request_id_matches_ = id.empty() || id == request_.id.str();
@@ -188,7 +188,7 @@
 }
 
 bool UpstreamAttempt::HandleStreamHead(const http::ResponseHead& head) {
-  ReadWishes(head);
+  ReadSignals(head);
   status_ = head.status;
   request_id_matches_ = RequestIdOf(head) == request_.id.str();
   return status_ >= kFirstErrorStatus || request_id_matches_;
@@ -243,7 +243,7 @@
   call_->Send(MakeHead("GET", StreamPath() + "/status"), std::string(),
               MakeWatcher(
                   [](UpstreamAttempt& self, const auto& head) {
-                    self.ReadWishes(head);
+                    self.ReadSignals(head);
                     return true;
                   },
                   [](UpstreamAttempt& self, std::string_view bytes) {
--- a/src/policy/quiet_period.cc
+++ b/src/policy/backoff_period.cc
@@ -1,17 +1,17 @@
-#include "rattanward/policy/quiet_period.h"
+#include "rattanward/policy/backoff_period.h"
 
 #include <algorithm>
 
 namespace rattanward::policy {
 
-Duration QuietPeriod::Ask(Duration quiet_for, TimePoint now) {
-  const Duration counted = std::min(quiet_for, kLongest);
+Duration BackoffPeriod::Ask(Duration backoff_for, TimePoint now) {
+  const Duration counted = std::min(backoff_for, kLongest);
   end_ = std::max(end_, now + counted);
   return counted;
 }
 
-bool QuietPeriod::Allows(std::uint32_t running, double share, double spread,
-                         TimePoint now) const {
+bool BackoffPeriod::Allows(std::uint32_t running, double share, double spread,
+                           TimePoint now) const {
   if (Over(now)) {
     return true;
   }
@@ -27,8 +27,9 @@
   return running + 1 <= allowed;
 }
 
-bool WaitsForQuietEnd(TimePoint quiet_end, TimePoint deadline, TimePoint now) {
-  return quiet_end - now <= (deadline - now) / 2;
+bool WaitsForBackoffEnd(TimePoint backoff_end, TimePoint deadline,
+                        TimePoint now) {
+  return backoff_end - now <= (deadline - now) / 2;
 }
 
 }  // namespace rattanward::policy
--- a/src/policy/chooser.cc
+++ b/src/policy/chooser.cc
@@ -46,8 +46,8 @@
   const auto running = static_cast<std::uint32_t>(upstream.running.size());
   constexpr double kReturnsFirst = 1;
   return upstream.AcceptsNewWork() && query.now >= upstream.avoid_until &&
-         upstream.quiet.Allows(running, upstream.announcement.capacity,
-                               kReturnsFirst, query.now) &&
+         upstream.backoff.Allows(running, upstream.announcement.capacity,
+                                 kReturnsFirst, query.now) &&
          std::find(query.tried.begin(), query.tried.end(),
                    upstream.announcement.instance) == query.tried.end();
 }
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -95,10 +95,10 @@
          now >= instance.avoid_until && MayReturn(instance, now);
 }
 
-/// Whether an upstream that asked for quiet may get another request of this
+/// Whether an upstream that asked for back-off may get another request of this
 /// entry.
 bool Placer::MayReturn(const Instance& instance, TimePoint now) const {
-  if (instance.quiet.Over(now)) {
+  if (instance.backoff.Over(now)) {
     return true;
   }
   const double share = static_cast<double>(instance.record.slots) /
@@ -107,37 +107,39 @@
   const double spread = static_cast<double>(RendezvousWeight(
                             instance.hash, options_.entry_hash)) /
                         kMaxWeight;
-  return instance.quiet.Allows(instance.local_load.running, share, spread, now);
+  return instance.backoff.Allows(instance.local_load.running, share, spread,
+                                 now);
 }
 
-Duration Placer::RecordQuietRequest(const UpstreamId& id, Duration quiet_for,
-                                    TimePoint now) {
+Duration Placer::RecordBackoff(const UpstreamId& id, Duration backoff_for,
+                               TimePoint now) {
   const auto found = instances_.find(id);
-  return found == instances_.end() ? Duration(0)
-                                   : found->second.quiet.Ask(quiet_for, now);
+  return found == instances_.end()
+             ? Duration(0)
+             : found->second.backoff.Ask(backoff_for, now);
 }
 
-std::optional<TimePoint> Placer::QuietUntil(const ServiceName& service,
-                                            TimePoint now) const {
+std::optional<TimePoint> Placer::BackoffUntil(const ServiceName& service,
+                                              TimePoint now) const {
   const auto found = services_.find(service);
   if (found == services_.end()) {
     return std::nullopt;
   }
   std::optional<TimePoint> earliest;
   for (const Instance* instance : found->second.instances) {
-    if (!instance->quiet.Active(now)) {
+    if (!instance->backoff.Active(now)) {
       return std::nullopt;
     }
-    earliest = std::min(earliest.value_or(instance->quiet.end()),
-                        instance->quiet.end());
+    earliest = std::min(earliest.value_or(instance->backoff.end()),
+                        instance->backoff.end());
   }
   return earliest;
 }
 
-std::size_t Placer::QuietUpstreams(TimePoint now) const {
+std::size_t Placer::UpstreamsInBackoff(TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
       instances_.begin(), instances_.end(),
-      [now](const auto& item) { return item.second.quiet.Active(now); }));
+      [now](const auto& item) { return item.second.backoff.Active(now); }));
 }
 
 const Placer::Instance* Placer::FindBest(const PlacementRequest& request,
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -204,7 +204,7 @@
   if (IsQuarantined(open.info)) {
     return QuarantinedError();
   }
-  if (auto error = CheckQuiet(open, now)) {
+  if (auto error = CheckBackoff(open, now)) {
     return error;
   }
   const Duration first_token = latency_.FirstTokenWait(
@@ -212,20 +212,20 @@
   return CheckDeadline({now, DeadlineOf(open), Duration(0), first_token});
 }
 
-std::optional<Error> StandardDispatcher::CheckQuiet(const OpenRequest& open,
-                                                    TimePoint now) const {
+std::optional<Error> StandardDispatcher::CheckBackoff(const OpenRequest& open,
+                                                      TimePoint now) const {
   std::optional<TimePoint> earliest;
   for (const UpstreamState* upstream : upstreams_.Serving(open.target)) {
     if (!upstream->AcceptsNewWork()) {
       continue;
     }
-    if (!upstream->quiet.Active(now)) {
+    if (!upstream->backoff.Active(now)) {
       return std::nullopt;
     }
-    earliest = std::min(earliest.value_or(upstream->quiet.end()),
-                        upstream->quiet.end());
+    earliest = std::min(earliest.value_or(upstream->backoff.end()),
+                        upstream->backoff.end());
   }
-  if (!earliest || WaitsForQuietEnd(*earliest, DeadlineOf(open), now)) {
+  if (!earliest || WaitsForBackoffEnd(*earliest, DeadlineOf(open), now)) {
     return std::nullopt;
   }
   Error error = MakeError(ErrorCode::kNoUpstream,
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -47,9 +47,9 @@
   return unreachable ? kAvoidAfterFailure : Duration(0);
 }
 
-/// Whether the upstream asked for quiet, and the request surely has not run.
+/// Whether the upstream asked for back-off, and the request surely has not run.
 bool WasTurnedAway(const AttemptResult& result) {
-  return result.end == AttemptEnd::kRefused && result.quiet_for.has_value();
+  return result.end == AttemptEnd::kRefused && result.backoff_for.has_value();
 }
 
 bool MayBeRetried(AttemptEnd end) {
@@ -121,12 +121,12 @@
     RecordCrash(open.upstream, now);
   }
   UpstreamState* upstream = upstreams_.Find(open.upstream);
-  if (upstream != nullptr && result.quiet_for) {
-    const Duration counted = upstream->quiet.Ask(*result.quiet_for, now);
-    events_.push_back({EventId::kUpstreamQuiet,
+  if (upstream != nullptr && result.backoff_for) {
+    const Duration counted = upstream->backoff.Ask(*result.backoff_for, now);
+    events_.push_back({EventId::kUpstreamBackoff,
                        {{"request", open.info.id.str()},
                         {"upstream", open.upstream.str()},
-                        {"quiet_ms", MillisecondText(counted)}}});
+                        {"backoff_ms", MillisecondText(counted)}}});
   } else if (upstream != nullptr) {
     upstream->avoid_until =
         std::max(upstream->avoid_until, now + AvoidDuration(result));
@@ -174,7 +174,7 @@
       (!open.info.idempotent && open.verdict != Verdict::kNotRun)) {
     return error;
   }
-  // An upstream that asks for quiet has not attempted the request.
+  // An upstream that asks for back-off has not attempted the request.
   const bool turned_away = WasTurnedAway(result);
   if (open.attempt - open.turned_away >= config_.limits.max_attempts) {
     error.retry_after = kRetryAfterFailure;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -149,8 +149,8 @@
   if (response_traits_.leaving) {
     owner_.OnLeaving(*this);
   }
-  if (response_traits_.quiet_for) {
-    owner_.OnQuietRequest(*this, *response_traits_.quiet_for);
+  if (response_traits_.backoff_for) {
+    owner_.OnBackoff(*this, *response_traits_.backoff_for);
   }
 }
 
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -139,7 +139,7 @@
 }
 
 void Exchange::HandleRejection() {
-  if (response_traits_.quiet_for) {
+  if (response_traits_.backoff_for) {
     // Neither a failure of the upstream nor an attempt of the request.
     --attempts_;
   } else {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -237,19 +237,19 @@
   return true;
 }
 
-/// Errors: kNoUpstream if every upstream has asked for quiet for too long.
+/// Errors: kNoUpstream if every upstream has asked for back-off for too long.
 Status Proxy::CheckWorthWaiting(const Exchange& exchange) const {
   const TimePoint now = MonotonicNow();
-  const std::optional<TimePoint> quiet_until =
-      placer_.QuietUntil(exchange.placement().service, now);
-  if (!quiet_until ||
-      policy::WaitsForQuietEnd(*quiet_until, exchange.deadline(), now)) {
+  const std::optional<TimePoint> backoff_until =
+      placer_.BackoffUntil(exchange.placement().service, now);
+  if (!backoff_until ||
+      policy::WaitsForBackoffEnd(*backoff_until, exchange.deadline(), now)) {
     return outcome::success();
   }
   Error error = MakeError(ErrorCode::kNoUpstream,
                           "every upstream has asked for no requests");
   error.retry_after =
-      policy::RetryAdvice(*quiet_until - now, exchange.deadline() - now);
+      policy::RetryAdvice(*backoff_until - now, exchange.deadline() - now);
   return error;
 }
 
@@ -310,14 +310,14 @@
   hooks_.leaving(leaving);
 }
 
-void Proxy::OnQuietRequest(const Exchange& exchange, Duration quiet_for) {
+void Proxy::OnBackoff(const Exchange& exchange, Duration backoff_for) {
   if (StartOf(exchange.upstream()) != exchange.upstream_start()) {
     return;
   }
-  const Duration counted = placer_.RecordQuietRequest(
-      exchange.upstream(), quiet_for, MonotonicNow());
-  Log(EventId::kUpstreamQuiet, exchange,
-      {{"quiet_ms", MillisecondText(counted)}});
+  const Duration counted =
+      placer_.RecordBackoff(exchange.upstream(), backoff_for, MonotonicNow());
+  Log(EventId::kUpstreamBackoff, exchange,
+      {{"backoff_ms", MillisecondText(counted)}});
 }
 
 void Proxy::OnRejected(const Exchange& exchange) {
@@ -363,7 +363,8 @@
          ScrapeLine("requests_open", exchanges_.size()) +
          ScrapeLine("requests_waiting", queue_.size()) +
          ScrapeLine("upstreams_known", directory_.size()) +
-         ScrapeLine("upstreams_quiet", placer_.QuietUpstreams(MonotonicNow())) +
+         ScrapeLine("upstreams_in_backoff",
+                    placer_.UpstreamsInBackoff(MonotonicNow())) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -57,8 +57,8 @@
     traits.has_signature = head.fields.Find("signed") != nullptr;
     traits.not_run = head.fields.Find("not-run") != nullptr;
     traits.leaving = head.fields.Find("leaving") != nullptr;
-    if (const std::string* quiet = head.fields.Find("quiet-ms")) {
-      traits.quiet_for = std::chrono::milliseconds(std::stol(*quiet));
+    if (const std::string* backoff = head.fields.Find("backoff-ms")) {
+      traits.backoff_for = std::chrono::milliseconds(std::stol(*backoff));
     }
     return traits;
   }
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -173,7 +173,7 @@
 }
 
 TEST_CASE(
-    "dispatcher: an upstream that asks for quiet gets nothing until then") {
+    "dispatcher: an upstream that asks for back-off gets nothing until then") {
   Config config = MakeTwoTierConfig();
   config.limits.max_attempts = 1;
   Dispatcher d = MakeStandard(config);
@@ -182,7 +182,7 @@
   d.Submit(MakeRequest("r1", "gate"), now);
   d.UpstreamChanged(MakeEngine("e2", 4), now);
   AttemptResult refused = MakeResult("r1", 1, AttemptEnd::kRefused);
-  refused.quiet_for = seconds(2);
+  refused.backoff_for = seconds(2);
   // Not an attempt of the request: it goes on elsewhere.
   CHECK(StartedOn(d.Finish(refused, now).at(0)) == "e2");
   d.Finish(MakeResult("r1", 2, AttemptEnd::kCompleted), now);
@@ -194,20 +194,21 @@
   }
 }
 
-TEST_CASE("dispatcher: where all ask for quiet, callers wait or get its end") {
+TEST_CASE(
+    "dispatcher: where all ask for back-off, callers wait or get its end") {
   Dispatcher d = MakeStandard(MakeTwoTierConfig());
   TimePoint now;
   d.UpstreamChanged(MakeEngine("e1", 4), now);
   d.Submit(MakeRequest("r1", "gate"), now);
   AttemptResult refused = MakeResult("r1", 1, AttemptEnd::kRefused);
-  refused.quiet_for = seconds(4);
+  refused.backoff_for = seconds(4);
   CHECK(d.Finish(refused, now).empty());  // Waits: its deadline is at 10 s.
   now += seconds(4);
   const auto started = d.Tick(now);
   REQUIRE(started.size() == 1);
   CHECK(StartedOn(started.at(0)) == "e1");
   refused.attempt = 2;
-  refused.quiet_for = seconds(30);
+  refused.backoff_for = seconds(30);
   const auto out = d.Finish(refused, now);
   REQUIRE(out.size() == 1);
   CHECK(RefusedWith(out.at(0)) == ErrorCode::kNoUpstream);
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -232,12 +232,12 @@
   head.fields.Set("Retry-After", "3");
   const auto leaving = dialect.ReadResponse(head, AttemptId("id1"));
   CHECK(leaving.leaving);
-  CHECK_FALSE(leaving.quiet_for);  // Only a 503 asks for quiet.
+  CHECK_FALSE(leaving.backoff_for);  // Only a 503 asks for back-off.
   head.fields.Set("Server-Leaving", "0");
   head.status = 503;
   struct Case {
     const char* text;
-    Duration quiet;
+    Duration backoff;
   };
   const std::vector<Case> cases = {
       {"3", std::chrono::seconds(3)},
@@ -255,7 +255,7 @@
     head.fields.Set("Retry-After", one.text);
     const auto traits = dialect.ReadResponse(head, AttemptId("id1"));
     CHECK_FALSE(traits.leaving);
-    CHECK(traits.quiet_for == one.quiet);
+    CHECK(traits.backoff_for == one.backoff);
   }
 }
 
--- a/tests/src/unit-upstream-attempt.cc
+++ b/tests/src/unit-upstream-attempt.cc
@@ -334,11 +334,11 @@
   attempt->CallerLeft();
 }
 
-TEST_CASE("a refusal with Retry-After asks for quiet") {
+TEST_CASE("a refusal with Retry-After asks for back-off") {
   std::string busy = JsonReply(503, "{}", kRequestId);
   busy.insert(busy.find("\r\n") + 2, "Retry-After: 2.5\r\n");
   const Outcome outcome = RunServiceAttempt({{true, busy, false}});
-  CHECK(outcome.result.quiet_for == std::chrono::milliseconds(2500));
+  CHECK(outcome.result.backoff_for == std::chrono::milliseconds(2500));
 }
 
 TEST_CASE("a service response is delivered completely or not at all") {
--- a/tests/src/unit-upstream-wishes.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -137,12 +137,12 @@
   CHECK(Receives(entry, Ask(entry, "/once/", "1"), "ok"));
 }
 
-TEST_CASE("an upstream that asks for quiet gets nothing for that time") {
+TEST_CASE("an upstream that asks for back-off gets nothing for that time") {
   ProxyEntry entry;
-  auto& quiet = entry.AddUpstream([](LoopbackPeer& peer,
-                                     const std::string& request) {
+  auto& busy = entry.AddUpstream([](LoopbackPeer& peer,
+                                    const std::string& request) {
     peer.Send(MakeResponse(IdOf(request), "",
-                           "not-run: 1\r\nquiet-ms: 60000\r\n", "503 Busy"));
+                           "not-run: 1\r\nbackoff-ms: 60000\r\n", "503 Busy"));
   });
   CHECK(Contains(Ask(entry, "/once/", "0")->received(), "HTTP/1.1 503"));
   for (int i = 1; i < 4; ++i) {
@@ -150,10 +150,10 @@
     CHECK(Contains(Ask(entry, "/once/", std::to_string(i))->received(),
                    "HTTP/1.1 503"));
   }
-  CHECK(quiet.requests().size() == 1);
+  CHECK(busy.requests().size() == 1);
   entry.AddUpstream(AnswerWell);
   CHECK(Receives(entry, Ask(entry, "/once/", "9"), "other"));
-  CHECK(quiet.requests().size() == 1);
+  CHECK(busy.requests().size() == 1);
 }
 
 TEST_CASE("a request that an upstream turned away goes to another at once") {
@@ -163,7 +163,8 @@
     if (!turned_away) {
       turned_away = true;
       peer.Send(MakeResponse(IdOf(request), "",
-                             "not-run: 1\r\nquiet-ms: 60000\r\n", "503 Busy"));
+                             "not-run: 1\r\nbackoff-ms: 60000\r\n",
+                             "503 Busy"));
       return;
     }
     AnswerWell(peer, request);
@@ -174,11 +175,11 @@
   CHECK(Receives(entry, Ask(entry, "/single/", "0"), "other"));
 }
 
-TEST_CASE("where every upstream asks for quiet, callers get its end") {
+TEST_CASE("where every upstream asks for back-off, callers get its end") {
   ProxyEntry entry;
   entry.AddUpstream([](LoopbackPeer& peer, const std::string& request) {
     peer.Send(MakeResponse(IdOf(request), "",
-                           "not-run: 1\r\nquiet-ms: 3000\r\n", "503 Busy"));
+                           "not-run: 1\r\nbackoff-ms: 3000\r\n", "503 Busy"));
   });
   Ask(entry, "/once/", "0");
   // More than half of the 5 s that the request has are left to wait.
