--- a/src/membership/crash_news.cc
+++ b/src/membership/crash_news.cc
@@ -30,6 +30,7 @@
 protocol::CrashesTold CrashNews::KnownAgainst(
     const std::vector<policy::PartSuspicion>& suspicions) const {
   std::vector<std::uint64_t> parts;
+  parts.reserve(suspicions.size());
   for (const policy::PartSuspicion& suspicion : suspicions) {
     parts.push_back(suspicion.part);
   }
--- a/src/policy/placer_score.cc
+++ b/src/policy/placer_score.cc
@@ -84,6 +84,7 @@
 
 std::vector<std::uint64_t> SharedParts(const std::vector<PromptPart>& prompt) {
   std::vector<std::uint64_t> parts;
+  parts.reserve(prompt.size());
   for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
     parts.push_back(prompt[i].id);
   }
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -90,6 +90,7 @@
 void Proxy::RecordCrash(const CrashEvidence& evidence) {
   RecordCrashes({evidence.witness});
   std::vector<std::uint64_t> parts;
+  parts.reserve(evidence.known_at_send.size());
   for (const policy::PartSuspicion& known : evidence.known_at_send) {
     parts.push_back(known.part);
   }
--- a/tests/src/fuzz-http.cc
+++ b/tests/src/fuzz-http.cc
@@ -177,8 +177,11 @@
 
 TEST_CASE("a stream cut at any byte ends inside an event or after one") {
   for (const std::string line_end : {"\n", "\r\n", "\r"}) {
-    const std::string event = "id: 7" + line_end + ": note" + line_end +
-                              "data: a" + line_end + line_end;
+    std::string event;
+    for (const std::string line : {"id: 7", ": note", "data: a", ""}) {
+      event += line;
+      event += line_end;
+    }
     const std::string stream = event + event;
     for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
       CAPTURE(cut);
--- a/tests/src/unit-http-connection.cc
+++ b/tests/src/unit-http-connection.cc
@@ -82,13 +82,13 @@
 TEST_CASE("a caller without chunks gets a reset instead of half an answer") {
   asio::io_context io;
   std::shared_ptr<ServerConnection> connection;
-  Server server(
-      io, {},
-      [&](const std::shared_ptr<ServerConnection>& accepted, ServerRequest) {
-        connection = accepted;
-        connection->StartBody(ResponseHead{}, std::nullopt);
-        connection->Write(std::string(kLargeBytes, 'x'));
-      });
+  Server server(io, {},
+                [&](const std::shared_ptr<ServerConnection>& accepted,
+                    const ServerRequest& /*request*/) {
+                  connection = accepted;
+                  connection->StartBody(ResponseHead{}, std::nullopt);
+                  connection->Write(std::string(kLargeBytes, 'x'));
+                });
   ServerLimits limits;
   limits.idle_timeout = std::chrono::milliseconds(50);
   server.SetLimits(limits);
