--- a/tests/src/unit-replica.cc
+++ b/tests/src/unit-replica.cc
@@ -75,8 +75,9 @@
   /// Declares routes of a version. Returns the error if that fails.
   std::optional<Error> Declare(std::uint64_t version) {
     std::optional<Result<ledger::Outcome>> outcome;
-    replica->Propose(ledger::RoutingDeclare{ConfigVersion{version}, "text"},
-                     [&](Result<ledger::Outcome> result) { outcome = result; });
+    replica->Propose(
+        ledger::RoutingDeclare{ConfigVersion{version}, "text"},
+        [&](const Result<ledger::Outcome>& result) { outcome = result; });
     RunUntil([&] { return outcome.has_value(); });
     REQUIRE(outcome);
     return *outcome ? std::nullopt : std::optional(outcome->error());
--- a/tests/src/unit-upstream-signals.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -11,7 +11,6 @@
 
 using fakes::Contains;
 using fakes::LoopbackPeer;
-using fakes::LoopbackUpstream;
 using fakes::MakeRequest;
 using fakes::MakeResponse;
 using fakes::ProxyEntry;
@@ -33,7 +32,7 @@
 /// Sends a request and waits for the head of the final answer.
 std::shared_ptr<LoopbackPeer> Ask(ProxyEntry& entry, const std::string& path,
                                   const std::string& id) {
-  const auto caller = entry.ConnectCaller();
+  auto caller = entry.ConnectCaller();
   caller->Send(MakeRequest(path, id));
   CHECK(Receives(entry, caller, "\r\n\r\n"));
   return caller;
