End a suspended replica's process for all but a refused write

Opening the folder anew was also retried after storage-failed, that is after a failed sync, after which what is on disk is unknown and a later sync may report success wrongly, against storage.md.

Change: only storage-refused is retried.

Measured: unit-replica, with the folder taken by another process meanwhile: before, it retried for ever (no failure in 20 s); now one failure.

--- a/include/rattanward/adapter/file_log_storage.h
+++ b/include/rattanward/adapter/file_log_storage.h
@@ -28,8 +28,8 @@
   /// takes writes: reads and checks it like Open(), then saves a record that
   /// repeats the hard state.
   /// @return A storage that replaces this one. TakeState() is what is on disk.
-  /// Errors: as Open() and Save(); then this storage stays closed, and the call
-  /// can be repeated.
+  /// Errors: as Open() and Save(); then this storage stays closed, without the
+  /// folder's lock, and after kStorageRefused the call can be repeated.
   Result<FileLogStorage> Reopen();
 
   const VoterId& id() const { return id_; }
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -249,10 +249,7 @@
   }
   auto reopened = storage_.Reopen();
   if (!reopened) {
-    const ErrorCode code = reopened.error().code;
-    const bool may_recover =
-        code == ErrorCode::kStorageRefused || code == ErrorCode::kStorageFailed;
-    if (!may_recover) {
+    if (reopened.error().code != ErrorCode::kStorageRefused) {
       failed_ = true;
       hooks_.on_storage_failure(reopened.error());
       return;
--- a/tests/src/unit-replica.cc
+++ b/tests/src/unit-replica.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "fakes/temporary_folder.h"
+#include "rattanward/adapter/file_io.h"
 #include "rattanward/consensus/repair.h"
 #include "rattanward/control/replica.h"
 #include "rattanward/ledger/commands.h"
@@ -144,6 +145,25 @@
   CHECK(single.failures == 0);
 }
 
+TEST_CASE("a suspended replica retries a refused write and nothing else") {
+  SingleReplica single;
+  REQUIRE(single.Leads());
+  const FullDisk full(single.LogBytes());
+  REQUIRE(single.Declare(1));
+  REQUIRE(single.replica->suspended());
+  // Another process takes the folder between two attempts.
+  std::optional<adapter::FileDescriptor> lock;
+  REQUIRE(single.RunUntil([&] {
+    auto taken = adapter::LockFile(single.folder.path() + "/log/lock");
+    if (taken) {
+      lock = std::move(taken.value());
+    }
+    return lock.has_value();
+  }));
+  CHECK(single.RunUntil([&] { return single.failures > 0; }));
+  CHECK(single.failures == 1);
+}
+
 TEST_CASE("what a suspended replica had accepted is there after a restart") {
   SingleReplica single;
   REQUIRE(single.Leads());
