Let no decision wait for news of a cleared part

On the product's own interface every change against a part of prompts, also a clearance or the news repeated every 2 s, held back the decisions of the same event until all peers had answered or timed out.

Change: only suspicions of requests hold decisions back, as before; parts go along with them, or with the next tick.

Measured: unit-entry-exchange, peers that never answer: before, the second request was never started; now both are served.

Conclusion: a crash is told before its caller is answered, the rest meanwhile.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -142,13 +142,12 @@
 }
 
 void EntryCore::DeliverAfterBroadcast(Decisions decisions) {
-  const protocol::SuspicionsTold told{dispatcher_.TakeSuspicions(),
-                                      dispatcher_.TakePartSuspicions(Now())};
-  if ((told.suspicions.empty() && told.parts.empty()) ||
-      !broadcast_suspicions_) {
+  protocol::SuspicionsTold told{dispatcher_.TakeSuspicions(), {}};
+  if (told.suspicions.empty() || !broadcast_suspicions_) {
     Deliver(decisions);
     return;
   }
+  told.parts = dispatcher_.TakePartSuspicions(Now());
   for (const policy::Decision& decision : decisions) {
     if (const auto it = open_.find(RequestOf(decision)); it != open_.end()) {
       it->second.delivery_pending = true;
--- a/tests/src/unit-entry-exchange.cc
+++ b/tests/src/unit-entry-exchange.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <xxhash.h>
 
 #include <memory>
 #include <string>
@@ -178,6 +179,26 @@
   CHECK(entry.core.View().open_requests == 0);
 }
 
+TEST_CASE("no decision waits until the other entries know a part is cleared") {
+  Entry entry(RespondWithStream);
+  entry.core.set_suspicion_broadcaster([](const auto&, const auto&) {});
+  const std::string shared = R"({"content":"s"})";
+  entry.core.dispatcher().MergePartSuspicion(
+      {XXH3_64bits(shared.data(), shared.size()), 0, 1}, EntryCore::Now());
+  const std::string request = Post(
+      "/v1/chat/completions", R"({"model":"small","stream":true,"messages":[)" +
+                                  shared + R"(,{"content":"x"}]})");
+  // The engine runs one at a time, so that the second waits for the first.
+  const auto first = entry.Caller();
+  const auto second = entry.Caller();
+  first->Send(request);
+  second->Send(request);
+  CHECK(entry.RunUntil([&] {
+    return Contains(first->received(), "[DONE]") &&
+           Contains(second->received(), "[DONE]");
+  }));
+}
+
 TEST_CASE("a queued request is dropped unsent when its caller disconnects") {
   Entry entry(IgnoreRequest);
   const auto first = entry.Caller();
