Count a restart under the same id as the crash of what ran there

Evidence took the start of the upstream when the connection was lost; if the next start was known by then, the probe reached it and no crash was counted.

Change: evidence takes the start to which the request was sent.

Measured: unit-proxy, a restart while the request runs: before no witness, now one of the old start.

Conclusion: evidence belongs to the start that ran the request.

--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -57,14 +57,12 @@
 /// A lost connection doesn't prove that the upstream crashed. A new connection
 /// shows whether its process is still there.
 void Proxy::OnConnectionLost(const Exchange& exchange) {
-  const membership::InstanceRecord* record =
-      directory_.Find(exchange.upstream());
-  if (record == nullptr) {
+  if (directory_.Find(exchange.upstream()) == nullptr) {
     return;
   }
-  const CrashEvidence evidence{
-      {exchange.routed().fingerprint, exchange.upstream(), record->stamp.born},
-      exchange.known_at_send()};
+  const CrashEvidence evidence{{exchange.routed().fingerprint,
+                                exchange.upstream(), exchange.upstream_start()},
+                               exchange.known_at_send()};
   timers_.After(kProbeDelay,
                 [this, evidence](TimePoint) { ProbeAfterLoss(evidence); });
 }
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -211,6 +211,27 @@
   CHECK(entry.witnesses.size() == 3);
 }
 
+TEST_CASE("a restart under the same id while a request runs is a crash") {
+  ProxyEntry entry;
+  entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
+    membership::InstanceRecord restarted;
+    restarted.id = UpstreamId("u1");
+    restarted.stamp = {2, 1};
+    restarted.service = ServiceName("s");
+    restarted.endpoint = entry.upstreams[0]->endpoint();
+    restarted.failure_domain = FailureDomain("d");
+    restarted.slots = 4;
+    entry.data_path->UpdateInstances({restarted});
+    peer.Close(true);
+  });
+  const auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest("/once/", "1", "poison"));
+  REQUIRE(Receives(entry, caller, "HTTP/1.1 502"));
+  REQUIRE(entry.RunUntil([&] { return !entry.witnesses.empty(); },
+                         std::chrono::seconds(1)));
+  CHECK(entry.witnesses[0].born == 1);
+}
+
 TEST_CASE("a draining upstream gets no new requests") {
   ProxyEntry entry;
   entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
