--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -33,9 +33,10 @@
 std::optional<Error> CheckDeadline(const DeadlineEstimate& estimate) {
   const Duration remaining = estimate.deadline - estimate.now;
   if (remaining <= Duration(0)) {
-    return Error{ErrorCode::kDeadlinePassed, Verdict::kNotRun,
-                 "the deadline passed " + MillisecondText(-remaining) + " ago",
-                 RetryAfterBacklog(estimate.slot_wait)};
+    return Error{
+        ErrorCode::kDeadlinePassed, Verdict::kNotRun,
+        "the deadline passed " + MillisecondText(-remaining) + " ms ago",
+        RetryAfterBacklog(estimate.slot_wait)};
   }
   const Duration needed = estimate.slot_wait + estimate.first_token_wait;
   if (needed <= remaining) {
@@ -43,7 +44,8 @@
   }
   return Error{ErrorCode::kDeadlineUnattainable, Verdict::kNotRun,
                "the answer is expected to begin in " + MillisecondText(needed) +
-                   ", but the deadline is in " + MillisecondText(remaining),
+                   " ms, but the deadline is in " + MillisecondText(remaining) +
+                   " ms",
                RetryAfterBacklog(needed - remaining)};
 }
 
--- a/tests/src/unit-policy-parts.cc
+++ b/tests/src/unit-policy-parts.cc
@@ -218,4 +218,17 @@
   CHECK(limits.ActiveAccounts() == 0);
 }
 
+TEST_CASE("an unattainable deadline is explained with its unit") {
+  const TimePoint now{seconds(10)};
+  const auto late =
+      CheckDeadline({now, now - milliseconds(3), Duration(0), Duration(0)});
+  REQUIRE(late);
+  CHECK(late->message.find(" 3 ms ago") != std::string::npos);
+  const auto slow = CheckDeadline(
+      {now, now + milliseconds(300), milliseconds(500), Duration(0)});
+  REQUIRE(slow);
+  CHECK(slow->message.find(" 500 ms,") != std::string::npos);
+  CHECK(slow->message.find(" 300 ms") != std::string::npos);
+}
+
 }  // namespace rattanward::policy
