Read the limit that an upstream names, and log each change

Change: the platform decodes the field; the entry's directory keeps the limit of each start with a revision; `upstream-limit` (3011) is logged with each change. Nothing obeys or spreads it yet. A malformed value changes nothing; only an answer that surely is the upstream's own withdraws a limit.

Measured: unit-platform has a case for the values.

Conclusion: the log now shows when and to whom a limit was named.

--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -43,6 +43,7 @@
   kUpstreamBroke = 3008,
   kUpstreamLeaving = 3009,
   kUpstreamBackoff = 3010,
+  kUpstreamLimit = 3011,
   kEntryPeerLost = 3006,
   kEntryPeerFound = 3007,
 
--- a/include/rattanward/http/message.h
+++ b/include/rattanward/http/message.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "rattanward/domain/request_rate.h"
 #include "rattanward/domain/time.h"
 
 namespace rattanward::http {
@@ -112,6 +114,11 @@
 /// some time, but its clock may differ from this one.
 Duration ParseRetryAfter(std::string_view text);
 
+/// @brief Decodes a number of requests a second, with or without a fraction.
+/// @return Rounded up to a thousandth; nothing for a malformed or negative
+/// value.
+std::optional<RequestRate> ParseRequestRate(std::string_view text);
+
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 }  // namespace rattanward::http
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -9,6 +9,7 @@
 
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/named_limit.h"
 
 namespace rattanward::membership {
 
@@ -42,6 +43,8 @@
   /// The instance told a caller's entry that it is leaving. Holds for this
   /// start, whatever its heartbeats say.
   bool leaving = false;
+  /// What the instance named as its limit in its answers to callers' entries.
+  NamedLimit limit;
 
   friend bool operator==(const InstanceRecord&,
                          const InstanceRecord&) = default;
@@ -103,6 +106,21 @@
   /// an older or newer start of the same id is not affected.
   bool MarkLeaving(const LeavingInstance& leaving);
 
+  /// @brief Merges the limit that a start named in its answers. As for
+  /// MarkLeaving(), another start of the same id is not affected.
+  /// @return Whether this is news.
+  bool MergeLimit(const InstanceLimit& received);
+
+  /// @brief Reads the limit that a start named in an answer, or that it named
+  /// none.
+  /// @return The new limit of the start if it has changed.
+  std::optional<InstanceLimit> ReadLimit(
+      const UpstreamId& id, std::uint64_t born,
+      const std::optional<RequestRate>& named);
+
+  /// @brief The limits known, including those that were withdrawn.
+  std::vector<InstanceLimit> Limits() const;
+
   /// @brief Marks instances last heard from before a time as silent.
   /// @return The records of the newly marked instances.
   std::vector<InstanceRecord> MarkSilent(TimePoint heard_before);
@@ -131,14 +149,18 @@
   };
 
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
-  InstanceRecord WithLeaving(InstanceRecord record) const;
-  void ForgetUnknownLeaving();
+  InstanceRecord WithSignals(InstanceRecord record) const;
+  void ApplySignals(const UpstreamId& id, std::uint64_t born);
+  bool IsKnownStart(const UpstreamId& id, std::uint64_t born) const;
+  void ForgetSignalsOfUnknown();
   void RecordAddressOwner(const InstanceRecord& record);
 
   std::map<UpstreamId, Instance> instances_;
   std::vector<UpstreamId> changed_;
   /// Latest start of each id that told that it is leaving.
   std::map<UpstreamId, std::uint64_t> leaving_;
+  /// Limit that the latest start of each id named.
+  std::map<UpstreamId, InstanceLimit> limits_;
   /// Latest start among the instances that registered an address.
   std::map<Endpoint, std::uint64_t> newest_born_by_address_;
 };
--- a/include/rattanward/proxy/dialect.h
+++ b/include/rattanward/proxy/dialect.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "rattanward/domain/ids.h"
+#include "rattanward/domain/request_rate.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/http/message.h"
 #include "rattanward/policy/placer.h"
@@ -60,6 +61,10 @@
   /// The upstream turned the request away and wants no request of this entry
   /// for so long.
   std::optional<Duration> backoff_for;
+  /// Requests that the upstream takes from all entries together.
+  std::optional<RequestRate> limit;
+  /// The response names a limit that can't be read.
+  bool limit_malformed = false;
 
   friend bool operator==(const ResponseTraits&,
                          const ResponseTraits&) = default;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -155,6 +155,8 @@
   std::uint64_t StartOf(const UpstreamId& upstream) const override;
   void OnLeaving(const Exchange& exchange) override;
   void OnBackoff(const Exchange& exchange, Duration backoff_for) override;
+  void OnLimit(const Exchange& exchange,
+               const std::optional<RequestRate>& named) override;
   void OnRejected(const Exchange& exchange) override;
   void OnUnreachable(const Exchange& exchange) override;
   void OnConnectionLost(const Exchange& exchange) override;
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -42,6 +42,7 @@
       {EventId::kUpstreamBroke, "upstream-broke"},
       {EventId::kUpstreamLeaving, "upstream-leaving"},
       {EventId::kUpstreamBackoff, "upstream-backoff"},
+      {EventId::kUpstreamLimit, "upstream-limit"},
       {EventId::kEntryPeerLost, "entry-peer-lost"},
       {EventId::kEntryPeerFound, "entry-peer-found"},
       {EventId::kLeaderElected, "leader-elected"},
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -30,6 +30,18 @@
   return text;
 }
 
+/// A non-negative decimal number without sign or exponent.
+std::optional<double> ParseDecimal(std::string_view text) {
+  const std::string_view trimmed = Trim(text);
+  const char* const end = trimmed.data() + trimmed.size();
+  double number = 0;
+  const auto parsed =
+      std::from_chars(trimmed.data(), end, number, std::chars_format::fixed);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == end &&
+                     std::isfinite(number) && number >= 0;
+  return valid ? std::optional(number) : std::nullopt;
+}
+
 void AppendFields(const Fields& fields, std::string* out) {
   for (const Field& field : fields.all()) {
     *out += field.name;
@@ -177,20 +189,22 @@
 Duration ParseRetryAfter(std::string_view text) {
   constexpr Duration kUnreadable = std::chrono::seconds(1);
   constexpr std::chrono::duration<double> kLongest = std::chrono::hours(24);
-  constexpr std::string_view kBlank = " \t";
-  text.remove_prefix(std::min(text.find_first_not_of(kBlank), text.size()));
-  text = text.substr(0, text.find_last_not_of(kBlank) + 1);
-  const char* const end = text.data() + text.size();
-  double count = 0;
-  const auto parsed =
-      std::from_chars(text.data(), end, count, std::chars_format::fixed);
-  const bool valid = parsed.ec == std::errc() && parsed.ptr == end &&
-                     std::isfinite(count) && count >= 0;
-  if (!valid) {
+  const std::optional<double> count = ParseDecimal(text);
+  if (!count) {
     return kUnreadable;
   }
   return std::chrono::duration_cast<Duration>(
-      std::min(std::chrono::duration<double>(count), kLongest));
+      std::min(std::chrono::duration<double>(*count), kLongest));
+}
+
+std::optional<RequestRate> ParseRequestRate(std::string_view text) {
+  constexpr double kHighest = 1e9;
+  const std::optional<double> count = ParseDecimal(text);
+  if (!count) {
+    return std::nullopt;
+  }
+  return RequestRate{static_cast<std::uint64_t>(
+      std::ceil(std::min(*count, kHighest) * RequestRate::kMilliPerRequest))};
 }
 
 }  // namespace rattanward::http
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -10,8 +10,9 @@
 /// Largest number of addresses whose latest start is kept. All are cleared when
 /// it is reached.
 constexpr std::size_t kMaxAddresses = 16384;
-/// Number of leaving starts above which those without a record are dropped.
-constexpr std::size_t kMaxLeaving = 4096;
+/// Number of starts with signals above which those without a record are
+/// dropped.
+constexpr std::size_t kMaxStartsWithSignals = 4096;
 
 /// Whether two records differ in the sequence at most.
 bool SameContent(const InstanceRecord& a, const InstanceRecord& b) {
@@ -26,8 +27,10 @@
     const InstanceRecord& received, TimePoint now) {
   const bool newly_leaving =
       received.leaving && MarkLeaving({received.id, received.stamp.born});
-  const Change change = MergeRecord(WithLeaving(received), now);
-  return newly_leaving ? Change::kChanged : change;
+  const bool new_limit =
+      MergeLimit({received.id, received.stamp.born, received.limit});
+  const Change change = MergeRecord(WithSignals(received), now);
+  return newly_leaving || new_limit ? Change::kChanged : change;
 }
 
 bool InstanceDirectory::MarkLeaving(const LeavingInstance& leaving) {
@@ -36,33 +39,84 @@
     return false;
   }
   mark->second = leaving.born;
-  const auto found = instances_.find(leaving.id);
-  if (found != instances_.end() &&
-      found->second.record.stamp.born == leaving.born) {
-    found->second.record = WithLeaving(found->second.record);
-    changed_.push_back(leaving.id);
+  ApplySignals(leaving.id, leaving.born);
+  return true;
+}
+
+bool InstanceDirectory::MergeLimit(const InstanceLimit& received) {
+  if (received.limit.revision == 0) {
+    return false;
   }
-  if (leaving_.size() > kMaxLeaving) {
-    ForgetUnknownLeaving();
+  InstanceLimit& known = limits_[received.id];
+  const bool news = received.born == known.born
+                        ? Replaces(received.limit, known.limit)
+                        : received.born > known.born;
+  if (news) {
+    known = received;
+    ApplySignals(received.id, received.born);
   }
-  return true;
+  return news;
+}
+
+std::optional<InstanceLimit> InstanceDirectory::ReadLimit(
+    const UpstreamId& id, std::uint64_t born,
+    const std::optional<RequestRate>& named) {
+  const auto known = limits_.find(id);
+  const bool same_start = known != limits_.end() && known->second.born == born;
+  const InstanceLimit read{
+      id, born,
+      AfterAnswer(same_start ? known->second.limit : NamedLimit(), named)};
+  return MergeLimit(read) ? std::optional(read) : std::nullopt;
+}
+
+std::vector<InstanceLimit> InstanceDirectory::Limits() const {
+  std::vector<InstanceLimit> limits;
+  limits.reserve(limits_.size());
+  for (const auto& [id, limit] : limits_) {
+    limits.push_back(limit);
+  }
+  return limits;
 }
 
-/// Drops the marks of starts that have no record.
-void InstanceDirectory::ForgetUnknownLeaving() {
+/// Adds what a start told in its answers to its record, if there is one.
+void InstanceDirectory::ApplySignals(const UpstreamId& id, std::uint64_t born) {
+  if (IsKnownStart(id, born)) {
+    InstanceRecord& record = instances_[id].record;
+    record = WithSignals(record);
+    changed_.push_back(id);
+  }
+  if (leaving_.size() + limits_.size() > kMaxStartsWithSignals) {
+    ForgetSignalsOfUnknown();
+  }
+}
+
+bool InstanceDirectory::IsKnownStart(const UpstreamId& id,
+                                     std::uint64_t born) const {
+  const InstanceRecord* record = Find(id);
+  return record != nullptr && record->stamp.born == born;
+}
+
+/// Drops the signals of starts that have no record.
+void InstanceDirectory::ForgetSignalsOfUnknown() {
   std::erase_if(leaving_, [this](const auto& mark) {
-    const InstanceRecord* record = Find(mark.first);
-    return record == nullptr || record->stamp.born != mark.second;
+    return !IsKnownStart(mark.first, mark.second);
+  });
+  std::erase_if(limits_, [this](const auto& limit) {
+    return !IsKnownStart(limit.first, limit.second.born);
   });
 }
 
 /// Adds what an instance told in its answers to what it registered.
-InstanceRecord InstanceDirectory::WithLeaving(InstanceRecord record) const {
+InstanceRecord InstanceDirectory::WithSignals(InstanceRecord record) const {
   const auto mark = leaving_.find(record.id);
   record.leaving = mark != leaving_.end() && mark->second == record.stamp.born;
   if (record.leaving && record.state == InstanceState::kReady) {
     record.state = InstanceState::kDraining;
   }
+  const auto limit = limits_.find(record.id);
+  const bool named =
+      limit != limits_.end() && limit->second.born == record.stamp.born;
+  record.limit = named ? limit->second.limit : NamedLimit();
   return record;
 }
 
@@ -151,6 +205,7 @@
   if (born && *born > record.stamp.born) {
     record.stamp = {*born, std::numeric_limits<std::uint64_t>::max()};
     record.leaving = false;
+    record.limit = NamedLimit();
   }
   record.state = InstanceState::kGone;
   record.silent = false;
@@ -210,6 +265,7 @@
   });
   for (const UpstreamId& id : forgotten) {
     leaving_.erase(id);
+    limits_.erase(id);
   }
   return forgotten;
 }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -152,6 +152,19 @@
   if (response_traits_.backoff_for) {
     owner_.OnBackoff(*this, *response_traits_.backoff_for);
   }
+  ReadLimit(head.status);
+}
+
+/// A misdirected answer comes from another upstream. Only an answer that is
+/// surely this upstream's to this request shows that a limit is withdrawn.
+void Exchange::ReadLimit(int status) {
+  constexpr int kMisdirected = 421;
+  const bool own_answer =
+      !response_traits_.limit_malformed && response_traits_.has_signature &&
+      response_traits_.matches_request && response_traits_.names_request;
+  if (status != kMisdirected && (response_traits_.limit || own_answer)) {
+    owner_.OnLimit(*this, response_traits_.limit);
+  }
 }
 
 bool Exchange::IsMatchingResponse(const http::ResponseHead& /*head*/) const {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -320,6 +320,21 @@
       {{"backoff_ms", MillisecondText(counted)}});
 }
 
+void Proxy::OnLimit(const Exchange& exchange,
+                    const std::optional<RequestRate>& named) {
+  const std::optional<membership::InstanceLimit> changed = directory_.ReadLimit(
+      exchange.upstream(), exchange.upstream_start(), named);
+  if (!changed) {
+    return;
+  }
+  Log(EventId::kUpstreamLimit, exchange,
+      {{"limited", changed->limit.limited ? "1" : "0"},
+       {"milli_per_second",
+        std::to_string(changed->limit.rate.milli_per_second)},
+       {"revision", std::to_string(changed->limit.revision)}});
+  ApplyDirectoryChanges();
+}
+
 void Proxy::OnRejected(const Exchange& exchange) {
   placer_.RecordFailure(exchange.upstream(), false, MonotonicNow());
 }
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -60,6 +60,10 @@
     if (const std::string* backoff = head.fields.Find("backoff-ms")) {
       traits.backoff_for = std::chrono::milliseconds(std::stol(*backoff));
     }
+    if (const std::string* limit = head.fields.Find("limit")) {
+      traits.limit = http::ParseRequestRate(*limit);
+      traits.limit_malformed = !traits.limit;
+    }
     return traits;
   }
 };
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -259,6 +259,35 @@
   }
 }
 
+TEST_CASE("the limit that an upstream names in an answer is decoded") {
+  const PlatformDialect dialect;
+  http::ResponseHead head;
+  head.status = 200;
+  CHECK_FALSE(dialect.ReadResponse(head, AttemptId("id1")).limit);
+  CHECK_FALSE(dialect.ReadResponse(head, AttemptId("id1")).limit_malformed);
+  struct Case {
+    const char* text;
+    std::optional<RequestRate> limit;
+  };
+  const std::vector<Case> cases = {
+      {"1", RequestRate{1000}},
+      {" 0.25 ", RequestRate{250}},
+      {"0", RequestRate{0}},
+      {"12.3456", RequestRate{12346}},
+      {"1e3", std::nullopt},
+      {"-1", std::nullopt},
+      {"", std::nullopt},
+      {"nan", std::nullopt},
+      {"99999999999999999999", RequestRate{1'000'000'000'000}}};
+  for (const Case& one : cases) {
+    CAPTURE(one.text);
+    head.fields.Set("Server-Limit", one.text);
+    const auto traits = dialect.ReadResponse(head, AttemptId("id1"));
+    CHECK(traits.limit == one.limit);
+    CHECK(traits.limit_malformed == !one.limit);
+  }
+}
+
 TEST_CASE("a valid settings file is decoded") {
   const auto settings = DecodeSettings(R"({"node_name":"edge-1","role":"entry",
    "zone":"z","ip":"10.1.0.40","listen":{"front":"10.1.0.40:8227",
