--- a/apps/rattanward-fake-engine/batch.h
+++ b/apps/rattanward-fake-engine/batch.h
@@ -40,6 +40,9 @@
   std::atomic<std::uint32_t> backoff_s{0};
   /// Every answer says that the engine is leaving; its announcements don't.
   std::atomic<bool> leaving{false};
+  /// Limit of requests that every answer names, in thousandths a second; 0
+  /// names none.
+  std::atomic<std::uint32_t> limit_milli{0};
   /// Responses carry the id of another request.
   std::atomic<bool> wrong_id{false};
   /// The process exits when a prompt contains this text; empty disables this
--- a/apps/rattanward-fake-engine/main.cc
+++ b/apps/rattanward-fake-engine/main.cc
@@ -10,6 +10,7 @@
 #include "batch.h"
 #include "rattanward/adapter/announce_client.h"
 #include "rattanward/adapter/loopback_server.h"
+#include "rattanward/domain/request_rate.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 lets the system choose");
 DEFINE_string(instance, "", "Instance id; made from the process id if empty");
@@ -252,6 +253,9 @@
   if (fault.contains("leaving")) {
     behaviour_.leaving = fault["leaving"].get<bool>();
   }
+  if (fault.contains("limit_milli")) {
+    behaviour_.limit_milli = fault["limit_milli"].get<std::uint32_t>();
+  }
   if (fault.contains("wrong_id")) {
     behaviour_.wrong_id = fault["wrong_id"].get<bool>();
   }
@@ -265,6 +269,11 @@
     if (behaviour_.leaving || g_drain != 0) {
       response.set_header("X-Rattanward-Leaving", "1");
     }
+    if (const std::uint32_t limit = behaviour_.limit_milli; limit != 0) {
+      response.set_header(
+          "X-Rattanward-Request-Limit",
+          std::to_string(limit / RequestRate::kMilliPerRequest));
+    }
   });
   server.Post("/v1/chat/completions",
               [this](const auto& request, auto& response) {
