Keep all entries together to the limit that an upstream names

Callers saw: an upstream in need, which had named a limit of one request a second, got 12 and 13 in 4 s (allowed 11), so it stayed in need.

Cause: no entry read the limit. What an upstream wishes of the whole fleet was not a part of the fleet's state.

Evidence: the two upstreams got 2.4 and 2.5 requests a second after naming 1, as before; none of the requests was a retry; the code didn't know the field.

Change: the limit belongs to the record of the upstream's start, with a revision, and spreads with it. At most 2 N + 4 entries hold an even share of a limit of N; the leader assigns them and names them in its answer to each report; a holder paces what it sends and starts empty, others send nothing. An entry that hears no leader halves its shares. On the product's own interface all entries compute the holders alike from the declared group. Retries, resumed streams, requests with claims, status queries and cancellations count. Where all upstreams are at their limits, requests wait or are refused at once.

Why it works: k holders send at most 4 N + k requests in 4 s, at most 6 N + 4.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -10,6 +10,7 @@
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/control/control_daemon.h"
+#include "rattanward/control/limit_shares.h"
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
 #include "rattanward/membership/crash_news.h"
@@ -110,12 +111,15 @@
   void HandleInstancePush(const adapter::InboundMessage& message);
   void HandleInstanceBeats(const adapter::InboundMessage& message);
   void MarkLeaving(const std::vector<membership::LeavingInstance>& told);
+  void TakeLimits(const std::vector<UpstreamLimit>& told);
+  std::vector<policy::LimitShare> LimitSharesOf(const ProcessId& entry);
   void HandleCrashes(const adapter::InboundMessage& message);
   void ForwardCrashes(const protocol::EntryReport& report,
                       const adapter::ReplyHandle& reply);
   void PushToEntries(const protocol::CrashesTold& news);
   void SendToControls(const protocol::CrashesTold& news);
-  protocol::ControlReport ReportFor(const Entry& entry) const;
+  protocol::ControlReport ReportFor(const ProcessId& process,
+                                    const Entry& entry);
   void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void UpdateRoutingTexts();
   void PushRouting();
@@ -140,6 +144,7 @@
   std::vector<Waiter> waiters_;
   std::vector<membership::InstanceBeat> pending_beats_;
   membership::CrashNews crash_news_;
+  LimitShares limit_shares_;
   RoutingTexts routing_texts_;
   std::uint64_t push_number_ = 0;
   TimePoint next_full_push_;
--- a/include/rattanward/membership/named_limit.h
+++ b/include/rattanward/domain/named_limit.h
@@ -6,7 +6,7 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/request_rate.h"
 
-namespace rattanward::membership {
+namespace rattanward {
 
 /// @brief Whether an upstream names a limit in its answers, and which.
 struct NamedLimit {
@@ -34,12 +34,12 @@
                        const std::optional<RequestRate>& named);
 
 /// @brief The limit of one start of an upstream.
-struct InstanceLimit {
+struct UpstreamLimit {
   UpstreamId id;
   std::uint64_t born = 0;
   NamedLimit limit;
 
-  friend bool operator==(const InstanceLimit&, const InstanceLimit&) = default;
+  friend bool operator==(const UpstreamLimit&, const UpstreamLimit&) = default;
 };
 
-}  // namespace rattanward::membership
+}  // namespace rattanward
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -122,7 +122,7 @@
   };
 
   void Deliver(const Decisions& decisions);
-  void TellParts(TimePoint now);
+  void TellNews(TimePoint now);
   void DeliverAfterBroadcast(Decisions decisions);
   void Tick(TimePoint now);
 
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -78,6 +78,13 @@
   /// be empty. It can be called several times.
   std::function<void()> on_leaving;
 
+  /// @brief Called for each answer that names a limit, and for each that surely
+  /// is the upstream's own and names none; may be empty.
+  std::function<void(const std::optional<RequestRate>&)> on_limit;
+
+  /// @brief Called for each request sent beyond the first; may be empty.
+  std::function<void()> on_extra_request;
+
   /// @brief Number of times the stream was resumed on a new connection.
   std::uint32_t resumes() const { return resumes_; }
 
@@ -90,6 +97,8 @@
                                                      std::string_view),
                                     void (UpstreamAttempt::*on_end)(CallEnd));
   void ReadSignals(const http::ResponseHead& head);
+  void ReadLimit(const http::ResponseHead& head);
+  void CountExtraRequest();
   bool HandleServiceHead(const http::ResponseHead& head);
   bool AppendBody(std::string_view bytes);
   bool HandleStreamHead(const http::ResponseHead& head);
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "rattanward/domain/ids.h"
+#include "rattanward/domain/named_limit.h"
 #include "rattanward/domain/time.h"
-#include "rattanward/membership/named_limit.h"
 
 namespace rattanward::membership {
 
@@ -109,17 +109,17 @@
   /// @brief Merges the limit that a start named in its answers. As for
   /// MarkLeaving(), another start of the same id is not affected.
   /// @return Whether this is news.
-  bool MergeLimit(const InstanceLimit& received);
+  bool MergeLimit(const UpstreamLimit& received);
 
   /// @brief Reads the limit that a start named in an answer, or that it named
   /// none.
   /// @return The new limit of the start if it has changed.
-  std::optional<InstanceLimit> ReadLimit(
+  std::optional<UpstreamLimit> ReadLimit(
       const UpstreamId& id, std::uint64_t born,
       const std::optional<RequestRate>& named);
 
   /// @brief The limits known, including those that were withdrawn.
-  std::vector<InstanceLimit> Limits() const;
+  std::vector<UpstreamLimit> Limits() const;
 
   /// @brief Marks instances last heard from before a time as silent.
   /// @return The records of the newly marked instances.
@@ -150,7 +150,7 @@
 
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
   InstanceRecord WithSignals(InstanceRecord record) const;
-  void ApplySignals(const UpstreamId& id, std::uint64_t born);
+  void ApplySignals(const UpstreamId& id);
   bool IsKnownStart(const UpstreamId& id, std::uint64_t born) const;
   void ForgetSignalsOfUnknown();
   void RecordAddressOwner(const InstanceRecord& record);
@@ -160,7 +160,7 @@
   /// Latest start of each id that told that it is leaving.
   std::map<UpstreamId, std::uint64_t> leaving_;
   /// Limit that the latest start of each id named.
-  std::map<UpstreamId, InstanceLimit> limits_;
+  std::map<UpstreamId, UpstreamLimit> limits_;
   /// Latest start among the instances that registered an address.
   std::map<Endpoint, std::uint64_t> newest_born_by_address_;
 };
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -10,6 +10,7 @@
 #include "rattanward/domain/error.h"
 #include "rattanward/domain/event.h"
 #include "rattanward/domain/ids.h"
+#include "rattanward/domain/named_limit.h"
 #include "rattanward/domain/request_class.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/domain/upstream.h"
@@ -188,6 +189,22 @@
   /// @brief Merges what another entry knows against a part of prompts.
   void MergePartSuspicion(const PartSuspicion& suspicion, TimePoint now);
 
+  /// @brief Reads the limit that an upstream named in an answer, or that it
+  /// named none.
+  void ReadLimit(const UpstreamId& upstream,
+                 const std::optional<RequestRate>& named, TimePoint now);
+
+  /// @brief Returns the limits that changed at this entry since the last call,
+  /// and from time to time all, since news may be lost.
+  std::vector<UpstreamLimit> TakeLimits(TimePoint now);
+
+  /// @brief Merges the limit that an upstream named to another entry.
+  void MergeLimit(const UpstreamLimit& limit, TimePoint now);
+
+  /// @brief Counts a request to an upstream beyond the started attempts: a
+  /// status query, a resumed connection or a cancellation.
+  void RecordExtraRequest(const UpstreamId& upstream, TimePoint now);
+
   /// @brief Merges a suspicion received from another entry.
   void MergeSuspicion(const Suspicion& suspicion, TimePoint now);
 
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -15,6 +15,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/policy/backoff_period.h"
+#include "rattanward/policy/limit_share.h"
 
 namespace rattanward::policy {
 
@@ -262,10 +263,31 @@
   Duration RecordBackoff(const UpstreamId& id, Duration backoff_for,
                          TimePoint now);
 
-  /// @brief The earliest end among the back-off periods, if every upstream of a
-  /// service that may be used has asked for one.
-  std::optional<TimePoint> BackoffUntil(const ServiceName& service,
-                                        TimePoint now) const;
+  /// @brief Sets the limit that an upstream names for all entries together, or
+  /// that it names none.
+  void SetLimit(const UpstreamId& id, const std::optional<RequestRate>& limit,
+                TimePoint now);
+
+  /// @brief Replaces this entry's shares in the limits. An upstream with a
+  /// limit and without a share gets no request of this entry.
+  /// @param confirmed_at Time for which a leader confirmed them.
+  void SetLimitShares(const std::vector<LimitShare>& shares,
+                      TimePoint confirmed_at, TimePoint now);
+
+  /// @brief Halves the shares that no leader has confirmed for
+  /// kLimitShareLease.
+  void AgeLimitShares(TimePoint now);
+
+  /// @brief If all upstreams of a service want no request of this entry now, by
+  /// back-off or limit: the earliest time at which one of them may get one.
+  /// @param excluded Not considered unless there is no other.
+  /// @return TimePoint::max() if that is not known.
+  std::optional<TimePoint> HeldBackUntil(const ServiceName& service,
+                                         const std::set<UpstreamId>& excluded,
+                                         TimePoint now) const;
+
+  /// @brief Number of upstreams that name a limit.
+  std::size_t UpstreamsWithLimit() const;
 
   /// @brief Number of upstreams that want no request of this entry now.
   std::size_t UpstreamsInBackoff(TimePoint now) const;
@@ -325,6 +347,11 @@
     std::uint32_t failures = 0;
     TimePoint avoid_until;
     BackoffPeriod backoff;
+    /// Limit that the upstream names for all entries together.
+    std::optional<RequestRate> limit;
+    /// Entries that share it, or 0 if this entry holds no share.
+    std::uint32_t limit_holders = 0;
+    PacedShare share;
   };
   struct Service {
     RoutedService declared;
@@ -351,6 +378,8 @@
 
   bool IsUsable(const Instance& instance, TimePoint now) const;
   bool MayReturn(const Instance& instance, TimePoint now) const;
+  static TimePoint HeldBackUntil(const Instance& instance, TimePoint now);
+  void UpdateShareRate(Instance* instance, TimePoint now) const;
   void DecayOutcomes(TimePoint now);
   double MsSinceOrigin(TimePoint now) const;
   UpstreamLoad TotalLoad(const Instance& instance, TimePoint now) const;
@@ -401,6 +430,8 @@
   /// Time of the first load report that was received.
   std::optional<TimePoint> origin_;
   TimePoint outcomes_decayed_at_;
+  TimePoint shares_confirmed_at_;
+  bool shares_confirmed_ = false;
   std::size_t entries_ = 1;
 };
 
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "rattanward/domain/event.h"
+#include "rattanward/domain/named_limit.h"
 #include "rattanward/policy/account_limits.h"
 #include "rattanward/policy/chooser.h"
 #include "rattanward/policy/class_queue.h"
@@ -45,6 +46,14 @@
   std::vector<PartSuspicion> TakePartSuspicions(TimePoint now);
   void MergePartSuspicion(const PartSuspicion& suspicion, TimePoint now);
 
+  /// @brief See Dispatcher.
+  void SetEntryGroup(const EntryGroup& group, TimePoint now);
+  void ReadLimit(const UpstreamId& upstream,
+                 const std::optional<RequestRate>& named, TimePoint now);
+  std::vector<UpstreamLimit> TakeLimits(TimePoint now);
+  void MergeLimit(const UpstreamLimit& limit, TimePoint now);
+  void RecordExtraRequest(const UpstreamId& upstream, TimePoint now);
+
   Quarantine& quarantine() { return quarantine_; }
   AccountLimits& accounts() { return accounts_; }
 
@@ -132,10 +141,11 @@
   ClassQueue::Cutoff LateCutoff(const Target& target, TimePoint now) const;
   TimePoint DeadlineOf(const OpenRequest& open) const;
   bool IsSuspect(std::uint64_t fingerprint) const;
-  /// Returns an error if every upstream has asked for back-off, for longer than
-  /// the request should wait.
-  std::optional<Error> CheckBackoff(const OpenRequest& open,
-                                    TimePoint now) const;
+  /// Returns an error if every upstream wants no request of this entry, for
+  /// longer than the request should wait.
+  std::optional<Error> CheckHeldBack(const OpenRequest& open,
+                                     TimePoint now) const;
+  void ApplyLimit(const UpstreamId& upstream, TimePoint now);
 
   Config config_;
   ClassQueue queue_;
@@ -149,6 +159,12 @@
   /// Changes for TakePartSuspicions().
   std::vector<PartSuspicion> changed_parts_;
   TimePoint all_parts_told_at_;
+  /// Latest limit that each upstream named, or that it withdrew.
+  std::unordered_map<UpstreamId, NamedLimit> limits_;
+  /// Changes for TakeLimits().
+  std::vector<UpstreamId> changed_limits_;
+  TimePoint all_limits_told_at_;
+  EntryGroup group_;
   std::unordered_map<RequestId, OpenRequest> open_requests_;
   /// Number of running attempts by fingerprint.
   std::unordered_map<std::uint64_t, std::uint32_t> running_by_fingerprint_;
--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/domain/upstream.h"
 #include "rattanward/policy/backoff_period.h"
+#include "rattanward/policy/limit_share.h"
 #include "rattanward/policy/part_quarantine.h"
 #include "rattanward/policy/quantile_window.h"
 #include "rattanward/policy/target.h"
@@ -72,6 +75,10 @@
   /// Nothing is sent before this time, because of a refusal or failure.
   TimePoint avoid_until;
   BackoffPeriod backoff;
+  /// Limit that the upstream names for all entries together.
+  std::optional<RequestRate> limit;
+  /// This entry's part of it.
+  PacedShare share;
   QuantileWindow first_token_us;
   ProbationState probation;
   /// Whether the last probation event for this upstream was its begin.
@@ -86,6 +93,13 @@
   std::uint32_t OtherLoad() const {
     return static_cast<std::uint32_t>(std::lround(average_other_load));
   }
+  /// @brief Time until which the upstream's own wishes allow no request of this
+  /// entry; TimePoint::max() if it is not known.
+  TimePoint HeldBackUntil(TimePoint now) const {
+    const TimePoint by_limit =
+        limit ? share.AllowedFrom(now).value_or(TimePoint::max()) : now;
+    return std::max(backoff.end(), by_limit);
+  }
   /// @brief Whether the upstream is neither removed nor draining.
   bool AcceptsNewWork() const { return !removed && !announcement.draining; }
 };
--- a/include/rattanward/protocol/gossip_messages.h
+++ b/include/rattanward/protocol/gossip_messages.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "rattanward/domain/ids.h"
+#include "rattanward/domain/named_limit.h"
 #include "rattanward/domain/upstream.h"
 #include "rattanward/policy/dispatcher.h"
 
@@ -52,6 +53,8 @@
 struct SuspicionsTold {
   std::vector<policy::Suspicion> suspicions;
   std::vector<policy::PartSuspicion> parts;
+  /// Limits that upstreams named in answers to the sender, or that it was told.
+  std::vector<UpstreamLimit> limits;
 
   friend bool operator==(const SuspicionsTold&,
                          const SuspicionsTold&) = default;
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -165,9 +165,24 @@
   static auto Tie(auto& m) { return std::tie(m.part, m.clearances, m.crashes); }
 };
 
+template <>
+struct FieldsOf<RequestRate> {
+  static auto Tie(auto& m) { return std::tie(m.milli_per_second); }
+};
+
+template <>
+struct FieldsOf<NamedLimit> {
+  static auto Tie(auto& m) { return std::tie(m.revision, m.limited, m.rate); }
+};
+
+template <>
+struct FieldsOf<UpstreamLimit> {
+  static auto Tie(auto& m) { return std::tie(m.id, m.born, m.limit); }
+};
+
 template <>
 struct FieldsOf<SuspicionsTold> {
-  static auto Tie(auto& m) { return std::tie(m.suspicions, m.parts); }
+  static auto Tie(auto& m) { return std::tie(m.suspicions, m.parts, m.limits); }
 };
 
 template <>
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -8,6 +8,7 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/text_difference.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/limit_share.h"
 #include "rattanward/policy/part_quarantine.h"
 #include "rattanward/protocol/codec.h"
 #include "rattanward/protocol/message_fields.h"
@@ -43,6 +44,8 @@
   std::vector<policy::PartSuspicion> suspicions;
   /// Upstreams that told this entry lately that they are leaving.
   std::vector<membership::LeavingInstance> leaving;
+  /// Limits that upstreams told this entry lately.
+  std::vector<UpstreamLimit> limits;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
@@ -72,6 +75,8 @@
   /// Entries of other failure domains that pass on what they are told there;
   /// empty where all entries are talked to.
   std::vector<Endpoint> relays;
+  /// Shares of the asking entry in the limits that upstreams named.
+  std::vector<policy::LimitShare> limit_shares;
 
   friend bool operator==(const ControlReport&, const ControlReport&) = default;
 };
@@ -130,7 +135,7 @@
   static auto Tie(auto& m) {
     return std::tie(m.process, m.failure_domain, m.incarnation, m.sequence,
                     m.routing, m.push_heeded, m.peer_endpoint, m.witnesses,
-                    m.suspicions, m.leaving);
+                    m.suspicions, m.leaving, m.limits);
   }
 };
 
@@ -141,11 +146,16 @@
   }
 };
 
+template <>
+struct FieldsOf<policy::LimitShare> {
+  static auto Tie(auto& m) { return std::tie(m.upstream, m.born, m.holders); }
+};
+
 template <>
 struct FieldsOf<ControlReport> {
   static auto Tie(auto& m) {
     return std::tie(m.leader, m.committed, m.control, m.entries, m.entry_count,
-                    m.relays);
+                    m.relays, m.limit_shares);
   }
 };
 
@@ -175,7 +185,7 @@
 struct FieldsOf<membership::InstanceRecord> {
   static auto Tie(auto& m) {
     return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
-                    m.version, m.slots, m.state, m.silent, m.leaving);
+                    m.version, m.slots, m.state, m.silent, m.leaving, m.limit);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -29,6 +29,12 @@
   /// What this entry knows against parts of prompts, for a control VM that may
   /// know nothing yet.
   std::function<std::vector<policy::PartSuspicion>()> suspicions;
+  /// Limits that upstreams named, for a control VM that may know none yet.
+  std::function<std::vector<UpstreamLimit>()> limits;
+  /// A confirmed leader answered a report sent at the given time with this
+  /// entry's shares in those limits.
+  std::function<void(TimePoint sent, const std::vector<policy::LimitShare>&)>
+      limit_shares;
   /// A confirmed leader answered a report sent at the given time. It named the
   /// newest committed version of the routes.
   std::function<void(TimePoint sent, ConfigVersion committed)> confirmed;
@@ -64,6 +70,9 @@
   /// @brief Includes an upstream that is leaving in the next reports.
   void AddLeaving(const membership::LeavingInstance& upstream);
 
+  /// @brief Includes what an upstream named as its limit in the next reports.
+  void AddLimit(const UpstreamLimit& limit);
+
   /// @brief Sends a report to every control VM.
   void SendReports();
 
@@ -91,6 +100,8 @@
   std::vector<protocol::CrashWitness> witnesses_;
   /// With the time until which they are reported.
   std::vector<std::pair<TimePoint, membership::LeavingInstance>> leaving_;
+  /// By upstream, with the time until which they are reported.
+  std::map<UpstreamId, std::pair<TimePoint, UpstreamLimit>> limits_;
   /// By part.
   std::map<std::uint64_t, policy::PartSuspicion> unconfirmed_suspicions_;
 };
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -52,6 +52,8 @@
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// An upstream told this entry that it is leaving.
   std::function<void(const membership::LeavingInstance&)> leaving;
+  /// An upstream told this entry another limit than the one known.
+  std::function<void(const UpstreamLimit&)> limit;
   /// Long prompts were sent; see TakeUrgentLoad().
   std::function<void()> urgent_load;
   port::EventSink events;
@@ -92,6 +94,14 @@
   /// @param newest Newest version, as stated by the leader.
   void ConfirmRouting(TimePoint as_of, ConfigVersion newest);
 
+  /// @brief Limits that upstreams named, as far as this entry knows.
+  std::vector<UpstreamLimit> Limits() const { return directory_.Limits(); }
+
+  /// @brief Replaces this entry's shares in the limits that upstreams named.
+  /// @param confirmed_at Time for which a leader confirmed them.
+  void SetLimitShares(const std::vector<policy::LimitShare>& shares,
+                      TimePoint confirmed_at);
+
   /// @brief Sets the number of entries of all failure domains.
   void SetEntries(std::size_t entries);
 
@@ -177,6 +187,10 @@
     std::vector<policy::PartSuspicion> known_at_send;
   };
 
+  /// Services none of whose upstreams is available, each with the time until
+  /// which all of them want no request, if they do.
+  using FullServices = std::map<ServiceName, std::optional<TimePoint>>;
+
   void OnRequest(const std::shared_ptr<http::ServerConnection>& caller,
                  http::ServerRequest request);
   Result<RoutedRequest> RouteRequest(
@@ -188,14 +202,15 @@
   void ScheduleDrain();
   void Drain();
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
-                std::set<ServiceName>* full_services);
+                FullServices* full_services);
+  bool RefuseIfHeldBack(Exchange& exchange,
+                        const std::optional<TimePoint>& until) const;
   void RunMaintenance(TimePoint now);
   Status CheckNotQuarantined(
       std::uint64_t fingerprint,
       const std::vector<policy::PromptPart>& prompt) const;
   void RefuseQuarantined();
   void ApplyDirectoryChanges();
-  Status CheckWorthWaiting(const Exchange& exchange) const;
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
   void LogPartChange(const policy::PartSuspicion& before);
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -99,8 +99,9 @@
   entry.last_report_at = MonotonicNow();
   ForwardCrashes(report, reply);
   MarkLeaving(report.leaving);
+  TakeLimits(report.limits);
   reply.Reply(protocol::MessageKind::kControlReport,
-              protocol::Encode(ReportFor(entry)));
+              protocol::Encode(ReportFor(report.process, entry)));
   const bool leads = daemon_.replica().ConfirmedLeader();
   UpdateRoutingTexts();
   PushRouting(entry, leads, entry.last_report_at);
@@ -108,7 +109,8 @@
   CheckWaiters();
 }
 
-protocol::ControlReport RoutingHub::ReportFor(const Entry& entry) const {
+protocol::ControlReport RoutingHub::ReportFor(const ProcessId& process,
+                                              const Entry& entry) {
   protocol::ControlReport report;
   report.leader = daemon_.replica().ConfirmedLeader();
   report.committed = daemon_.replica().ledger().routing().version;
@@ -121,6 +123,7 @@
     return report;
   }
   AddEntries(entry, &report);
+  report.limit_shares = LimitSharesOf(process);
   return report;
 }
 
@@ -230,17 +233,6 @@
   PushDirectoryChanges();
 }
 
-void RoutingHub::MarkLeaving(
-    const std::vector<membership::LeavingInstance>& told) {
-  for (const membership::LeavingInstance& leaving : told) {
-    const InstanceRecord* record = directory_.Find(leaving.id);
-    if (directory_.MarkLeaving(leaving) && record != nullptr) {
-      SendRecordsToControls({*record});
-    }
-  }
-  PushDirectoryChanges();
-}
-
 void RoutingHub::HandleInstanceBeats(const adapter::InboundMessage& message) {
   const auto incoming =
       protocol::Decode<protocol::InstanceBeats>(message.envelope.body);
@@ -253,46 +245,6 @@
   PushDirectoryChanges();
 }
 
-void RoutingHub::HandleCrashes(const adapter::InboundMessage& message) {
-  const auto incoming =
-      protocol::Decode<protocol::CrashesTold>(message.envelope.body);
-  if (!incoming) {
-    return;
-  }
-  PushToEntries(crash_news_.Record(incoming.value(), MonotonicNow()));
-}
-
-void RoutingHub::PushToEntries(const protocol::CrashesTold& news) {
-  if (membership::IsEmpty(news)) {
-    return;
-  }
-  const std::string body = protocol::Encode(news);
-  for (auto& [process, entry] : entries_) {
-    entry.handle.Push(protocol::MessageKind::kCrashesTold, body);
-  }
-}
-
-void RoutingHub::SendToControls(const protocol::CrashesTold& news) {
-  if (!membership::IsEmpty(news)) {
-    daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold,
-                               protocol::Encode(news));
-  }
-}
-
-/// Forwards what is new in a report to all entries and the other control VMs.
-/// The reporting entry gets an answer for each of its suspicions.
-void RoutingHub::ForwardCrashes(const protocol::EntryReport& report,
-                                const adapter::ReplyHandle& reply) {
-  const protocol::CrashesTold news =
-      crash_news_.Record({report.witnesses, report.suspicions}, MonotonicNow());
-  PushToEntries(news);
-  SendToControls(news);
-  if (news.suspicions.size() < report.suspicions.size()) {
-    PushMessage(reply, protocol::MessageKind::kCrashesTold,
-                crash_news_.KnownAgainst(report.suspicions));
-  }
-}
-
 void RoutingHub::Register(const InstanceRecord& record, Done done) {
   const InstanceDirectory::Change change =
       directory_.Merge(record, MonotonicNow());
--- a/src/membership/named_limit.cc
+++ b/src/domain/named_limit.cc
@@ -1,6 +1,6 @@
-#include "rattanward/membership/named_limit.h"
+#include "rattanward/domain/named_limit.h"
 
-namespace rattanward::membership {
+namespace rattanward {
 
 bool Replaces(const NamedLimit& received, const NamedLimit& known) {
   if (received.revision != known.revision) {
@@ -17,4 +17,4 @@
   return {known.revision + 1, named.has_value(), named.value_or(RequestRate())};
 }
 
-}  // namespace rattanward::membership
+}  // namespace rattanward
--- a/src/entry/cluster_link.cc
+++ b/src/entry/cluster_link.cc
@@ -238,6 +238,9 @@
       for (const policy::PartSuspicion& part : decoded.value().parts) {
         core_.dispatcher().MergePartSuspicion(part, EntryCore::Now());
       }
+      for (const UpstreamLimit& limit : decoded.value().limits) {
+        core_.dispatcher().MergeLimit(limit, EntryCore::Now());
+      }
       reply.Reply(MessageKind::kSuspicions, std::string());
     }
     return;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -127,22 +127,24 @@
 
 void EntryCore::Tick(TimePoint now) {
   Deliver(dispatcher_.Tick(now));
-  TellParts(now);
+  TellNews(now);
   for (const Event& event : dispatcher_.TakeEvents()) {
     events_(event);
   }
 }
 
 /// Changes that no decision waits for.
-void EntryCore::TellParts(TimePoint now) {
-  const protocol::SuspicionsTold told{{}, dispatcher_.TakePartSuspicions(now)};
-  if (!told.parts.empty() && broadcast_suspicions_) {
+void EntryCore::TellNews(TimePoint now) {
+  const protocol::SuspicionsTold told{
+      {}, dispatcher_.TakePartSuspicions(now), dispatcher_.TakeLimits(now)};
+  const bool news = !told.parts.empty() || !told.limits.empty();
+  if (news && broadcast_suspicions_) {
     broadcast_suspicions_(told, [] {});
   }
 }
 
 void EntryCore::DeliverAfterBroadcast(Decisions decisions) {
-  protocol::SuspicionsTold told{dispatcher_.TakeSuspicions(), {}};
+  protocol::SuspicionsTold told{dispatcher_.TakeSuspicions(), {}, {}};
   if (told.suspicions.empty() || !broadcast_suspicions_) {
     Deliver(decisions);
     return;
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -134,6 +134,17 @@
       self->core_.MarkLeaving(upstream);
     }
   };
+  attempt_->on_limit = [weak, upstream = start_.upstream](
+                           const std::optional<RequestRate>& named) {
+    if (const auto self = weak.lock()) {
+      self->core_.dispatcher().ReadLimit(upstream, named, EntryCore::Now());
+    }
+  };
+  attempt_->on_extra_request = [weak, upstream = start_.upstream] {
+    if (const auto self = weak.lock()) {
+      self->core_.dispatcher().RecordExtraRequest(upstream, EntryCore::Now());
+    }
+  };
   if (plan_.shape == AnswerShape::kService) {
     attempt_->RunServiceCall(ended);
     return;
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -167,12 +167,34 @@
   if (leaving != nullptr && *leaving != "0" && on_leaving) {
     on_leaving();
   }
+  ReadLimit(head);
   const std::string* retry_after = head.fields.Find("Retry-After");
   if (head.status == kUnavailable && retry_after != nullptr) {
     result_.backoff_for = http::ParseRetryAfter(*retry_after);
   }
 }
 
+/// A malformed limit changes nothing.
+void UpstreamAttempt::ReadLimit(const http::ResponseHead& head) {
+  if (!on_limit) {
+    return;
+  }
+  const std::string* text = head.fields.Find("X-Rattanward-Request-Limit");
+  const std::optional<RequestRate> named =
+      text == nullptr ? std::nullopt : http::ParseRequestRate(*text);
+  const bool names_none =
+      text == nullptr && RequestIdOf(head) == request_.id.str();
+  if (named || names_none) {
+    on_limit(named);
+  }
+}
+
+void UpstreamAttempt::CountExtraRequest() {
+  if (on_extra_request) {
+    on_extra_request();
+  }
+}
+
 bool UpstreamAttempt::HandleServiceHead(const http::ResponseHead& head) {
   ReadSignals(head);
   status_ = head.status;
@@ -239,6 +261,7 @@
 }
 
 void UpstreamAttempt::SendStatusQuery() {
+  CountExtraRequest();
   call_ = NewCall(kStatusTimeout);
   call_->Send(MakeHead("GET", StreamPath() + "/status"), std::string(),
               MakeWatcher(
@@ -286,6 +309,7 @@
 void UpstreamAttempt::ResumeStream() {
   assembler_.BeginConnection();
   ++resumes_;
+  CountExtraRequest();
   call_ = NewCall(silence_timeout_);
   call_->Send(MakeHead("GET", StreamPath() + "?from=" +
                                   std::to_string(assembler_.next_event())),
@@ -374,6 +398,7 @@
 
 /// Asks the upstream to cancel the stream's work, and ignores the response.
 void UpstreamAttempt::CancelUpstreamWork() {
+  CountExtraRequest();
   const auto call = std::make_shared<UpstreamCall>(
       io_, timers_, start_.endpoint, kStatusTimeout);
   call->Send(MakeHead("DELETE", StreamPath()), std::string(), {});
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -39,38 +39,38 @@
     return false;
   }
   mark->second = leaving.born;
-  ApplySignals(leaving.id, leaving.born);
+  ApplySignals(leaving.id);
   return true;
 }
 
-bool InstanceDirectory::MergeLimit(const InstanceLimit& received) {
+bool InstanceDirectory::MergeLimit(const UpstreamLimit& received) {
   if (received.limit.revision == 0) {
     return false;
   }
-  InstanceLimit& known = limits_[received.id];
+  UpstreamLimit& known = limits_[received.id];
   const bool news = received.born == known.born
                         ? Replaces(received.limit, known.limit)
                         : received.born > known.born;
   if (news) {
     known = received;
-    ApplySignals(received.id, received.born);
+    ApplySignals(received.id);
   }
   return news;
 }
 
-std::optional<InstanceLimit> InstanceDirectory::ReadLimit(
+std::optional<UpstreamLimit> InstanceDirectory::ReadLimit(
     const UpstreamId& id, std::uint64_t born,
     const std::optional<RequestRate>& named) {
   const auto known = limits_.find(id);
   const bool same_start = known != limits_.end() && known->second.born == born;
-  const InstanceLimit read{
+  const UpstreamLimit read{
       id, born,
       AfterAnswer(same_start ? known->second.limit : NamedLimit(), named)};
   return MergeLimit(read) ? std::optional(read) : std::nullopt;
 }
 
-std::vector<InstanceLimit> InstanceDirectory::Limits() const {
-  std::vector<InstanceLimit> limits;
+std::vector<UpstreamLimit> InstanceDirectory::Limits() const {
+  std::vector<UpstreamLimit> limits;
   limits.reserve(limits_.size());
   for (const auto& [id, limit] : limits_) {
     limits.push_back(limit);
@@ -78,12 +78,16 @@
   return limits;
 }
 
-/// Adds what a start told in its answers to its record, if there is one.
-void InstanceDirectory::ApplySignals(const UpstreamId& id, std::uint64_t born) {
-  if (IsKnownStart(id, born)) {
-    InstanceRecord& record = instances_[id].record;
-    record = WithSignals(record);
-    changed_.push_back(id);
+/// Adds what the latest start told in its answers to the record, if there is
+/// one.
+void InstanceDirectory::ApplySignals(const UpstreamId& id) {
+  const auto found = instances_.find(id);
+  if (found != instances_.end()) {
+    const InstanceRecord updated = WithSignals(found->second.record);
+    if (updated != found->second.record) {
+      found->second.record = updated;
+      changed_.push_back(id);
+    }
   }
   if (leaving_.size() + limits_.size() > kMaxStartsWithSignals) {
     ForgetSignalsOfUnknown();
--- a/src/policy/chooser.cc
+++ b/src/policy/chooser.cc
@@ -48,6 +48,7 @@
   return upstream.AcceptsNewWork() && query.now >= upstream.avoid_until &&
          upstream.backoff.Allows(running, upstream.announcement.capacity,
                                  kReturnsFirst, query.now) &&
+         (!upstream.limit || upstream.share.Allows(query.now)) &&
          std::find(query.tried.begin(), query.tried.end(),
                    upstream.announcement.instance) == query.tried.end();
 }
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -108,6 +108,32 @@
   }
 }
 
+void Dispatcher::ReadLimit(const UpstreamId& upstream,
+                           const std::optional<RequestRate>& named,
+                           TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->ReadLimit(upstream, named, now);
+  }
+}
+
+std::vector<UpstreamLimit> Dispatcher::TakeLimits(TimePoint now) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<UpstreamLimit>()
+                             : standard->TakeLimits(now);
+}
+
+void Dispatcher::MergeLimit(const UpstreamLimit& limit, TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->MergeLimit(limit, now);
+  }
+}
+
+void Dispatcher::RecordExtraRequest(const UpstreamId& upstream, TimePoint now) {
+  if (StandardDispatcher* standard = impl_->Standard()) {
+    standard->RecordExtraRequest(upstream, now);
+  }
+}
+
 void Dispatcher::MergeSuspicion(const Suspicion& suspicion, TimePoint now) {
   if (StandardDispatcher* standard = impl_->Standard()) {
     standard->quarantine().Merge(suspicion, now);
@@ -132,7 +158,7 @@
 
 void Dispatcher::SetEntryGroup(const EntryGroup& group, TimePoint now) {
   if (StandardDispatcher* standard = impl_->Standard()) {
-    standard->accounts().SetGroup(group, now);
+    standard->SetEntryGroup(group, now);
   }
 }
 
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -92,7 +92,8 @@
 
 bool Placer::IsUsable(const Instance& instance, TimePoint now) const {
   return instance.record.state == membership::InstanceState::kReady &&
-         now >= instance.avoid_until && MayReturn(instance, now);
+         now >= instance.avoid_until && MayReturn(instance, now) &&
+         (!instance.limit || instance.share.Allows(now));
 }
 
 /// Whether an upstream that asked for back-off may get another request of this
@@ -119,23 +120,6 @@
              : found->second.backoff.Ask(backoff_for, now);
 }
 
-std::optional<TimePoint> Placer::BackoffUntil(const ServiceName& service,
-                                              TimePoint now) const {
-  const auto found = services_.find(service);
-  if (found == services_.end()) {
-    return std::nullopt;
-  }
-  std::optional<TimePoint> earliest;
-  for (const Instance* instance : found->second.instances) {
-    if (!instance->backoff.Active(now)) {
-      return std::nullopt;
-    }
-    earliest = std::min(earliest.value_or(instance->backoff.end()),
-                        instance->backoff.end());
-  }
-  return earliest;
-}
-
 std::size_t Placer::UpstreamsInBackoff(TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
       instances_.begin(), instances_.end(),
--- a/src/policy/placer_load.cc
+++ b/src/policy/placer_load.cc
@@ -151,6 +151,9 @@
       std::uint64_t{request.prompt_tokens} + request.max_output_tokens,
       tight ? 1U : 0U};
   sent_tokens_ += uncached;
+  if (instance.limit) {
+    instance.share.Take(now);
+  }
   if (uncached > options_.urgent_tokens) {
     urgent_.insert(id);
   }
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -49,6 +49,7 @@
   }
   quarantine_.RecordAnnouncement(announcement.instance, announcement.sequence,
                                  now);
+  ApplyLimit(announcement.instance, now);
   Decisions out;
   for (const Target& target : targets) {
     DispatchWaiting(target, &out, now);
@@ -69,6 +70,7 @@
   }
   const std::vector<Target> targets = TargetsOf(state->announcement);
   upstreams_.Remove(upstream);
+  limits_.erase(upstream);
   Decisions out;
   for (const Target& target : targets) {
     RefuseWithoutUpstream(target, &out);
@@ -204,7 +206,7 @@
   if (IsQuarantined(open.info)) {
     return QuarantinedError();
   }
-  if (auto error = CheckBackoff(open, now)) {
+  if (auto error = CheckHeldBack(open, now)) {
     return error;
   }
   const Duration first_token = latency_.FirstTokenWait(
@@ -212,28 +214,6 @@
   return CheckDeadline({now, DeadlineOf(open), Duration(0), first_token});
 }
 
-std::optional<Error> StandardDispatcher::CheckBackoff(const OpenRequest& open,
-                                                      TimePoint now) const {
-  std::optional<TimePoint> earliest;
-  for (const UpstreamState* upstream : upstreams_.Serving(open.target)) {
-    if (!upstream->AcceptsNewWork()) {
-      continue;
-    }
-    if (!upstream->backoff.Active(now)) {
-      return std::nullopt;
-    }
-    earliest = std::min(earliest.value_or(upstream->backoff.end()),
-                        upstream->backoff.end());
-  }
-  if (!earliest || WaitsForBackoffEnd(*earliest, DeadlineOf(open), now)) {
-    return std::nullopt;
-  }
-  Error error = MakeError(ErrorCode::kNoUpstream,
-                          "every upstream has asked for no requests");
-  error.retry_after = *earliest - now;
-  return error;
-}
-
 void StandardDispatcher::Start(OpenRequest* open, UpstreamState* upstream,
                                Decisions* out, TimePoint now) {
   const Announcement& a = upstream->announcement;
@@ -242,6 +222,9 @@
   open->tried.push_back(a.instance);
   open->first_token.reset();
   ++running_by_fingerprint_[open->info.fingerprint];
+  if (upstream->limit) {
+    upstream->share.Take(now);
+  }
   upstreams_.AttemptStarted(
       upstream, {open->info.id, open->info.fingerprint, now, false,
                  part_quarantine_.KnownAgainst(open->info.shared_parts)});
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -14,9 +14,9 @@
 constexpr std::size_t kMaxControlVms = 32;
 /// Maximum number of crashes kept; every report includes all of them.
 constexpr std::size_t kMaxWitnesses = 64;
-/// Time for which reports name an upstream that is leaving. By then its own
-/// heartbeats say so, or it is gone.
-constexpr Duration kLeavingReportTime{std::chrono::seconds(10)};
+/// Time for which reports name what an upstream told in an answer. Control VMs
+/// that were cut off for longer learn of it from each other.
+constexpr Duration kSignalReportTime{std::chrono::seconds(10)};
 /// The rest follows with the next reports.
 constexpr std::size_t kMaxSuspicionsPerReport = 128;
 
@@ -45,6 +45,9 @@
         Control& connected = controls_[endpoint];
         connected.push_heeded = 0;
         AddSuspicions(hooks_.suspicions());
+        for (const UpstreamLimit& limit : hooks_.limits()) {
+          AddLimit(limit);
+        }
         SendReport(endpoint, connected);
       });
   control.client->Start();
@@ -80,11 +83,17 @@
 }
 
 void ControlLink::AddLeaving(const membership::LeavingInstance& upstream) {
-  leaving_.emplace_back(MonotonicNow() + kLeavingReportTime, upstream);
+  leaving_.emplace_back(MonotonicNow() + kSignalReportTime, upstream);
+}
+
+void ControlLink::AddLimit(const UpstreamLimit& limit) {
+  limits_[limit.id] = {MonotonicNow() + kSignalReportTime, limit};
 }
 
 void ControlLink::SendReports() {
   const TimePoint now = MonotonicNow();
+  std::erase_if(limits_,
+                [now](const auto& item) { return item.second.first < now; });
   std::erase_if(leaving_, [now](const auto& item) { return item.first < now; });
   for (auto& [endpoint, control] : controls_) {
     SendReport(endpoint, control);
@@ -108,6 +117,9 @@
   for (const auto& [until, upstream] : leaving_) {
     report.leaving.push_back(upstream);
   }
+  for (const auto& [id, limit] : limits_) {
+    report.limits.push_back(limit.second);
+  }
   protocol::Envelope envelope;
   envelope.kind = protocol::MessageKind::kEntryReport;
   envelope.body = protocol::Encode(report);
@@ -133,6 +145,7 @@
   if (report.value().leader) {
     hooks_.confirmed(sent, report.value().committed);
     hooks_.entries(report.value());
+    hooks_.limit_shares(sent, report.value().limit_shares);
   }
 }
 
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -76,6 +76,10 @@
                 link_.AddLeaving(upstream);
                 link_.SendReports();
               },
+              [this](const UpstreamLimit& limit) {
+                link_.AddLimit(limit);
+                link_.SendReports();
+              },
               [this] { ScheduleUrgentLoad(); }, events_}),
       link_(io, MakeTransportOptions(options_, events_),
             MakeSelfReport(options_), LinkHooks()),
@@ -104,6 +108,11 @@
     proxy_.MergeSuspicions(told.suspicions);
   };
   hooks.suspicions = [this] { return proxy_.Suspicions(); };
+  hooks.limits = [this] { return proxy_.Limits(); };
+  hooks.limit_shares = [this](TimePoint sent,
+                              const std::vector<policy::LimitShare>& shares) {
+    proxy_.SetLimitShares(shares, sent);
+  };
   hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
     proxy_.ConfirmRouting(sent, committed);
   };
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -93,8 +93,10 @@
 }
 
 void Proxy::ApplyDirectoryChanges() {
+  const TimePoint now = MonotonicNow();
   for (const membership::InstanceRecord& record : directory_.TakeChanges()) {
     const bool restarted = placer_.SetInstance(record);
+    placer_.SetLimit(record.id, record.limit.limit(), now);
     if (restarted || record.state != InstanceState::kReady) {
       pool_.CloseAllIdle(record.id);
     }
@@ -182,7 +184,7 @@
 }
 
 void Proxy::Drain() {
-  std::set<ServiceName> full_services;
+  FullServices full_services;
   policy::TierGate gate;
   const TimePoint now = MonotonicNow();
   queue_.Visit(now, [&](const std::shared_ptr<Exchange>& exchange) {
@@ -201,10 +203,11 @@
 }
 
 bool Proxy::TryPlace(const std::shared_ptr<Exchange>& exchange,
-                     std::set<ServiceName>* full_services) {
+                     FullServices* full_services) {
   const ServiceName& service = exchange->placement().service;
-  if (full_services->count(service) > 0) {
-    return false;
+  const auto full = full_services->find(service);
+  if (full != full_services->end()) {
+    return RefuseIfHeldBack(*exchange, full->second);
   }
   const Status allowed = CheckNotQuarantined(exchange->routed().fingerprint,
                                              exchange->placement().prompt);
@@ -212,16 +215,16 @@
     exchange->Refuse(allowed.error());
     return true;
   }
-  const auto upstream = placer_.Choose(exchange->placement(),
-                                       exchange->excluded(), MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  const auto upstream =
+      placer_.Choose(exchange->placement(), exchange->excluded(), now);
   if (!upstream) {
-    const Status worth_waiting = CheckWorthWaiting(*exchange);
-    if (!worth_waiting) {
-      exchange->Refuse(worth_waiting.error());
+    if (RefuseIfHeldBack(*exchange, placer_.HeldBackUntil(
+                                        service, exchange->excluded(), now))) {
       return true;
     }
-    if (placer_.NoneAvailable(service, MonotonicNow())) {
-      full_services->insert(service);
+    if (placer_.NoneAvailable(service, now)) {
+      full_services->emplace(service, placer_.HeldBackUntil(service, {}, now));
     } else if (!placer_.HasAlternative(service, exchange->excluded())) {
       exchange->Refuse(MakeError(ErrorCode::kNoUpstream,
                                  "every upstream rejected the request or "
@@ -237,20 +240,23 @@
   return true;
 }
 
-/// Errors: kNoUpstream if every upstream has asked for back-off for too long.
-Status Proxy::CheckWorthWaiting(const Exchange& exchange) const {
+/// Refuses a request if every upstream wants none for longer than it should
+/// wait. Returns whether it was refused.
+bool Proxy::RefuseIfHeldBack(Exchange& exchange,
+                             const std::optional<TimePoint>& until) const {
   const TimePoint now = MonotonicNow();
-  const std::optional<TimePoint> backoff_until =
-      placer_.BackoffUntil(exchange.placement().service, now);
-  if (!backoff_until ||
-      policy::WaitsForBackoffEnd(*backoff_until, exchange.deadline(), now)) {
-    return outcome::success();
+  if (!until || policy::WaitsForBackoffEnd(*until, exchange.deadline(), now)) {
+    return false;
   }
   Error error = MakeError(ErrorCode::kNoUpstream,
                           "every upstream has asked for no requests");
-  error.retry_after =
-      policy::RetryAdvice(*backoff_until - now, exchange.deadline() - now);
-  return error;
+  // Without a share in any limit, another entry may serve the caller at once.
+  if (*until != TimePoint::max()) {
+    error.retry_after =
+        policy::RetryAdvice(*until - now, exchange.deadline() - now);
+  }
+  exchange.Refuse(error);
+  return true;
 }
 
 std::shared_ptr<http::ClientConnection> Proxy::Connect(
@@ -322,7 +328,7 @@
 
 void Proxy::OnLimit(const Exchange& exchange,
                     const std::optional<RequestRate>& named) {
-  const std::optional<membership::InstanceLimit> changed = directory_.ReadLimit(
+  const std::optional<UpstreamLimit> changed = directory_.ReadLimit(
       exchange.upstream(), exchange.upstream_start(), named);
   if (!changed) {
     return;
@@ -333,6 +339,13 @@
         std::to_string(changed->limit.rate.milli_per_second)},
        {"revision", std::to_string(changed->limit.revision)}});
   ApplyDirectoryChanges();
+  hooks_.limit(*changed);
+}
+
+void Proxy::SetLimitShares(const std::vector<policy::LimitShare>& shares,
+                           TimePoint confirmed_at) {
+  placer_.SetLimitShares(shares, confirmed_at, MonotonicNow());
+  ScheduleDrain();
 }
 
 void Proxy::OnRejected(const Exchange& exchange) {
@@ -380,6 +393,7 @@
          ScrapeLine("upstreams_known", directory_.size()) +
          ScrapeLine("upstreams_in_backoff",
                     placer_.UpstreamsInBackoff(MonotonicNow())) +
+         ScrapeLine("upstreams_with_limit", placer_.UpstreamsWithLimit()) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
@@ -395,6 +409,7 @@
 void Proxy::RunMaintenance(TimePoint now) {
   pool_.CloseExpired(now);
   part_quarantine_.Expire(now);
+  placer_.AgeLimitShares(now);
   for (const UpstreamId& id : directory_.Forget(now - kGoneUpstreamRetention)) {
     placer_.RemoveInstance(id);
   }
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -73,6 +73,9 @@
     hooks.leaving = [this](const membership::LeavingInstance& upstream) {
       leaving.push_back(upstream);
     };
+    hooks.limit = [this](const UpstreamLimit& limit) {
+      limits.push_back(limit);
+    };
     hooks.urgent_load = [] {};
     hooks.events = [this](const Event& event) { events.push_back(event); };
     data_path = std::make_unique<proxy::Proxy>(io, options, dialect, hooks);
@@ -122,6 +125,7 @@
   std::vector<protocol::CrashWitness> witnesses;
   std::vector<policy::PartSuspicion> suspicions;
   std::vector<membership::LeavingInstance> leaving;
+  std::vector<UpstreamLimit> limits;
   std::vector<Event> events;
   std::unique_ptr<proxy::Proxy> data_path;
   std::vector<std::unique_ptr<LoopbackUpstream>> upstreams;
--- a/tests/src/fuzz-instance_directory.cc
+++ b/tests/src/fuzz-instance_directory.cc
@@ -276,4 +276,42 @@
   CHECK(directory.size() == 1);
 }
 
+TEST_CASE("directories agree on limits, in whatever order they hear of them") {
+  CHECK(rc::check([] {
+    InstanceDirectory a;
+    InstanceDirectory b;
+    const int answers = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < answers; ++i) {
+      InstanceDirectory& reader = *rc::gen::arbitrary<bool>() ? a : b;
+      InstanceDirectory& other = &reader == &a ? b : a;
+      const auto milli = *rc::gen::inRange<std::uint64_t>(0, 3);
+      const auto named =
+          milli == 0 ? std::nullopt : std::optional(RequestRate{milli});
+      const auto born = *rc::gen::inRange<std::uint64_t>(1, 3);
+      const auto read = reader.ReadLimit(UpstreamId("i0"), born, named);
+      if (read && *rc::gen::arbitrary<bool>()) {
+        other.MergeLimit(*read);
+      }
+      if (*rc::gen::arbitrary<bool>()) {
+        Call call;
+        call.born = born;
+        call.sequence = static_cast<std::uint64_t>(i) + 1;
+        Deliver(&reader, call);
+      }
+    }
+    ExchangeAll(&a, &b);
+    for (const UpstreamLimit& limit : a.Limits()) {
+      b.MergeLimit(limit);
+    }
+    for (const UpstreamLimit& limit : b.Limits()) {
+      a.MergeLimit(limit);
+    }
+    RC_ASSERT(a.Limits() == b.Limits());
+    RC_ASSERT(a.All().size() == b.All().size());
+    for (const InstanceRecord& record : a.All()) {
+      RC_ASSERT(b.Find(record.id)->limit == record.limit);
+    }
+  }));
+}
+
 }  // namespace rattanward::membership
