Log the version of the upstream and the stream that a caller takes up

Change: `request-dispatched` names `version` and `resumes`; the platform decodes that a caller takes a stream up and which attempt began it.

Measured: unit-platform has a case for the fields. Nothing obeys them yet.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -57,6 +57,8 @@
       std::shared_ptr<http::ClientConnection> connection) = 0;
   /// @brief Start of the process that an upstream id stands for now.
   virtual std::uint64_t StartOf(const UpstreamId& upstream) const = 0;
+  /// @brief Version of the software of an upstream.
+  virtual std::string VersionOf(const UpstreamId& upstream) const = 0;
   /// @brief The upstream told that it is leaving.
   virtual void OnLeaving(const Exchange& exchange) = 0;
   /// @brief The upstream wants no request of this entry for so long.
@@ -199,6 +201,7 @@
   /// Of the latest response head, whether it belongs to the request or not.
   ResponseTraits response_traits_;
   std::uint64_t upstream_start_ = 0;
+  std::string upstream_version_;
   std::vector<policy::PartSuspicion> known_at_send_;
   /// Whether the response head of the current attempt has arrived.
   bool response_begun_ = false;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -163,6 +163,7 @@
                   const policy::PlacementCharge& charge,
                   std::shared_ptr<http::ClientConnection> connection) override;
   std::uint64_t StartOf(const UpstreamId& upstream) const override;
+  std::string VersionOf(const UpstreamId& upstream) const override;
   void OnLeaving(const Exchange& exchange) override;
   void OnBackoff(const Exchange& exchange, Duration backoff_for) override;
   void OnLimit(const Exchange& exchange,
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -117,6 +117,7 @@
   sent_at_ = MonotonicNow();
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
   upstream_start_ = owner_.StartOf(upstream_);
+  upstream_version_ = owner_.VersionOf(upstream_);
   known_at_send_ = owner_.KnownAgainstParts(*this);
   charge_ = owner_.OnSent(*this);
   body_.clear();
@@ -133,6 +134,8 @@
        {"failing", Permille(policy::FailureRate(load))},
        {"missing", std::to_string(charge_.pending_prefill_tokens)},
        {"rank", std::to_string(placement_.rank)},
+       {"version", upstream_version_},
+       {"resumes", request_.traits.resumed_attempt.str()},
        {"part", std::to_string(policy::PrefixKey(placement_))}});
   connection_->SetHeadRequest(request_.request.head.method == "HEAD");
   connection_->Send(Serialize(owner_.dialect().MakeUpstreamRequest(
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -303,6 +303,11 @@
   return record == nullptr ? 0 : record->stamp.born;
 }
 
+std::string Proxy::VersionOf(const UpstreamId& upstream) const {
+  const membership::InstanceRecord* record = directory_.Find(upstream);
+  return record == nullptr ? std::string() : record->version;
+}
+
 void Proxy::OnLeaving(const Exchange& exchange) {
   const membership::LeavingInstance leaving{exchange.upstream(),
                                             exchange.upstream_start()};
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -85,7 +85,8 @@
     data_path->ConfirmRouting(adapter::MonotonicNow(), ConfigVersion{1});
   }
 
-  LoopbackUpstream& AddUpstream(LoopbackUpstream::Handler handler) {
+  LoopbackUpstream& AddUpstream(LoopbackUpstream::Handler handler,
+                                const std::string& version = "") {
     upstreams.push_back(
         std::make_unique<LoopbackUpstream>(io, std::move(handler)));
     membership::InstanceRecord record;
@@ -95,6 +96,7 @@
     record.endpoint = upstreams.back()->endpoint();
     record.failure_domain = FailureDomain("d");
     record.slots = 4;
+    record.version = version;
     data_path->UpdateInstances({record});
     return *upstreams.back();
   }
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -22,6 +22,10 @@
     if (const std::string* wait = head.fields.Find("wait-ms")) {
       traits.deadline = std::chrono::milliseconds(std::stol(*wait));
     }
+    traits.resumes_stream = head.fields.Find("after") != nullptr;
+    if (const std::string* resumed = head.fields.Find("resumes")) {
+      traits.resumed_attempt = AttemptId(*resumed);
+    }
     if (const std::string* parts = head.fields.Find("parts")) {
       std::istringstream ids(*parts);
       for (policy::PromptPart part{0, 1}; ids >> part.id;) {
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -259,6 +259,16 @@
   }
 }
 
+TEST_CASE("a caller that takes a stream up is recognized") {
+  http::RequestHead head = MakeCallerHead();
+  CHECK_FALSE(PlatformDialect().ReadRequest(head).resumes_stream);
+  head.fields.Set("Last-Event-Id", "7");
+  head.fields.Set("Resumes", "id0");
+  const auto traits = PlatformDialect().ReadRequest(head);
+  CHECK(traits.resumes_stream);
+  CHECK(traits.resumed_attempt == AttemptId("id0"));
+}
+
 TEST_CASE("the limit that an upstream names in an answer is decoded") {
   const PlatformDialect dialect;
   http::ResponseHead head;
