Let a stream go on only at the version that began it

Callers saw: whole answers whose events came from two software versions of an upstream, which don't fit together.

Cause: a stream was resumed within one answer, and one that a caller takes up was sent on, at any upstream of the service; placing didn't look at the version, though the directory had it.

Change: StreamVersions knows where streams began: at this entry, as told by others while several versions are known, or because one version alone may have been used, which every entry computes alike; new versions are used only after the lease, so that this holds for entries that are cut off. Placing is restricted to that version; an unknown one is refused at once, not run. The signals and streams of the data path got files of their own.

Why it works: an entry either knows the version or sends nothing.

On the product's own interface nothing goes on at another instance after its first event.

--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -16,6 +16,7 @@
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/policy/backoff_period.h"
 #include "rattanward/policy/limit_share.h"
+#include "rattanward/policy/stream_versions.h"
 
 namespace rattanward::policy {
 
@@ -42,6 +43,8 @@
   Duration target{std::chrono::seconds(1)};
   /// Whether the pauses of its stream have the tightest target of its service.
   bool tight_pauses = false;
+  /// Versions of the upstream's software that may run it; empty for any.
+  std::set<std::string> versions;
 
   friend bool operator==(const PlacementRequest&,
                          const PlacementRequest&) = default;
@@ -124,6 +127,8 @@
   std::map<UpstreamId, UpstreamLoad> upstreams;
   /// Prompt parts that were recently sent to each upstream.
   std::map<UpstreamId, std::vector<PromptPart>> placed_parts;
+  /// Streams that lately began at this entry and may go on at another.
+  std::vector<StreamVersion> streams;
 
   friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
 };
@@ -237,6 +242,11 @@
   bool HasAlternative(const ServiceName& service,
                       const std::set<UpstreamId>& excluded) const;
 
+  /// @brief Whether a ready upstream has a version that may run the request and
+  /// is not excluded.
+  bool HasAlternative(const PlacementRequest& request,
+                      const std::set<UpstreamId>& excluded) const;
+
   /// @brief Records that a request was sent to an upstream.
   /// @return The load that was added, to be passed to RecordFirstEvent() and
   /// ReleaseCharge().
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -41,6 +41,7 @@
   std::vector<PartsPlaced> placed_parts;
   /// Whether only the upstreams named here have changed.
   bool partial = false;
+  std::vector<policy::StreamVersion> streams;
 
   friend bool operator==(const LoadTold&, const LoadTold&) = default;
 };
@@ -64,11 +65,16 @@
   static auto Tie(auto& m) { return std::tie(m.upstream, m.parts); }
 };
 
+template <>
+struct FieldsOf<policy::StreamVersion> {
+  static auto Tie(auto& m) { return std::tie(m.stream, m.version); }
+};
+
 template <>
 struct FieldsOf<LoadTold> {
   static auto Tie(auto& m) {
     return std::tie(m.entry, m.relay, m.valid_ms, m.upstreams, m.placed_parts,
-                    m.partial);
+                    m.partial, m.streams);
   }
 };
 
@@ -77,6 +83,7 @@
   LoadTold told;
   told.entry = load.entry;
   told.partial = load.partial;
+  told.streams = load.streams;
   told.valid_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(load.valid_for)
           .count());
@@ -97,6 +104,7 @@
   policy::EntryLoad load;
   load.entry = told.entry;
   load.partial = told.partial;
+  load.streams = told.streams;
   load.valid_for = std::chrono::milliseconds(told.valid_ms);
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "rattanward/domain/event.h"
 #include "rattanward/domain/routing.h"
@@ -51,6 +52,9 @@
   /// @param charge Its pending prefill tokens are set to 0.
   virtual void OnFirstEvent(const Exchange& exchange,
                             policy::PlacementCharge* charge) = 0;
+  /// @brief The caller is about to get the first event of a stream from this
+  /// entry.
+  virtual void OnStreamStarted(const Exchange& exchange) = 0;
   /// @brief Releases a connection and the capacity charged at its upstream.
   virtual void OnReleased(
       const Exchange& exchange, const policy::PlacementCharge& charge,
@@ -126,6 +130,21 @@
 
   const RoutedRequest& routed() const { return request_; }
   const policy::PlacementRequest& placement() const { return placement_; }
+  /// @brief Restricts the request to upstreams with these versions; empty for
+  /// any.
+  void SetVersions(std::set<std::string> versions) {
+    placement_.versions = std::move(versions);
+  }
+  /// @brief Whether the stream may go on at another upstream after its first
+  /// event, for this caller's attempt or a later one.
+  bool may_go_on_elsewhere() const {
+    return streams() && request_.route->resumable;
+  }
+  /// @brief Version of the upstream that brought the first event of this
+  /// answer, or nothing before that event.
+  const std::optional<std::string>& stream_version() const {
+    return stream_version_;
+  }
   /// @brief Upstreams to which this request must not be sent again.
   const std::set<UpstreamId>& excluded() const { return excluded_; }
   const UpstreamId& upstream() const { return upstream_; }
@@ -202,6 +221,7 @@
   ResponseTraits response_traits_;
   std::uint64_t upstream_start_ = 0;
   std::string upstream_version_;
+  std::optional<std::string> stream_version_;
   std::vector<policy::PartSuspicion> known_at_send_;
   /// Whether the response head of the current attempt has arrived.
   bool response_begun_ = false;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -54,7 +54,7 @@
   std::function<void(const membership::LeavingInstance&)> leaving;
   /// An upstream told this entry another limit than the one known.
   std::function<void(const UpstreamLimit&)> limit;
-  /// Long prompts were sent; see TakeUrgentLoad().
+  /// Long prompts were sent or streams began; see TakeUrgentLoad().
   std::function<void()> urgent_load;
   port::EventSink events;
 };
@@ -118,11 +118,9 @@
   /// @param placed_within Maximum age of the prompt parts to include.
   policy::EntryLoad OwnLoad(Duration placed_within);
 
-  /// @brief Load report of the engines that long prompts were sent to since the
-  /// last call.
-  policy::EntryLoad TakeUrgentLoad() {
-    return placer_.TakeUrgentLoad(options_.process);
-  }
+  /// @brief Load report of the engines that long prompts were sent to, and the
+  /// streams that began, since the last call.
+  policy::EntryLoad TakeUrgentLoad();
 
   /// @brief Whether control confirmed the routes within the last `time`.
   bool ConfirmedWithin(Duration time) const;
@@ -159,6 +157,7 @@
   }
   void OnFirstEvent(const Exchange& exchange,
                     policy::PlacementCharge* charge) override;
+  void OnStreamStarted(const Exchange& exchange) override;
   void OnReleased(const Exchange& exchange,
                   const policy::PlacementCharge& charge,
                   std::shared_ptr<http::ClientConnection> connection) override;
@@ -204,6 +203,8 @@
   void Drain();
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
                 FullServices* full_services);
+  Status RestrictVersions(Exchange& exchange) const;
+  void UpdateServingVersions();
   bool RefuseIfHeldBack(Exchange& exchange,
                         const std::optional<TimePoint>& until) const;
   void RunMaintenance(TimePoint now);
@@ -231,6 +232,7 @@
   std::shared_ptr<const RoutingTable> table_;
   membership::CrashMemory crashes_;
   policy::PartQuarantine part_quarantine_;
+  policy::StreamVersions stream_versions_;
   TimePoint confirmed_at_;
   TimePoint started_at_;
   ConfigVersion required_version_;
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -18,6 +18,11 @@
 /// smaller.
 constexpr std::uint32_t kMinConnections = 4;
 
+bool HasPermittedVersion(const membership::InstanceRecord& record,
+                         const PlacementRequest& request) {
+  return request.versions.empty() || request.versions.count(record.version) > 0;
+}
+
 }  // namespace
 
 void Placer::SetServices(const std::vector<RoutedService>& services) {
@@ -153,6 +158,7 @@
   for (const Instance* candidate : all) {
     const Instance& instance = *candidate;
     if (!IsUsable(instance, now) || IsFull(instance, service->second, now) ||
+        !HasPermittedVersion(instance.record, request) ||
         excluded.count(instance.record.id) > 0) {
       continue;
     }
@@ -210,6 +216,18 @@
                      });
 }
 
+bool Placer::HasAlternative(const PlacementRequest& request,
+                            const std::set<UpstreamId>& excluded) const {
+  const auto found = services_.find(request.service);
+  return found != services_.end() &&
+         std::any_of(found->second.instances.begin(),
+                     found->second.instances.end(),
+                     [&](const Instance* candidate) {
+                       return HasPermittedVersion(candidate->record, request) &&
+                              excluded.count(candidate->record.id) == 0;
+                     });
+}
+
 void Placer::RecordFailure(const UpstreamId& id, bool unreachable,
                            TimePoint now) {
   const auto found = instances_.find(id);
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -170,7 +170,8 @@
     const policy::EntryLoad load = proxy_.TakeUrgentLoad();
     loads_.SendLoad(load, local_peers_);
     loads_.SendLoad(load, remote_peers_);
-    if (entry_count_ <= kMaxEntriesToldAtOnce) {
+    // A caller may take a stream up anywhere.
+    if (entry_count_ <= kMaxEntriesToldAtOnce || !load.streams.empty()) {
       loads_.SendViaRelays(load, relays_);
     }
   });
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -245,6 +245,8 @@
   }
   if (!stream_started_) {
     stream_started_ = true;
+    stream_version_ = upstream_version_;
+    owner_.OnStreamStarted(*this);
     request_.caller->StartBody(response_, std::nullopt);
   }
 }
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -44,6 +44,7 @@
               }),
       pool_(io),
       placer_(options_.failure_domain, MakePlacerOptions(options_)),
+      stream_versions_(options_.key_lease),
       started_at_(MonotonicNow()) {
   server_.on_rejected = [this](const Error& error) {
     meter_.RecordMalformed();
@@ -110,6 +111,7 @@
                     {"silent", record.silent ? "1" : "0"},
                     {"sequence", std::to_string(record.stamp.sequence)}}});
   }
+  UpdateServingVersions();
   ScheduleDrain();
 }
 
@@ -124,6 +126,7 @@
   }
   ever_confirmed_ = true;
   confirmed_at_ = std::max(confirmed_at_, as_of);
+  stream_versions_.Confirm(as_of);
 }
 
 bool Proxy::ConfirmedWithin(Duration time) const {
@@ -144,6 +147,9 @@
 
 void Proxy::UpdatePeerLoad(const policy::EntryLoad& load) {
   placer_.SetEntryLoad(load, MonotonicNow());
+  for (const policy::StreamVersion& told : load.streams) {
+    stream_versions_.RecordTold(told, MonotonicNow());
+  }
   if (!queue_.empty()) {
     ScheduleDrain();
   }
@@ -151,7 +157,16 @@
 
 policy::EntryLoad Proxy::OwnLoad(Duration placed_within) {
   const TimePoint now = MonotonicNow();
-  return placer_.OwnLoad(options_.process, now - placed_within, now);
+  policy::EntryLoad load =
+      placer_.OwnLoad(options_.process, now - placed_within, now);
+  load.streams = stream_versions_.ToldSince(now - placed_within);
+  return load;
+}
+
+policy::EntryLoad Proxy::TakeUrgentLoad() {
+  policy::EntryLoad load = placer_.TakeUrgentLoad(options_.process);
+  load.streams = stream_versions_.TakeNew();
+  return load;
 }
 
 void Proxy::BeginShutdown() { stopping_ = true; }
@@ -215,6 +230,11 @@
     exchange->Refuse(allowed.error());
     return true;
   }
+  const Status version_known = RestrictVersions(*exchange);
+  if (!version_known) {
+    exchange->Refuse(version_known.error());
+    return true;
+  }
   const TimePoint now = MonotonicNow();
   const auto upstream =
       placer_.Choose(exchange->placement(), exchange->excluded(), now);
@@ -303,56 +323,6 @@
   return record == nullptr ? 0 : record->stamp.born;
 }
 
-std::string Proxy::VersionOf(const UpstreamId& upstream) const {
-  const membership::InstanceRecord* record = directory_.Find(upstream);
-  return record == nullptr ? std::string() : record->version;
-}
-
-void Proxy::OnLeaving(const Exchange& exchange) {
-  const membership::LeavingInstance leaving{exchange.upstream(),
-                                            exchange.upstream_start()};
-  if (!directory_.MarkLeaving(leaving)) {
-    return;
-  }
-  hooks_.events({EventId::kUpstreamLeaving,
-                 {{"upstream", leaving.id.str()},
-                  {"request", exchange.routed().traits.attempt.str()}}});
-  ApplyDirectoryChanges();
-  hooks_.leaving(leaving);
-}
-
-void Proxy::OnBackoff(const Exchange& exchange, Duration backoff_for) {
-  if (StartOf(exchange.upstream()) != exchange.upstream_start()) {
-    return;
-  }
-  const Duration counted =
-      placer_.RecordBackoff(exchange.upstream(), backoff_for, MonotonicNow());
-  Log(EventId::kUpstreamBackoff, exchange,
-      {{"backoff_ms", MillisecondText(counted)}});
-}
-
-void Proxy::OnLimit(const Exchange& exchange,
-                    const std::optional<RequestRate>& named) {
-  const std::optional<UpstreamLimit> changed = directory_.ReadLimit(
-      exchange.upstream(), exchange.upstream_start(), named);
-  if (!changed) {
-    return;
-  }
-  Log(EventId::kUpstreamLimit, exchange,
-      {{"limited", changed->limit.limited ? "1" : "0"},
-       {"milli_per_second",
-        std::to_string(changed->limit.rate.milli_per_second)},
-       {"revision", std::to_string(changed->limit.revision)}});
-  ApplyDirectoryChanges();
-  hooks_.limit(*changed);
-}
-
-void Proxy::SetLimitShares(const std::vector<policy::LimitShare>& shares,
-                           TimePoint confirmed_at) {
-  placer_.SetLimitShares(shares, confirmed_at, MonotonicNow());
-  ScheduleDrain();
-}
-
 void Proxy::OnRejected(const Exchange& exchange) {
   placer_.RecordFailure(exchange.upstream(), false, MonotonicNow());
 }
@@ -399,6 +369,7 @@
          ScrapeLine("upstreams_in_backoff",
                     placer_.UpstreamsInBackoff(MonotonicNow())) +
          ScrapeLine("upstreams_with_limit", placer_.UpstreamsWithLimit()) +
+         ScrapeLine("stream_versions_known", stream_versions_.size()) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
@@ -414,6 +385,7 @@
 void Proxy::RunMaintenance(TimePoint now) {
   pool_.CloseExpired(now);
   part_quarantine_.Expire(now);
+  stream_versions_.Expire(now);
   placer_.AgeLimitShares(now);
   for (const UpstreamId& id : directory_.Forget(now - kGoneUpstreamRetention)) {
     placer_.RemoveInstance(id);
--- /dev/null
+++ b/src/proxy/proxy_signals.cc
@@ -0,0 +1,57 @@
+#include <string>
+
+#include "rattanward/proxy/proxy.h"
+
+namespace rattanward::proxy {
+namespace {
+
+using adapter::MonotonicNow;
+
+}  // namespace
+
+void Proxy::OnLeaving(const Exchange& exchange) {
+  const membership::LeavingInstance leaving{exchange.upstream(),
+                                            exchange.upstream_start()};
+  if (!directory_.MarkLeaving(leaving)) {
+    return;
+  }
+  hooks_.events({EventId::kUpstreamLeaving,
+                 {{"upstream", leaving.id.str()},
+                  {"request", exchange.routed().traits.attempt.str()}}});
+  ApplyDirectoryChanges();
+  hooks_.leaving(leaving);
+}
+
+void Proxy::OnBackoff(const Exchange& exchange, Duration backoff_for) {
+  if (StartOf(exchange.upstream()) != exchange.upstream_start()) {
+    return;
+  }
+  const Duration counted =
+      placer_.RecordBackoff(exchange.upstream(), backoff_for, MonotonicNow());
+  Log(EventId::kUpstreamBackoff, exchange,
+      {{"backoff_ms", MillisecondText(counted)}});
+}
+
+void Proxy::OnLimit(const Exchange& exchange,
+                    const std::optional<RequestRate>& named) {
+  const std::optional<UpstreamLimit> changed = directory_.ReadLimit(
+      exchange.upstream(), exchange.upstream_start(), named);
+  if (!changed) {
+    return;
+  }
+  Log(EventId::kUpstreamLimit, exchange,
+      {{"limited", changed->limit.limited ? "1" : "0"},
+       {"milli_per_second",
+        std::to_string(changed->limit.rate.milli_per_second)},
+       {"revision", std::to_string(changed->limit.revision)}});
+  ApplyDirectoryChanges();
+  hooks_.limit(*changed);
+}
+
+void Proxy::SetLimitShares(const std::vector<policy::LimitShare>& shares,
+                           TimePoint confirmed_at) {
+  placer_.SetLimitShares(shares, confirmed_at, MonotonicNow());
+  ScheduleDrain();
+}
+
+}  // namespace rattanward::proxy
--- a/tests/src/unit-load-exchange.cc
+++ b/tests/src/unit-load-exchange.cc
@@ -22,6 +22,7 @@
   load.entry = ProcessId(entry);
   load.upstreams[UpstreamId("u")] = {3, 500, 700};
   load.placed_parts[UpstreamId("u")] = {{17, 400}};
+  load.streams = {{99, "v1.2"}};
   return load;
 }
 
--- a/tests/src/unit-stream-version.cc
+++ b/tests/src/unit-stream-version.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "fakes/proxy_entry.h"
+#include "rattanward/policy/rendezvous.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -102,4 +103,44 @@
   CHECK(old_version.requests().size() + new_version.requests().size() == 0);
 }
 
+TEST_CASE(
+    "a stream that a caller takes up goes on at the version it began at") {
+  ProxyEntry began;
+  began.AddUpstream(Breaking("old"), "v1");
+  ProxyEntry other;
+  auto& new_version = other.AddUpstream(Whole("new"), "v2");
+  auto& old_version = other.AddUpstream(Whole("old"), "v1");
+  // Two versions are known where the stream begins, so others are told.
+  began.AddUpstream(Whole("new"), "v2");
+  const auto caller = began.ConnectCaller();
+  caller->Send(fakes::MakeRequest("/resume/", "first"));
+  REQUIRE(Receives(began, caller, "data: old"));
+  const policy::EntryLoad told = began.data_path->TakeUrgentLoad();
+  REQUIRE(told.streams.size() == 1);
+  CHECK(began.data_path->OwnLoad(std::chrono::seconds(5)).streams ==
+        told.streams);
+  other.data_path->UpdatePeerLoad(told);
+  for (int i = 0; i < 6; ++i) {
+    const auto again = other.ConnectCaller();
+    again->Send(TakeUp(std::to_string(i), "first"));
+    CHECK(Receives(other, again, "data: old"));
+  }
+  CHECK(old_version.requests().size() == 6);
+  CHECK(new_version.requests().empty());
+}
+
+TEST_CASE("a stream whose version has no upstream left is refused at once") {
+  ProxyEntry entry;
+  entry.AddUpstream(Whole("new"), "v2");
+  policy::EntryLoad told;
+  told.entry = ProcessId("other");
+  told.streams = {{policy::StableHash("first"), "v1"}};
+  entry.data_path->UpdatePeerLoad(told);
+  const auto caller = entry.ConnectCaller();
+  caller->Send(TakeUp("1", "first"));
+  CHECK(Receives(entry, caller, "HTTP/1.1 503"));
+  CHECK(Receives(entry, caller, "Retry-After: "));
+  CHECK(entry.RequestCount() == 0);
+}
+
 }  // namespace rattanward::proxy
