--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -93,8 +93,8 @@
   std::uint32_t OtherLoad() const {
     return static_cast<std::uint32_t>(std::lround(average_other_load));
   }
-  /// @brief Time until which the upstream's own wishes allow no request of this
-  /// entry; TimePoint::max() if it is not known.
+  /// @brief Time until which the upstream's back-off or limit allows no request
+  /// of this entry; TimePoint::max() if it is not known.
   TimePoint HeldBackUntil(TimePoint now) const {
     const TimePoint by_limit =
         limit ? share.AllowedFrom(now).value_or(TimePoint::max()) : now;
--- a/src/policy/placer_limit.cc
+++ b/src/policy/placer_limit.cc
@@ -73,8 +73,8 @@
   return earliest;
 }
 
-/// Time until which an upstream's own wishes allow no request of this entry;
-/// TimePoint::max() if it is not known.
+/// Time until which an upstream's back-off or limit allows no request of this
+/// entry; TimePoint::max() if it is not known.
 TimePoint Placer::HeldBackUntil(const Instance& instance, TimePoint now) {
   TimePoint until = instance.backoff.end();
   if (instance.limit) {
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -160,6 +160,23 @@
          "\r\nsigned: x\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/// @brief Value of a field of a request that an upstream received; empty if it
+/// has none.
+inline std::string FieldOf(const std::string& request,
+                           const std::string& name) {
+  const std::string field = "\r\n" + name + ": ";
+  const std::size_t at = request.find(field);
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::size_t from = at + field.size();
+  return request.substr(from, request.find('\r', from) - from);
+}
+
+inline std::string IdOf(const std::string& request) {
+  return FieldOf(request, "id");
+}
+
 inline bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -172,4 +189,14 @@
   return entry.RunUntil([&] { return Contains(caller->received(), part); });
 }
 
+/// @brief Sends a request and waits for the head of the final answer.
+inline std::shared_ptr<LoopbackPeer> Ask(ProxyEntry& entry,
+                                         const std::string& path,
+                                         const std::string& id) {
+  auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest(path, id));
+  CHECK(Receives(entry, caller, "\r\n\r\n"));
+  return caller;
+}
+
 }  // namespace rattanward::fakes
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -17,6 +17,7 @@
 }
 abort() { echo "FAILED: $1"; tail -n 5 "$DIR"/*.out "$DIR"/*.log; exit 1; }
 equal() { [ "$1" = "$2" ] || { echo "  saw \"$1\", expected \"$2\""; return 1; }; }
+at_least() { [ "$1" -ge "$2" ] || { echo "  saw $1, expected at least $2"; return 1; }; }
 at_most() { [ "$1" -le "$2" ] || { echo "  saw $1, expected at most $2"; return 1; }; }
 
 start_ready() {  # UPSTREAMS: applies the local configuration and waits
@@ -29,5 +30,12 @@
 json() { sed -n "s/.*\"$1\":\"\{0,1\}\([^,}\"]*\).*/\1/p"; }  # KEY: of one flat object
 engine_stat() { curl -s -m 5 "${URL[$1]}/stats" | json "$2"; }
 fault() { curl -s -m 5 -o /dev/null -d "$2" "${URL[$1]}/fault"; }
+ask_all() {  # NAME COUNT: requests over all entries, each answered whole
+  local i
+  for i in $(seq "$2"); do
+    chat $((i % 3)) "$PORT_KEY" gate true 2 "$1" >"$WORK/$1-$i"
+    check "$1 request $i is answered" whole_stream "$WORK/$1-$i"
+  done
+}
 tokens_in() { grep -c '"content":"' "$1"; }
 whole_stream() { grep -q '^data: \[DONE\]' "$1"; }
--- a/tests/process/test-upstream-limit.sh
+++ b/tests/process/test-upstream-limit.sh
@@ -6,14 +6,6 @@
 deployment_engine engine-1 --failure_domain b --token_ms 5 || abort "no engine"
 start_ready 2
 
-ask_all() {  # NAME COUNT: requests over all entries, each answered whole
-  local i
-  for i in $(seq "$2"); do
-    chat $((i % 3)) "$PORT_KEY" gate true 2 "$1" >"$WORK/$1-$i"
-    check "$1 request $i is answered" whole_stream "$WORK/$1-$i"
-  done
-}
-at_least() { [ "$1" -ge "$2" ] || { echo "  saw $1, expected at least $2"; return 1; }; }
 allowed() {  # SECONDS SINCE THE START: requests that 1 a second lets through
   echo $((5 + 3 * ($(date +%s) - $1 + 1) / 2))
 }
--- a/tests/process/test-upstream-signals.sh
+++ b/tests/process/test-upstream-signals.sh
@@ -6,14 +6,6 @@
 deployment_engine engine-1 --failure_domain b --token_ms 5 || abort "no engine"
 start_ready 2
 
-ask_all() {  # NAME COUNT: requests over all entries, each answered whole
-  local i
-  for i in $(seq "$2"); do
-    chat $((i % 3)) "$PORT_KEY" gate true 2 "$1" >"$WORK/$1-$i"
-    check "$1 request $i is answered" whole_stream "$WORK/$1-$i"
-  done
-}
-
 echo "-- an engine says in its answers that it leaves, and announces on"
 fault engine-0 '{"leaving":true}'
 ask_all leaving 12
--- a/tests/src/unit-stream-version.cc
+++ b/tests/src/unit-stream-version.cc
@@ -11,21 +11,12 @@
 namespace rattanward::proxy {
 namespace {
 
+using fakes::FieldOf;
 using fakes::LoopbackPeer;
 using fakes::LoopbackUpstream;
 using fakes::ProxyEntry;
 using fakes::Receives;
 
-std::string FieldOf(const std::string& request, const std::string& name) {
-  const std::string field = "\r\n" + name + ": ";
-  const std::size_t at = request.find(field);
-  if (at == std::string::npos) {
-    return "";
-  }
-  const std::size_t from = at + field.size();
-  return request.substr(from, request.find('\r', from) - from);
-}
-
 std::string Event(const std::string& id, const std::string& data) {
   return http::EncodeChunk("id: " + id + "\ndata: " + data + "\n\n");
 }
--- a/tests/src/unit-upstream-limit.cc
+++ b/tests/src/unit-upstream-limit.cc
@@ -10,6 +10,8 @@
 namespace rattanward::proxy {
 namespace {
 
+using fakes::Ask;
+using fakes::IdOf;
 using fakes::LoopbackPeer;
 using fakes::LoopbackUpstream;
 using fakes::MakeRequest;
@@ -17,21 +19,6 @@
 using fakes::ProxyEntry;
 using fakes::Receives;
 
-std::string IdOf(const std::string& request) {
-  constexpr std::string_view kField = "\r\nid: ";
-  const std::size_t at = request.find(kField) + kField.size();
-  return request.substr(at, request.find('\r', at) - at);
-}
-
-/// Sends a request and waits for the head of the final answer.
-std::shared_ptr<LoopbackPeer> Ask(ProxyEntry& entry, const std::string& path,
-                                  const std::string& id) {
-  auto caller = entry.ConnectCaller();
-  caller->Send(MakeRequest(path, id));
-  CHECK(Receives(entry, caller, "\r\n\r\n"));
-  return caller;
-}
-
 /// Requests that an upstream may get in a time since it named its limit.
 double Allowed(double per_second, Duration passed) {
   constexpr double kExcess = 1.5;
--- a/tests/src/unit-upstream-signals.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -9,7 +9,9 @@
 namespace rattanward::proxy {
 namespace {
 
+using fakes::Ask;
 using fakes::Contains;
+using fakes::IdOf;
 using fakes::LoopbackPeer;
 using fakes::MakeRequest;
 using fakes::MakeResponse;
@@ -18,26 +20,11 @@
 
 const std::string kLeaving = "leaving: 1\r\n";
 
-std::string IdOf(const std::string& request) {
-  constexpr std::string_view kField = "\r\nid: ";
-  const std::size_t at = request.find(kField) + kField.size();
-  return request.substr(at, request.find('\r', at) - at);
-}
-
 /// Answers every request well.
 void AnswerWell(LoopbackPeer& peer, const std::string& request) {
   peer.Send(MakeResponse(IdOf(request), "from the other"));
 }
 
-/// Sends a request and waits for the head of the final answer.
-std::shared_ptr<LoopbackPeer> Ask(ProxyEntry& entry, const std::string& path,
-                                  const std::string& id) {
-  auto caller = entry.ConnectCaller();
-  caller->Send(MakeRequest(path, id));
-  CHECK(Receives(entry, caller, "\r\n\r\n"));
-  return caller;
-}
-
 membership::InstanceRecord RecordOf(const ProxyEntry& entry,
                                     std::size_t upstream,
                                     membership::InstanceStamp stamp) {
