--- a/tests/src/unit-upstream-limit.cc
+++ b/tests/src/unit-upstream-limit.cc
@@ -14,7 +14,6 @@
 using fakes::IdOf;
 using fakes::LoopbackPeer;
 using fakes::LoopbackUpstream;
-using fakes::MakeRequest;
 using fakes::MakeResponse;
 using fakes::ProxyEntry;
 using fakes::Receives;
@@ -64,6 +63,7 @@
 TEST_CASE("a stream that breaks is not resumed beyond an upstream's limit") {
   ProxyEntry entry;
   std::vector<LoopbackUpstream*> upstreams;
+  upstreams.reserve(3);
   for (int i = 0; i < 3; ++i) {
     upstreams.push_back(
         &entry.AddUpstream([](LoopbackPeer& peer, const std::string& request) {
