--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -33,6 +33,9 @@
   FailureDomain failure_domain;
   /// Address for callers' HTTP connections.
   Endpoint listen;
+  /// Address for requests that other entries relay; without an address, none
+  /// are taken.
+  Endpoint relay_listen;
   std::size_t max_connections = 2048;
   std::size_t max_body_bytes = 16U << 20U;
   policy::RetryLimits retries;
@@ -105,6 +108,11 @@
   /// @brief Sets the number of entries of all failure domains.
   void SetEntries(std::size_t entries);
 
+  /// @brief Adds entries to which requests may be relayed.
+  /// @param nearby Those of the own failure domain.
+  void AddRelayPeers(const std::set<Endpoint>& nearby,
+                     const std::set<Endpoint>& remote);
+
   /// @brief Sets the period of the load reports between entries.
   void SetReportPeriod(Duration period) { placer_.SetReportPeriod(period); }
 
@@ -144,6 +152,8 @@
   std::size_t upstreams() const { return directory_.size(); }
   /// @brief Returns the bound address for callers.
   Endpoint endpoint() const { return server_.endpoint(); }
+  /// @brief Returns the bound address for relayed requests.
+  Endpoint relay_endpoint() const { return relay_server_.endpoint(); }
 
   const Dialect& dialect() const override { return dialect_; }
   void Enqueue(const std::shared_ptr<Exchange>& exchange) override;
@@ -223,6 +233,7 @@
   ProxyHooks hooks_;
   adapter::AsioTimerService timers_;
   http::Server server_;
+  http::Server relay_server_;
   UpstreamPool pool_;
   membership::InstanceDirectory directory_;
   policy::Placer placer_;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -42,6 +42,13 @@
                      http::ServerRequest request) {
                 OnRequest(caller, std::move(request));
               }),
+      relay_server_(io, {options_.max_connections, options_.max_body_bytes},
+                    [](const std::shared_ptr<http::ServerConnection>& caller,
+                       const http::ServerRequest& /*request*/) {
+                      RespondError(*caller,
+                                   MakeError(ErrorCode::kNoUpstream,
+                                             "requests are not relayed"));
+                    }),
       pool_(io),
       placer_(options_.failure_domain, MakePlacerOptions(options_)),
       stream_versions_(options_.key_lease),
@@ -56,6 +63,9 @@
 
 Status Proxy::Start() {
   Status listening = server_.Listen(options_.listen);
+  if (listening && !options_.relay_listen.address.empty()) {
+    listening = relay_server_.Listen(options_.relay_listen);
+  }
   if (listening) {
     timers_.Every(kMaintenancePeriod,
                   [this](TimePoint now) { RunMaintenance(now); });
@@ -145,6 +155,9 @@
   placer_.SetEntries(entries);
 }
 
+void Proxy::AddRelayPeers(const std::set<Endpoint>& /*nearby*/,
+                          const std::set<Endpoint>& /*remote*/) {}
+
 void Proxy::UpdatePeerLoad(const policy::EntryLoad& load) {
   placer_.SetEntryLoad(load, MonotonicNow());
   for (const policy::StreamVersion& told : load.streams) {
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -58,6 +58,7 @@
     options.process = ProcessId("entry");
     options.failure_domain = FailureDomain("d");
     options.listen = {"127.0.0.1", 0};
+    options.relay_listen = {"127.0.0.1", 0};
     options.retries.fixed_retries = 100;
     options.max_body_bytes = 2U << 20U;
     options.max_connections = 5000;
@@ -89,16 +90,22 @@
                                 const std::string& version = "") {
     upstreams.push_back(
         std::make_unique<LoopbackUpstream>(io, std::move(handler)));
+    AddRecord(upstreams.size(), upstreams.back()->endpoint(), version);
+    return *upstreams.back();
+  }
+
+  /// @brief Announces an upstream at any endpoint.
+  void AddRecord(std::size_t number, const Endpoint& endpoint,
+                 const std::string& version = "") {
     membership::InstanceRecord record;
-    record.id = UpstreamId("u" + std::to_string(upstreams.size()));
-    record.stamp = {upstreams.size(), 1};
+    record.id = UpstreamId("u" + std::to_string(number));
+    record.stamp = {number, 1};
     record.service = ServiceName("s");
-    record.endpoint = upstreams.back()->endpoint();
+    record.endpoint = endpoint;
     record.failure_domain = FailureDomain("d");
     record.slots = 4;
     record.version = version;
     data_path->UpdateInstances({record});
-    return *upstreams.back();
   }
 
   std::shared_ptr<LoopbackPeer> ConnectCaller() {
