Relay requests without a path on the product's own interface, too

Cause: as on the event-driven data path; a request had no other way than this entry's own connections.

Change: paths are probed (entry/path_watch); without any, the dispatcher refuses at once (2014 no-path), and a request that surely has not run, and whose claim wasn't taken here, goes to another entry (entry/relay_desk, entry/relayed_call), by the new setting http of each peer. X-Rattanward-Error gives an error's number.

--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -105,8 +105,21 @@
     return options;
   }
 
+  entry::RelayPeers PeersToRelayTo() const {
+    entry::RelayPeers out;
+    for (const adapter::PeerEntry& peer : settings_.peers) {
+      const bool nearby =
+          peer.failure_domain == settings_.identity.failure_domain;
+      if (!peer.http.address.empty()) {
+        (nearby ? out.nearby : out.remote).insert(peer.http);
+      }
+    }
+    return out;
+  }
+
   /// Starts the components; the endpoint for callers comes last.
   Status StartComponents() {
+    caller_front_.RelayTo(PeersToRelayTo());
     if (const Status peers = cluster_.Start(); !peers) {
       return peers.error();
     }
--- a/include/rattanward/adapter/settings.h
+++ b/include/rattanward/adapter/settings.h
@@ -38,6 +38,8 @@
   FailureDomain failure_domain;
   /// Its peer_listen.
   Endpoint endpoint;
+  /// Its http_listen, to relay requests to; empty if none are to be relayed.
+  Endpoint http;
 
   friend bool operator==(const PeerEntry&, const PeerEntry&) = default;
 };
--- a/include/rattanward/entry/caller_front.h
+++ b/include/rattanward/entry/caller_front.h
@@ -8,6 +8,7 @@
 
 #include "rattanward/entry/caller_request.h"
 #include "rattanward/entry/entry_core.h"
+#include "rattanward/entry/relay_desk.h"
 #include "rattanward/http/server.h"
 
 namespace rattanward::entry {
@@ -31,6 +32,10 @@
               std::string id_prefix, std::size_t max_connections,
               GuardFactory guard_factory, std::function<std::string()> metrics);
 
+  /// @brief Relays requests for which this entry has no path. To be called
+  /// before Start().
+  void RelayTo(RelayPeers peers);
+
   /// @brief Binds the endpoint and starts serving.
   /// Errors: kDisconnected if the endpoint cannot be bound.
   Status Start(const Endpoint& listen) { return server_.Listen(listen); }
@@ -45,7 +50,9 @@
   void CloseAfterResponses() { server_.CloseAfterResponses(); }
 
   /// @brief Number of requests without a final response.
-  std::size_t open_requests() const { return open_exchanges_.size(); }
+  std::size_t open_requests() const {
+    return open_exchanges_.size() + (relays_ ? relays_->open() : 0);
+  }
 
   /// @brief Number of open connections, including those with a response that
   /// is still being sent.
@@ -69,6 +76,10 @@
                                       const RequestId& id) const;
   void StartExchange(const CallerConnection& caller, CheckedRequest checked,
                      http::Fields common_fields);
+  std::function<void()> MakeRelay(const CallerConnection& caller,
+                                  const http::ServerRequest& request,
+                                  const policy::RequestInfo& info,
+                                  const http::Fields& common_fields);
   RequestId NextRequestId();
 
   EntryCore& core_;
@@ -78,6 +89,8 @@
   std::function<std::string()> metrics_;
   http::Server server_;
   std::unordered_set<std::shared_ptr<Exchange>> open_exchanges_;
+  /// Null if there is no other entry to relay to.
+  std::unique_ptr<RelayDesk> relays_;
   std::uint64_t next_id_ = 1;
   bool ready_ = true;
 };
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -10,6 +10,7 @@
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/shared_config_gate.h"
 #include "rattanward/entry/config_snapshot.h"
+#include "rattanward/entry/path_watch.h"
 #include "rattanward/policy/dispatcher.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/gossip_messages.h"
@@ -102,6 +103,12 @@
     drain_sink_ = std::move(sink);
   }
   void UpstreamGone(const UpstreamId& upstream);
+  /// @brief Probes the paths to upstreams from now on. To be called where
+  /// requests can be relayed to other entries.
+  void WatchPaths();
+  /// @brief Learns from the end of an attempt whether the path to its upstream
+  /// may be lost.
+  void CheckPath(const UpstreamId& upstream, policy::AttemptEnd end);
   policy::Dispatcher& dispatcher() { return dispatcher_; }
 
   adapter::SharedConfigGate& gate() { return gate_; }
@@ -125,6 +132,7 @@
   void TellNews(TimePoint now);
   void DeliverAfterBroadcast(Decisions decisions);
   void Tick(TimePoint now);
+  void SetPathLost(const UpstreamId& upstream, bool lost);
 
   policy::Dispatcher dispatcher_;
   adapter::SharedConfigGate gate_;
@@ -138,6 +146,8 @@
   std::function<void(const UpstreamId&)> drain_sink_;
   /// All known upstreams, and whether each is draining.
   std::unordered_map<UpstreamId, bool> draining_;
+  /// Null unless WatchPaths() was called.
+  std::unique_ptr<PathWatch> paths_;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -34,6 +34,8 @@
   Duration first_token_target{0};
   /// Permits at most one run; null for an idempotent request.
   std::shared_ptr<RunGuard> guard;
+  /// Has another entry serve the request; empty if that is not possible.
+  std::function<void()> relay;
 };
 
 /// @brief Handles one caller's request from its arrival to its final response.
@@ -75,6 +77,8 @@
   void DeliverResponse(const BufferedResponse& answer);
   void Conclude(bool caller_left);
   void Shed(const Error& error);
+  bool MayRelay(const Error& error) const;
+  void Relay();
   void Fail(const Error& error);
   void SettleGuard(const BufferedResponse* answer);
   void NotifyEnd();
--- a/include/rattanward/entry/http_answers.h
+++ b/include/rattanward/entry/http_answers.h
@@ -9,6 +9,9 @@
 
 namespace rattanward::entry {
 
+/// @brief Field of an error's number.
+inline constexpr std::string_view kErrorField = "X-Rattanward-Error";
+
 /// @brief Serializes an error to the JSON object that callers receive.
 std::string ErrorToJson(const Error& error);
 
--- a/include/rattanward/entry/request_recorder.h
+++ b/include/rattanward/entry/request_recorder.h
@@ -30,6 +30,8 @@
   void Arrived(const policy::RequestInfo& request) const;
   /// @brief Records a request that was refused before any attempt.
   void Shed(const policy::RequestInfo& request, const Error& error) const;
+  /// @brief Records that a request was sent to another entry.
+  void Relayed(const policy::RequestInfo& request, const Endpoint& peer) const;
   void Dispatched(const policy::RequestInfo& request,
                   const policy::StartAttempt& start) const;
   void Resumed(const policy::RequestInfo& request) const;
--- a/include/rattanward/proxy/reachability.h
+++ b/include/rattanward/http/reachability.h
@@ -6,7 +6,7 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
 
-namespace rattanward::proxy {
+namespace rattanward::http {
 
 /// @brief Opens a TCP connection to check whether an endpoint is reachable.
 /// @param io Event loop that runs the check.
@@ -15,4 +15,4 @@
 void CheckReachable(asio::io_context& io, const Endpoint& endpoint,
                     Duration timeout, std::function<void(bool reached)> done);
 
-}  // namespace rattanward::proxy
+}  // namespace rattanward::http
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -176,6 +176,12 @@
   /// time, reviews probations and starts waiting requests.
   std::vector<Decision> Tick(TimePoint now);
 
+  /// @brief Sets whether this entry has lost its path to an upstream, which
+  /// then gets no request. Without any path, requests are refused at once
+  /// (kNoPath), so that another entry can serve them.
+  std::vector<Decision> SetPathLost(const UpstreamId& upstream, bool lost,
+                                    TimePoint now);
+
   /// @brief Returns the suspicions that arose at this entry since the last
   /// call, to be sent to the other entries.
   /// @note Call it after each Finish() and UpstreamGone(), and inform the other
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -37,6 +37,8 @@
   std::vector<Decision> Finish(const AttemptResult& result, TimePoint now);
   std::vector<Decision> Cancel(const RequestId& request, TimePoint now);
   std::vector<Decision> Tick(TimePoint now);
+  std::vector<Decision> SetPathLost(const UpstreamId& upstream, bool lost,
+                                    TimePoint now);
   std::size_t OpenRequests() const { return open_requests_.size(); }
 
   /// @brief Returns the events since the last call.
@@ -114,6 +116,7 @@
              TimePoint now);
   bool AllTried(const OpenRequest& open) const;
   void ShedUnstartable(Decisions* out, TimePoint now);
+  Error UnavailableError(const Target& target) const;
   void RefuseWithoutUpstream(const Target& target, Decisions* out);
 
   void RecordAttemptEnd(const OpenRequest& open, const AttemptResult& result,
--- a/include/rattanward/policy/target.h
+++ b/include/rattanward/policy/target.h
@@ -27,4 +27,8 @@
 /// upstream.
 Error NoUpstreamError(const Target& target);
 
+/// @brief Error where upstreams are in service, but this entry has no path to
+/// any of them.
+Error NoPathError(const Target& target);
+
 }  // namespace rattanward::policy
--- a/include/rattanward/policy/upstream_table.h
+++ b/include/rattanward/policy/upstream_table.h
@@ -74,6 +74,8 @@
   std::vector<TimePoint> recent_ends;
   /// Nothing is sent before this time, because of a refusal or failure.
   TimePoint avoid_until;
+  /// Whether this entry has lost its path to the upstream.
+  bool path_lost = false;
   BackoffPeriod backoff;
   /// Limit that the upstream names for all entries together.
   std::optional<RequestRate> limit;
@@ -101,7 +103,9 @@
     return std::max(backoff.end(), by_limit);
   }
   /// @brief Whether the upstream is neither removed nor draining.
-  bool AcceptsNewWork() const { return !removed && !announcement.draining; }
+  bool InService() const { return !removed && !announcement.draining; }
+  /// @brief Whether it is in service and this entry has a path to it.
+  bool AcceptsNewWork() const { return InService() && !path_lost; }
 };
 
 /// @brief Upstreams known to this entry, indexed by instance and by target.
@@ -137,6 +141,10 @@
   /// @brief Whether any upstream of a target accepts new work.
   bool HasAvailableUpstream(const Target& target) const;
 
+  /// @brief Whether an upstream of the target is in service that this entry has
+  /// no path to.
+  bool HasLostPath(const Target& target) const;
+
   /// @brief Returns all upstreams, grouped by target.
   const std::map<Target, List>& ByTarget() const { return by_target_; }
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -52,6 +52,7 @@
 process = "entry-$i"
 failure_domain = "${DOMAINS[$i]}"
 endpoint = "127.0.0.1:$((BASE + 30 + i))"
+http = "127.0.0.1:$((BASE + 10 + i))"
 TOML
   done
 }
--- a/src/adapter/settings.cc
+++ b/src/adapter/settings.cc
@@ -73,7 +73,11 @@
       PeerEntry peer{
           ProcessId(table.Text("process", kNameRule)),
           FailureDomain(table.Text("failure_domain", kNameRule)),
-          Check("endpoint", table.Text("endpoint", kEndpointRule), false)};
+          Check("endpoint", table.Text("endpoint", kEndpointRule), false),
+          {}};
+      if (table.Has("http")) {
+        peer.http = Check("http", table.Text("http", kEndpointRule), false);
+      }
       if (!seen.insert(peer.process.str()).second) {
         table.Fail(ErrorCode::kSettingConflict, "process",
                    peer.process.str() + " twice", "each process once");
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "rattanward/entry/http_answers.h"
+#include "rattanward/policy/rendezvous.h"
 
 namespace rattanward::entry {
 namespace {
@@ -150,9 +151,34 @@
     checked.value().plan.guard = guard_factory_(checked.value(), *snapshot);
   }
   common_fields.Set("X-Rattanward-Request", id.str());
+  checked.value().plan.relay =
+      MakeRelay(caller, request, checked.value().plan.info, common_fields);
   StartExchange(caller, std::move(checked).value(), std::move(common_fields));
 }
 
+void CallerFront::RelayTo(RelayPeers peers) {
+  if (peers.empty()) {
+    return;
+  }
+  relays_ =
+      std::make_unique<RelayDesk>(core_.context(), recorder_, std::move(peers),
+                                  policy::StableHash(id_prefix_));
+  core_.WatchPaths();
+}
+
+/// A request that another entry relayed is not relayed again.
+std::function<void()> CallerFront::MakeRelay(
+    const CallerConnection& caller, const http::ServerRequest& request,
+    const policy::RequestInfo& info, const http::Fields& common_fields) {
+  if (!relays_ || request.head.fields.Find(kRelayedField) != nullptr) {
+    return nullptr;
+  }
+  return
+      [this, unserved = UnservedRequest{info, request, caller, common_fields}] {
+        relays_->Relay(unserved);
+      };
+}
+
 Result<CheckedRequest> CallerFront::CheckRequest(
     const http::ServerRequest& request, const ConfigSnapshot& config,
     const RequestId& id) const {
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -105,9 +105,38 @@
                   {{"upstream", announcement.instance.str()},
                    {"failure_domain", announcement.failure_domain.str()}}});
   }
+  if (paths_) {
+    paths_->SetUpstream(announcement.instance, announcement.endpoint);
+  }
   Deliver(dispatcher_.UpstreamChanged(announcement, Now()));
 }
 
+void EntryCore::WatchPaths() {
+  paths_ = std::make_unique<PathWatch>(
+      context_, [this](const UpstreamId& upstream, bool lost) {
+        SetPathLost(upstream, lost);
+      });
+  paths_->Start();
+}
+
+void EntryCore::SetPathLost(const UpstreamId& upstream, bool lost) {
+  events_(Event{lost ? EventId::kPathLost : EventId::kPathRestored,
+                {{"upstream", upstream.str()}}});
+  Deliver(dispatcher_.SetPathLost(upstream, lost, Now()));
+}
+
+void EntryCore::CheckPath(const UpstreamId& upstream, policy::AttemptEnd end) {
+  if (!paths_) {
+    return;
+  }
+  if (end == policy::AttemptEnd::kConnectFailed) {
+    paths_->RecordUnreached(upstream);
+  } else if (end == policy::AttemptEnd::kSilent ||
+             end == policy::AttemptEnd::kBroken) {
+    paths_->Suspect(upstream);
+  }
+}
+
 void EntryCore::MarkLeaving(const UpstreamId& upstream) {
   const auto known = draining_.find(upstream);
   if (known == draining_.end() || known->second) {
@@ -121,6 +150,9 @@
 
 void EntryCore::UpstreamGone(const UpstreamId& upstream) {
   draining_.erase(upstream);
+  if (paths_) {
+    paths_->RemoveUpstream(upstream);
+  }
   events_(Event{EventId::kUpstreamExpired, {{"upstream", upstream.str()}}});
   DeliverAfterBroadcast(dispatcher_.UpstreamGone(upstream, Now()));
 }
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -66,6 +66,8 @@
   const Error& error = std::get<policy::Refuse>(decision).error;
   if (caller_left_) {
     Conclude(true);
+  } else if (MayRelay(error)) {
+    Relay();
   } else if (attempted_) {
     Fail(error);
   } else {
@@ -202,6 +204,7 @@
     recorder_.Resumed(plan_.info);
   }
   const std::shared_ptr<UpstreamAttempt> attempt = std::move(attempt_);
+  core_.CheckPath(start_.upstream, result.end);
   if (result.end == AttemptEnd::kCompleted) {
     if (plan_.shape == AnswerShape::kService) {
       RecordFirstToken();
@@ -256,6 +259,24 @@
   NotifyEnd();
 }
 
+/// Whether this entry has no path for a request that surely has not run. A
+/// request whose claim was taken is left out: the other entry would find the
+/// claim until its release is committed.
+bool Exchange::MayRelay(const Error& error) const {
+  const bool no_path = error.code == ErrorCode::kNoPath ||
+                       error.code == ErrorCode::kUpstreamConnect;
+  const bool claimed = attempted_ && plan_.guard;
+  return plan_.relay && no_path && !claimed && !answer_.begun() &&
+         summary_.verdict == Verdict::kNotRun;
+}
+
+void Exchange::Relay() {
+  SettleGuard(nullptr);
+  const auto relay = std::exchange(plan_.relay, nullptr);
+  NotifyEnd();
+  relay();
+}
+
 /// Ends the exchange of a request that was refused before any attempt.
 void Exchange::Shed(const Error& error) {
   SettleGuard(nullptr);
--- a/src/entry/http_answers.cc
+++ b/src/entry/http_answers.cc
@@ -29,6 +29,8 @@
   http::Response answer =
       JsonResponse(HttpStatus(error.code), ErrorToJson(error));
   SetVerdict(error.verdict, &answer.head);
+  answer.head.fields.Set(kErrorField,
+                         std::to_string(static_cast<int>(error.code)));
   if (error.retry_after) {
     const auto seconds =
         std::chrono::ceil<std::chrono::seconds>(*error.retry_after).count();
--- a/src/entry/request_recorder.cc
+++ b/src/entry/request_recorder.cc
@@ -54,6 +54,13 @@
   events_(event);
 }
 
+void RequestRecorder::Relayed(const policy::RequestInfo& request,
+                              const Endpoint& peer) const {
+  Event event = Describe(EventId::kRequestRelayed, request);
+  event.fields.push_back({"peer", ToString(peer)});
+  events_(event);
+}
+
 void RequestRecorder::Dispatched(const policy::RequestInfo& request,
                                  const policy::StartAttempt& start) const {
   if (start.attempt > 1) {
--- a/src/proxy/reachability.cc
+++ b/src/http/reachability.cc
@@ -1,11 +1,11 @@
-#include "rattanward/proxy/reachability.h"
+#include "rattanward/http/reachability.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
 
-namespace rattanward::proxy {
+namespace rattanward::http {
 namespace {
 
 using asio::ip::tcp;
@@ -49,4 +49,4 @@
   });
 }
 
-}  // namespace rattanward::proxy
+}  // namespace rattanward::http
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -101,6 +101,13 @@
                              : standard->TakePartSuspicions(now);
 }
 
+std::vector<Decision> Dispatcher::SetPathLost(const UpstreamId& upstream,
+                                              bool lost, TimePoint now) {
+  StandardDispatcher* standard = impl_->Standard();
+  return standard == nullptr ? std::vector<Decision>()
+                             : standard->SetPathLost(upstream, lost, now);
+}
+
 void Dispatcher::MergePartSuspicion(const PartSuspicion& suspicion,
                                     TimePoint now) {
   if (StandardDispatcher* standard = impl_->Standard()) {
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -292,11 +292,34 @@
   for (const QueuedRequest& queued : queue_.Waiting()) {
     if (queued.target == target) {
       queue_.Remove(queued.id);
-      RefuseOpen(queued.id, NoUpstreamError(target), out);
+      RefuseOpen(queued.id, UnavailableError(target), out);
     }
   }
 }
 
+Error StandardDispatcher::UnavailableError(const Target& target) const {
+  return upstreams_.HasLostPath(target) ? NoPathError(target)
+                                        : NoUpstreamError(target);
+}
+
+std::vector<Decision> StandardDispatcher::SetPathLost(
+    const UpstreamId& upstream, bool lost, TimePoint now) {
+  UpstreamState* state = upstreams_.Find(upstream);
+  if (state == nullptr) {
+    return {};
+  }
+  state->path_lost = lost;
+  if (!lost) {
+    state->avoid_until = now;
+  }
+  Decisions out;
+  for (const Target& target : TargetsOf(state->announcement)) {
+    DispatchWaiting(target, &out, now);
+    RefuseWithoutUpstream(target, &out);
+  }
+  return out;
+}
+
 void StandardDispatcher::RefuseOpen(RequestId id, Error error, Decisions* out) {
   error.verdict = Strongest(error.verdict, open_requests_.at(id).verdict);
   Close(id);
--- a/src/policy/standard_dispatcher_admit.cc
+++ b/src/policy/standard_dispatcher_admit.cc
@@ -74,7 +74,7 @@
   }
   const Target target = TargetOf(request);
   if (!upstreams_.HasAvailableUpstream(target)) {
-    return NoUpstreamError(target);
+    return UnavailableError(target);
   }
   return std::nullopt;
 }
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -154,7 +154,8 @@
 void StandardDispatcher::RecordCrash(const UpstreamId& upstream,
                                      TimePoint now) {
   const UpstreamState* state = upstreams_.Find(upstream);
-  if (state == nullptr) {
+  // A path that this entry has lost shows nothing of the upstream.
+  if (state == nullptr || state->path_lost) {
     return;
   }
   for (const RunningAttempt& attempt : state->running) {
@@ -184,7 +185,7 @@
     return refusal;
   }
   if (!upstreams_.HasAvailableUpstream(open.target)) {
-    return NoUpstreamError(open.target);
+    return UnavailableError(open.target);
   }
   if (result.end != AttemptEnd::kConnectFailed && !turned_away &&
       !retry_budget_.TryTake(open.declared.tier)) {
--- a/src/policy/target.cc
+++ b/src/policy/target.cc
@@ -31,4 +31,11 @@
           kNoUpstreamRetryAfter};
 }
 
+Error NoPathError(const Target& target) {
+  return {
+      ErrorCode::kNoPath, Verdict::kNotRun,
+      "this entry has no path to an upstream that serves '" + target.name + "'",
+      kNoUpstreamRetryAfter};
+}
+
 }  // namespace rattanward::policy
--- a/src/policy/upstream_table.cc
+++ b/src/policy/upstream_table.cc
@@ -111,6 +111,13 @@
   });
 }
 
+bool UpstreamTable::HasLostPath(const Target& target) const {
+  const List& list = Serving(target);
+  return std::any_of(list.begin(), list.end(), [](const UpstreamState* state) {
+    return state->InService() && state->path_lost;
+  });
+}
+
 std::uint32_t UpstreamTable::EstimateOtherLoad(const UpstreamState& state,
                                                TimePoint now) {
   const LoadReport& load = state.announcement.load;
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -1,8 +1,8 @@
 #include <string>
 #include <utility>
 
+#include "rattanward/http/reachability.h"
 #include "rattanward/proxy/proxy.h"
-#include "rattanward/proxy/reachability.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -76,13 +76,13 @@
     RecordCrash(evidence);
     return;
   }
-  CheckReachable(io_, record->endpoint, kProbeTimeout,
-                 [this, evidence](bool reached) {
-                   if (!reached) {
-                     MarkPathLost(evidence.witness.upstream);
-                     ConfirmCrash(evidence, kMaxReachQuestions);
-                   }
-                 });
+  http::CheckReachable(io_, record->endpoint, kProbeTimeout,
+                       [this, evidence](bool reached) {
+                         if (!reached) {
+                           MarkPathLost(evidence.witness.upstream);
+                           ConfirmCrash(evidence, kMaxReachQuestions);
+                         }
+                       });
 }
 
 void Proxy::RecordCrash(const CrashEvidence& evidence) {
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -2,9 +2,9 @@
 #include <string>
 #include <utility>
 
+#include "rattanward/http/reachability.h"
 #include "rattanward/proxy/proxy.h"
 #include "rattanward/proxy/reach_question.h"
-#include "rattanward/proxy/reachability.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -50,10 +50,10 @@
       paths_.Forget(id);
       continue;
     }
-    CheckReachable(io_, record->endpoint, kProbeTimeout,
-                   [this, id, born = record->stamp.born](bool reached) {
-                     OnProbed(id, born, reached);
-                   });
+    http::CheckReachable(io_, record->endpoint, kProbeTimeout,
+                         [this, id, born = record->stamp.born](bool reached) {
+                           OnProbed(id, born, reached);
+                         });
   }
 }
 
@@ -219,7 +219,7 @@
     answer(Reach::kNotReached);
     return;
   }
-  CheckReachable(
+  http::CheckReachable(
       io_, record->endpoint, kProbeTimeout,
       [this, upstream, answer](bool reached) {
         OnProbed(upstream.id, upstream.born, reached);
