Show that back-off asked for at a request's deadline is lost

One is systematic: the entry closes the connection at its deadline, and the upstream's answer to a request that it drops at the same deadline comes some milliseconds later.

--- a/tests/src/unit-upstream-signals.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -142,6 +142,28 @@
   CHECK(busy.requests().size() == 1);
 }
 
+TEST_CASE("back-off that is asked for as the deadline passes is heeded") {
+  ProxyEntry entry;
+  std::vector<std::shared_ptr<LoopbackPeer>> held;
+  auto& busy = entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
+    held.push_back(peer.shared_from_this());
+  });
+  const auto late = entry.ConnectCaller();
+  late->Send(MakeRequest("/quick/", "0"));
+  // The upstream drops it at the deadline that it was told, and says so later
+  // by the way of the answer.
+  REQUIRE(Receives(entry, late, "HTTP/1.1 504"));
+  held[0]->Send(
+      MakeResponse("0", "", "not-run: 1\r\nbackoff-ms: 3000\r\n", "503 Busy"));
+  entry.RunUntil([] { return false; }, std::chrono::milliseconds(600));
+  for (int i = 1; i < 5; ++i) {
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/quick/", std::to_string(i)));
+    entry.RunUntil([&] { return Contains(caller->received(), "HTTP/1.1 50"); });
+  }
+  CHECK(busy.requests().size() == 1);
+}
+
 TEST_CASE("a request that an upstream turned away goes to another at once") {
   ProxyEntry entry;
   bool turned_away = false;
