Read what an upstream answers as its request's deadline passes

What callers saw: nothing; an upstream that asked for back-off, for leaving or for a limit in its answer to a request that it dropped at its deadline was not heeded.

Cause: the upstream gets the time that is left and answers when it is over, so its answer arrives after the entry's own deadline, at which the entry closed the connection. The class: what an upstream says was lost with the request it answered.

Change: the caller is answered at the deadline as before; the connection is closed with the head of the late answer, or 150 ms later.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -219,6 +219,9 @@
  private:
   enum class State : std::uint8_t { kWaiting, kSent, kFinished };
 
+  bool MayAnswerLate() const;
+  void AwaitLateAnswer();
+  void EndLateAnswer();
   void OnCallerGone();
   void OnDeadline();
   void ForwardEvents(std::string_view piece);
@@ -250,6 +253,8 @@
   policy::PlacementCharge charge_;
   std::set<UpstreamId> excluded_;
   std::shared_ptr<http::ClientConnection> connection_;
+  /// Set after the end of a request whose upstream may still answer.
+  std::shared_ptr<http::ClientConnection> late_connection_;
   UpstreamId upstream_;
   std::optional<Endpoint> relay_peer_;
   std::set<Endpoint> relays_tried_;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -198,14 +198,19 @@
 bool Exchange::IsMatchingResponse(const http::ResponseHead& /*head*/) const {
   // On a reused connection, a response without an id may be a second copy of
   // the response before.
+  const auto& connection = late_connection_ ? late_connection_ : connection_;
   const bool must_name =
-      connection_->reused() && !relay_peer_ && !request_.traits.attempt.empty();
+      connection->reused() && !relay_peer_ && !request_.traits.attempt.empty();
   return response_traits_.matches_request &&
          (response_traits_.names_request || !must_name);
 }
 
 void Exchange::OnHead(const http::ResponseHead& head, Framing framing,
                       std::uint64_t /*length*/) {
+  if (late_connection_) {
+    EndLateAnswer();
+    return;
+  }
   owner_.OnResponseHead(*this);
   response_begun_ = true;
   response_framing_ = framing;
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -17,6 +17,9 @@
 /// Number of failed connection attempts tolerated per request.
 constexpr std::uint32_t kMaxUnreachableUpstreams = 4;
 constexpr int kServerError = 500;
+/// An upstream that drops a request at the deadline that it was told answers
+/// within this time after the deadline.
+constexpr Duration kLateAnswerTime{std::chrono::milliseconds(150)};
 
 std::string_view FramingName(Framing framing) {
   switch (framing) {
@@ -151,6 +154,10 @@
 
 void Exchange::OnFailure(ClientFailure failure) {
   const auto self = shared_from_this();
+  if (late_connection_) {
+    EndLateAnswer();
+    return;
+  }
   if (state_ != State::kSent) {
     return;
   }
@@ -263,6 +270,9 @@
   }
   const auto self = shared_from_this();
   const bool was_sent = state_ == State::kSent;
+  if (MayAnswerLate() && RemainingTime() < kLateAnswerTime) {
+    AwaitLateAnswer();
+  }
   Release();
   End(EventId::kCallerLeft, {{"sent", was_sent ? "1" : "0"},
                              {"events", std::to_string(splitter_.events())}});
@@ -278,6 +288,9 @@
   if (sent && !streams()) {
     owner_.OnOutcome(*this, false);
   }
+  if (MayAnswerLate()) {
+    AwaitLateAnswer();
+  }
   Fail(may_have_run_
            ? MakeError(ErrorCode::kUpstreamSilent,
                        "no response before the request's deadline",
@@ -287,6 +300,32 @@
                        "deadline"));
 }
 
+bool Exchange::MayAnswerLate() const {
+  return connection_ && connection_->sent_all() && !response_begun_ &&
+         !relay_peer_;
+}
+
+/// The head of a late answer may tell that the upstream is leaving, or asks for
+/// back-off. Its request has ended.
+void Exchange::AwaitLateAnswer() {
+  late_connection_ = std::exchange(connection_, nullptr);
+  const auto timer =
+      std::make_shared<asio::steady_timer>(timer_.get_executor());
+  timer->expires_after(kLateAnswerTime);
+  timer->async_wait(
+      [self = shared_from_this(), timer](const asio::error_code& /*e*/) {
+        if (self->late_connection_) {
+          self->EndLateAnswer();
+        }
+      });
+}
+
+void Exchange::EndLateAnswer() {
+  connection_ = std::exchange(late_connection_, nullptr);
+  connection_->Close();
+  Release();
+}
+
 /// Releases the capacity charged at the upstream. A connection with an
 /// unfinished response is closed, which cancels the request there.
 void Exchange::Release() {
