Take up no stream by a memory that has just begun

What callers saw: nothing here; elsewhere, streams that were taken up after all entries were killed were joined from two software versions.

Cause: with all entries and control VMs restarted, the version that had just left was known to nobody, and the one that still served counted as the only one in use.

Change: the leader's report tells how long it has known the upstreams; an entry computes a stream's version only once that is 20 s, and tells the streams of a lone version meanwhile.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -139,6 +139,7 @@
   ControlDaemon& daemon_;
   RoutingHubOptions options_;
   port::EventSink events_;
+  TimePoint started_at_;
   membership::InstanceDirectory directory_;
   std::map<ProcessId, Entry> entries_;
   std::vector<Waiter> waiters_;
--- a/include/rattanward/policy/stream_versions.h
+++ b/include/rattanward/policy/stream_versions.h
@@ -45,7 +45,8 @@
       : lease_(lease), adoption_delay_(lease + kAdoptionMargin) {}
 
   /// @brief Control confirmed that this entry has all news up to a time.
-  void Confirm(TimePoint as_of);
+  /// @param history Time for which control has known which upstreams there are.
+  void Confirm(TimePoint as_of, Duration history);
 
   /// @brief Sets the versions that serve a service now.
   /// @param former Versions whose upstreams have left lately.
@@ -112,6 +113,8 @@
   Duration adoption_delay_;
   TimePoint confirmed_at_ = TimePoint::min();
   TimePoint confirmed_before_ = TimePoint::min();
+  /// Time from which control knew which upstreams there were.
+  TimePoint history_since_ = TimePoint::max();
   std::map<ServiceName, Service> services_;
   std::unordered_map<std::uint64_t, Known> streams_;
   std::vector<StreamVersion> untold_;
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -77,6 +77,9 @@
   std::vector<Endpoint> relays;
   /// Shares of the asking entry in the limits that upstreams named.
   std::vector<policy::LimitShare> limit_shares;
+  /// Time since this control VM started, from which it knows which upstreams
+  /// there were.
+  std::uint64_t history_ms = 0;
 
   friend bool operator==(const ControlReport&, const ControlReport&) = default;
 };
@@ -155,7 +158,7 @@
 struct FieldsOf<ControlReport> {
   static auto Tie(auto& m) {
     return std::tie(m.leader, m.committed, m.control, m.entries, m.entry_count,
-                    m.relays, m.limit_shares);
+                    m.relays, m.limit_shares, m.history_ms);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -37,7 +37,8 @@
       limit_shares;
   /// A confirmed leader answered a report sent at the given time. It named the
   /// newest committed version of the routes.
-  std::function<void(TimePoint sent, ConfigVersion committed)> confirmed;
+  std::function<void(TimePoint sent, ConfigVersion committed, Duration history)>
+      confirmed;
   /// The list of entries, from the latest report of a confirmed leader.
   std::function<void(const protocol::ControlReport&)> entries;
   port::EventSink events;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -97,7 +97,8 @@
   /// @brief Records that the routes are current if their version is the newest.
   /// @param as_of Time for which a confirmed leader stated the version.
   /// @param newest Newest version, as stated by the leader.
-  void ConfirmRouting(TimePoint as_of, ConfigVersion newest);
+  /// @param history Time for which the leader has known the upstreams.
+  void ConfirmRouting(TimePoint as_of, ConfigVersion newest, Duration history);
 
   /// @brief Limits that upstreams named, as far as this entry knows.
   std::vector<UpstreamLimit> Limits() const { return directory_.Limits(); }
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -44,7 +44,10 @@
 
 RoutingHub::RoutingHub(ControlDaemon& daemon, RoutingHubOptions options,
                        port::EventSink events)
-    : daemon_(daemon), options_(options), events_(std::move(events)) {}
+    : daemon_(daemon),
+      options_(options),
+      events_(std::move(events)),
+      started_at_(MonotonicNow()) {}
 
 void RoutingHub::Start() {
   daemon_.SetExtension(this);
@@ -114,6 +117,10 @@
   protocol::ControlReport report;
   report.leader = daemon_.replica().ConfirmedLeader();
   report.committed = daemon_.replica().ledger().routing().version;
+  report.history_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicNow() -
+                                                            started_at_)
+          .count());
   report.control.push_back(daemon_.settings().peer_listen);
   for (const consensus::Member& member :
        daemon_.replica().node().membership().members) {
--- a/src/policy/stream_versions.cc
+++ b/src/policy/stream_versions.cc
@@ -18,19 +18,22 @@
 
 }  // namespace
 
-void StreamVersions::Confirm(TimePoint as_of) {
+void StreamVersions::Confirm(TimePoint as_of, Duration history) {
+  history_since_ = std::min(history_since_, as_of - history);
   if (as_of > confirmed_at_) {
     confirmed_before_ = std::exchange(confirmed_at_, as_of);
   }
 }
 
-/// After a gap, the news that was missed follows the first confirmation.
+/// After a gap, the news that was missed follows the first confirmation. A
+/// version that had left before the memory of control began may have streams.
 bool StreamVersions::KnowsVersions(const Service& service,
                                    TimePoint now) const {
   return confirmed_before_ != TimePoint::min() &&
          now - confirmed_at_ < lease_ &&
          confirmed_at_ - confirmed_before_ < lease_ &&
-         now - service.known_since >= kWarmUp;
+         now - service.known_since >= kWarmUp &&
+         now - history_since_ >= kVersionRetention;
 }
 
 void StreamVersions::SetServing(const ServiceName& name,
@@ -139,7 +142,8 @@
                                  const StreamVersion& begun, TimePoint now) {
   RecordTold(begun, now);
   const Service* service = Find(name);
-  if (service == nullptr || service->versions.size() < 2) {
+  if (service == nullptr ||
+      (service->versions.size() < 2 && KnowsVersions(*service, now))) {
     return false;
   }
   untold_.push_back(begun);
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -143,7 +143,8 @@
     ConnectTo(endpoint);
   }
   if (report.value().leader) {
-    hooks_.confirmed(sent, report.value().committed);
+    hooks_.confirmed(sent, report.value().committed,
+                     std::chrono::milliseconds(report.value().history_ms));
     hooks_.entries(report.value());
     hooks_.limit_shares(sent, report.value().limit_shares);
   }
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -113,8 +113,9 @@
                               const std::vector<policy::LimitShare>& shares) {
     proxy_.SetLimitShares(shares, sent);
   };
-  hooks.confirmed = [this](TimePoint sent, ConfigVersion committed) {
-    proxy_.ConfirmRouting(sent, committed);
+  hooks.confirmed = [this](TimePoint sent, ConfigVersion committed,
+                           Duration history) {
+    proxy_.ConfirmRouting(sent, committed, history);
   };
   hooks.entries = [this](const protocol::ControlReport& report) {
     HandleControlReport(report);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -129,7 +129,8 @@
   ScheduleDrain();
 }
 
-void Proxy::ConfirmRouting(TimePoint as_of, ConfigVersion newest) {
+void Proxy::ConfirmRouting(TimePoint as_of, ConfigVersion newest,
+                           Duration history) {
   required_version_ = std::max(required_version_, newest);
   if (!table_ || table_->version() < required_version_) {
     return;
@@ -140,7 +141,7 @@
   }
   ever_confirmed_ = true;
   confirmed_at_ = std::max(confirmed_at_, as_of);
-  stream_versions_.Confirm(as_of);
+  stream_versions_.Confirm(as_of, history);
 }
 
 bool Proxy::ConfirmedWithin(Duration time) const {
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -83,7 +83,8 @@
     REQUIRE(data_path->Start().has_value());
     data_path->SetRouting(
         std::make_shared<const RoutingTable>(MakeDeclaration()));
-    data_path->ConfirmRouting(adapter::MonotonicNow(), ConfigVersion{1});
+    data_path->ConfirmRouting(adapter::MonotonicNow(), ConfigVersion{1},
+                              std::chrono::hours(1));
   }
 
   LoopbackUpstream& AddUpstream(LoopbackUpstream::Handler handler,
--- a/tests/src/fuzz-stream_versions.cc
+++ b/tests/src/fuzz-stream_versions.cc
@@ -50,6 +50,16 @@
     entry.versions = std::make_unique<StreamVersions>(kLease);
     entry.confirmed_at.reset();
   }
+  void RestartAll() {
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      Restart(i);
+    }
+  }
+  /// Control forgets which upstreams have left.
+  void RestartControl() {
+    former_.clear();
+    control_since_ = now_;
+  }
   void CutOff(std::size_t index, bool cut_off) {
     entries_[index].cut_off = cut_off;
   }
@@ -93,7 +103,7 @@
     Entry& entry = entries_[index];
     if (!entry.cut_off) {
       entry.confirmed_at = now_;
-      entry.versions->Confirm(now_);
+      entry.versions->Confirm(now_, now_ - control_since_);
       entry.versions->SetServing(kService, serving_, Former(), now_);
     }
     entry.versions->Expire(now_);
@@ -170,6 +180,7 @@
   std::vector<Entry> entries_ = std::vector<Entry>(kEntries);
   std::vector<Stream> streams_;
   std::uint64_t born_ = 1;
+  TimePoint control_since_{seconds(0)};
   std::size_t wrong_ = 0;
   std::size_t taken_up_ = 0;
   std::size_t refused_ = 0;
@@ -185,7 +196,7 @@
     const int changes = *rc::gen::inRange(0, 12);
     for (int i = 0; i < changes; ++i) {
       const auto entry = *rc::gen::inRange<std::size_t>(0, Fleet::kEntries);
-      switch (*rc::gen::inRange(0, 5)) {
+      switch (*rc::gen::inRange(0, 7)) {
         case 0:
           fleet.AddVersion();
           break;
@@ -198,6 +209,13 @@
         case 3:
           fleet.CutOff(entry, false);
           break;
+        case 4:
+          fleet.RestartAll();
+          break;
+        case 5:
+          fleet.RestartAll();
+          fleet.RestartControl();
+          break;
         default:
           fleet.Restart(entry);
       }
@@ -224,23 +242,44 @@
 TEST_CASE("a lone version needs no news") {
   StreamVersions versions(kLease);
   const TimePoint start{seconds(100)};
-  versions.Confirm(start);
+  constexpr Duration kHistory = seconds(60);
+  versions.Confirm(start, kHistory);
   versions.SetServing(kService, {{"v1", 1}}, {}, start);
   const TimePoint later = start + seconds(4);
-  versions.Confirm(later);
+  versions.Confirm(later, kHistory);
   CHECK(versions.VersionOf(kService, 7, later) == "v1");
   CHECK(versions.VersionOf(kService, std::nullopt, later) == "v1");
   CHECK_FALSE(versions.VersionOf(kService, 7, later + kLease));
   // A new one is begun at by nobody before the adoption delay is over.
-  versions.Confirm(later + milliseconds(400));
+  versions.Confirm(later + milliseconds(400), kHistory);
   versions.SetServing(kService, {{"v1", 1}, {"v2", 2}}, {}, later);
   CHECK(versions.MayBegin(kService, later) == std::set<std::string>{"v1"});
   CHECK(versions.VersionOf(kService, 7, later) == "v1");
   const TimePoint adopted = later + kAdoptionDelay;
-  versions.Confirm(adopted - milliseconds(400));
-  versions.Confirm(adopted);
+  versions.Confirm(adopted - milliseconds(400), kHistory);
+  versions.Confirm(adopted, kHistory);
   CHECK(versions.MayBegin(kService, adopted).size() == 2);
   CHECK_FALSE(versions.VersionOf(kService, 7, adopted));
 }
 
+TEST_CASE("a version that left before control and all entries were killed") {
+  StreamVersions versions(kLease);
+  const TimePoint start{seconds(100)};
+  // A stream may have begun at v1, of which nobody has any memory.
+  Duration history = seconds(1);
+  for (TimePoint now = start; now < start + seconds(19);
+       now += milliseconds(400), history += milliseconds(400)) {
+    versions.Confirm(now, history);
+    versions.SetServing(kService, {{"v2", 2}}, {}, now);
+    CHECK_FALSE(versions.VersionOf(kService, 7, now).has_value());
+    // What begins meanwhile is told, so that it can go on elsewhere.
+    CHECK(versions.RecordBegun(kService, {9, "v2"}, now));
+    CHECK(versions.VersionOf(kService, 9, now) == "v2");
+  }
+  const TimePoint past = start + seconds(21);
+  versions.Confirm(past - milliseconds(400), history);
+  versions.Confirm(past, history + seconds(2));
+  CHECK(versions.VersionOf(kService, 7, past) == "v2");
+}
+
 }  // namespace rattanward::policy
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -75,7 +75,8 @@
   const auto caller = entry.ConnectCaller();
   caller->Send("GET /once/ HTTP/1.1\r\nHost: h\r\nkey: no\r\n\r\n");
   CHECK(Receives(entry, caller, "HTTP/1.1 401"));
-  entry.data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2});
+  entry.data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2},
+                                  std::chrono::hours(1));
   entry.RunUntil([&] { return false; }, std::chrono::milliseconds(1600));
   const auto later = entry.ConnectCaller();
   later->Send("GET /none/ HTTP/1.1\r\nHost: h\r\nkey: k\r\n\r\n");
--- a/tests/src/unit-relay.cc
+++ b/tests/src/unit-relay.cc
@@ -106,11 +106,13 @@
   RoutingDeclaration newer = fakes::MakeDeclaration();
   newer.version = ConfigVersion{2};
   fleet[0].data_path->SetRouting(std::make_shared<const RoutingTable>(newer));
-  fleet[0].data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2});
+  fleet[0].data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2},
+                                     std::chrono::hours(1));
   CHECK(Contains(fleet.Ask("/once/", "0"), "HTTP/1.1 503"));
   CHECK(upstream.requests().empty());
   fleet[1].data_path->SetRouting(std::make_shared<const RoutingTable>(newer));
-  fleet[1].data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2});
+  fleet[1].data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2},
+                                     std::chrono::hours(1));
   fleet.RunFor(std::chrono::milliseconds(1100));
   CHECK(Contains(fleet.Ask("/once/", "1"), "served"));
 }
