Divide the room of upstreams that fail when they reject many requests

Cause: entries keep to the load that they know of each other, 20 to 120 ms old, so that several may fill the last place of an upstream at once and be rejected in the same second.

Change: the rejection limit is part of what an upstream names, known to the whole fleet; nine tenths of the slots of such a service's upstreams are divided among the live entries, by the place that the leader tells each; a rejection stops all entries for a second. Event-driven data path only. See docs/design/upstream-signals.md.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -120,6 +120,8 @@
   void SendToControls(const protocol::CrashesTold& news);
   protocol::ControlReport ReportFor(const ProcessId& process,
                                     const Entry& entry);
+  void AddEntryIndex(const ProcessId& process,
+                     protocol::ControlReport* report) const;
   void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void UpdateRoutingTexts();
   void PushRouting();
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -114,9 +114,9 @@
   /// @brief Reads the limit that a start named in an answer, or that it named
   /// none.
   /// @return The new limit of the start if it has changed.
-  std::optional<UpstreamLimit> ReadLimit(
-      const UpstreamId& id, std::uint64_t born,
-      const std::optional<RequestRate>& named);
+  std::optional<UpstreamLimit> ReadLimit(const UpstreamId& id,
+                                         std::uint64_t born,
+                                         const NamedTerms& named);
 
   /// @brief The limits known, including those that were withdrawn.
   std::vector<UpstreamLimit> Limits() const;
--- a/include/rattanward/policy/placer.h
+++ b/include/rattanward/policy/placer.h
@@ -16,6 +16,7 @@
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/policy/backoff_period.h"
 #include "rattanward/policy/limit_share.h"
+#include "rattanward/policy/room_share.h"
 #include "rattanward/policy/stream_versions.h"
 
 namespace rattanward::policy {
@@ -129,6 +130,8 @@
   std::map<UpstreamId, std::vector<PromptPart>> placed_parts;
   /// Streams that lately began at this entry and may go on at another.
   std::vector<StreamVersion> streams;
+  /// Upstreams with a rejection limit that have just rejected a request.
+  std::vector<UpstreamId> rejecting;
 
   friend bool operator==(const EntryLoad&, const EntryLoad&) = default;
 };
@@ -299,6 +302,22 @@
   void SetLimitShares(const std::vector<LimitShare>& shares,
                       TimePoint confirmed_at, TimePoint now);
 
+  /// @brief Sets the rejections a second beyond which an upstream fails, or 0.
+  /// This entry then keeps within its part of the upstream's room.
+  void SetRejectionLimit(const UpstreamId& id, std::uint32_t rejections,
+                         TimePoint now);
+
+  /// @brief A start of an upstream has become known.
+  void RecordStart(const UpstreamId& id, TimePoint now);
+
+  /// @brief Sets this entry's place among the live entries.
+  /// @param confirmed_at Time for which a leader confirmed it.
+  void SetRoomShare(const RoomShare& share, TimePoint confirmed_at,
+                    TimePoint now);
+
+  /// @brief Number of upstreams with a rejection limit.
+  std::size_t UpstreamsWithRejectionLimit() const;
+
   /// @brief Halves the shares that no leader has confirmed for
   /// kLimitShareLease.
   void AgeLimitShares(TimePoint now);
@@ -340,7 +359,9 @@
                     TimePoint now);
 
   /// @brief Whether TakeUrgentLoad() has anything to report.
-  bool has_urgent_load() const { return !urgent_.empty(); }
+  bool has_urgent_load() const {
+    return !urgent_.empty() || !rejecting_.empty();
+  }
 
   /// @brief Partial load report of the engines that long prompts were sent to
   /// since the last call.
@@ -378,6 +399,9 @@
     /// Entries that share it, or 0 if this entry holds no share.
     std::uint32_t limit_holders = 0;
     PacedShare share;
+    /// Rejections a second beyond which the upstream fails; 0 if it names none.
+    std::uint32_t rejection_limit = 0;
+    RoomPart room;
   };
   struct Service {
     RoutedService declared;
@@ -385,6 +409,9 @@
     std::vector<const Instance*> instances;
     /// Number of failure domains of the instances.
     std::size_t domains = 0;
+    /// Whether upstreams of it name rejection limits; then all are taken to
+    /// have one.
+    bool limits_rejections = false;
   };
   /// Load of an upstream as reported by another entry.
   struct RemoteLoad {
@@ -406,6 +433,10 @@
   bool MayReturn(const Instance& instance, TimePoint now) const;
   static TimePoint HeldBackUntil(const Instance& instance, TimePoint now);
   void UpdateShareRate(Instance* instance, TimePoint now) const;
+  void UpdateRoomParts(TimePoint now);
+  void RecordRejection(Instance* instance, TimePoint now) const;
+  bool ExceedsRoom(const Instance& instance, const Service& service,
+                   std::uint64_t request_tokens, TimePoint now) const;
   void DecayOutcomes(TimePoint now);
   double MsSinceOrigin(TimePoint now) const;
   UpstreamLoad TotalLoad(const Instance& instance, TimePoint now) const;
@@ -428,7 +459,7 @@
                       TimePoint now) const;
   static void AddCachedPart(Instance* instance, const PromptPart& part);
   bool IsFull(const Instance& instance, const Service& service,
-              TimePoint now) const;
+              std::uint64_t request_tokens, TimePoint now) const;
   const Instance* FindBest(const PlacementRequest& request,
                            const std::set<UpstreamId>& excluded,
                            TimePoint now) const;
@@ -448,6 +479,10 @@
   std::map<ProcessId, RemoteEntry> remote_entries_;
   /// Engines that long prompts were sent to since the last urgent report.
   std::set<UpstreamId> urgent_;
+  /// Upstreams that rejected a request since then and name rejection limits.
+  std::set<UpstreamId> rejecting_;
+  RoomShare room_share_;
+  TimePoint room_share_confirmed_at_;
   Duration report_period_{std::chrono::milliseconds(30)};
   /// Prompt tokens sent to engines by this entry: since the last load report,
   /// and per millisecond lately.
--- a/include/rattanward/protocol/load_messages.h
+++ b/include/rattanward/protocol/load_messages.h
@@ -42,6 +42,8 @@
   /// Whether only the upstreams named here have changed.
   bool partial = false;
   std::vector<policy::StreamVersion> streams;
+  /// Upstreams with a rejection limit that have just rejected a request.
+  std::vector<UpstreamId> rejecting;
 
   friend bool operator==(const LoadTold&, const LoadTold&) = default;
 };
@@ -74,7 +76,7 @@
 struct FieldsOf<LoadTold> {
   static auto Tie(auto& m) {
     return std::tie(m.entry, m.relay, m.valid_ms, m.upstreams, m.placed_parts,
-                    m.partial, m.streams);
+                    m.partial, m.streams, m.rejecting);
   }
 };
 
@@ -84,6 +86,7 @@
   told.entry = load.entry;
   told.partial = load.partial;
   told.streams = load.streams;
+  told.rejecting = load.rejecting;
   told.valid_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(load.valid_for)
           .count());
@@ -105,6 +108,7 @@
   load.entry = told.entry;
   load.partial = told.partial;
   load.streams = told.streams;
+  load.rejecting = told.rejecting;
   load.valid_for = std::chrono::milliseconds(told.valid_ms);
   for (const UpstreamLoadTold& one : told.upstreams) {
     load.upstreams[one.upstream] = {
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -172,7 +172,9 @@
 
 template <>
 struct FieldsOf<NamedLimit> {
-  static auto Tie(auto& m) { return std::tie(m.revision, m.limited, m.rate); }
+  static auto Tie(auto& m) {
+    return std::tie(m.revision, m.limited, m.rate, m.rejection_limit);
+  }
 };
 
 template <>
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -80,6 +80,10 @@
   /// Time since this control VM started, from which it knows which upstreams
   /// there were.
   std::uint64_t history_ms = 0;
+  /// Place of the asking entry among the live ones, and their number; 0 of 0
+  /// while not all may have been heard.
+  std::uint32_t entry_index = 0;
+  std::uint32_t indexed_entries = 0;
 
   friend bool operator==(const ControlReport&, const ControlReport&) = default;
 };
@@ -158,7 +162,8 @@
 struct FieldsOf<ControlReport> {
   static auto Tie(auto& m) {
     return std::tie(m.leader, m.committed, m.control, m.entries, m.entry_count,
-                    m.relays, m.limit_shares, m.history_ms);
+                    m.relays, m.limit_shares, m.history_ms, m.entry_index,
+                    m.indexed_entries);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -14,6 +14,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/port/event_sink.h"
+#include "rattanward/policy/room_share.h"
 #include "rattanward/protocol/routing_messages.h"
 
 namespace rattanward::proxy {
@@ -35,6 +36,8 @@
   /// entry's shares in those limits.
   std::function<void(TimePoint sent, const std::vector<policy::LimitShare>&)>
       limit_shares;
+  std::function<void(TimePoint sent, const policy::RoomShare& share)>
+      room_share;
   /// A confirmed leader answered a report sent at the given time. It named the
   /// newest committed version of the routes.
   std::function<void(TimePoint sent, ConfigVersion committed, Duration history)>
--- a/include/rattanward/proxy/dialect.h
+++ b/include/rattanward/proxy/dialect.h
@@ -67,6 +67,8 @@
   std::optional<Duration> backoff_for;
   /// Requests that the upstream takes from all entries together.
   std::optional<RequestRate> limit;
+  /// Rejections a second for want of room beyond which the upstream fails.
+  std::optional<std::uint32_t> rejection_limit;
   /// The response names a limit that can't be read.
   bool limit_malformed = false;
 
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -68,9 +68,8 @@
   virtual void OnLeaving(const Exchange& exchange) = 0;
   /// @brief The upstream wants no request of this entry for so long.
   virtual void OnBackoff(const Exchange& exchange, Duration backoff_for) = 0;
-  /// @brief An answer of the upstream named its limit, or that it has none.
-  virtual void OnLimit(const Exchange& exchange,
-                       const std::optional<RequestRate>& named) = 0;
+  /// @brief An answer of the upstream named its limits, or that it has none.
+  virtual void OnLimit(const Exchange& exchange, const NamedTerms& named) = 0;
   /// @brief The upstream rejected the request without running it.
   virtual void OnRejected(const Exchange& exchange) = 0;
   /// @brief No connection to the upstream could be opened.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -108,6 +108,10 @@
   void SetLimitShares(const std::vector<policy::LimitShare>& shares,
                       TimePoint confirmed_at);
 
+  /// @brief Sets this entry's place among the live entries, by which they
+  /// divide the room of upstreams; see policy::Placer::SetRoomShare().
+  void SetRoomShare(const policy::RoomShare& share, TimePoint confirmed_at);
+
   /// @brief Sets the number of entries of all failure domains.
   void SetEntries(std::size_t entries);
 
@@ -178,8 +182,7 @@
   std::string VersionOf(const UpstreamId& upstream) const override;
   void OnLeaving(const Exchange& exchange) override;
   void OnBackoff(const Exchange& exchange, Duration backoff_for) override;
-  void OnLimit(const Exchange& exchange,
-               const std::optional<RequestRate>& named) override;
+  void OnLimit(const Exchange& exchange, const NamedTerms& named) override;
   void OnRejected(const Exchange& exchange) override;
   void OnUnreachable(const Exchange& exchange) override;
   void OnConnectionLost(const Exchange& exchange) override;
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -131,6 +131,7 @@
   }
   AddEntries(entry, &report);
   report.limit_shares = LimitSharesOf(process);
+  AddEntryIndex(process, &report);
   return report;
 }
 
@@ -158,6 +159,22 @@
       policy::RendezvousWeight(entry.incarnation, entry.sequence));
 }
 
+/// Entries divide the room of upstreams by this place. A control VM that has
+/// just started may not have heard all of them.
+void RoutingHub::AddEntryIndex(const ProcessId& process,
+                               protocol::ControlReport* report) const {
+  const TimePoint now = MonotonicNow();
+  if (now - started_at_ < policy::kLimitShareLease) {
+    return;
+  }
+  for (const auto& [other, entry] : entries_) {
+    if (now - entry.last_report_at < policy::kLimitShareLease) {
+      report->entry_index += other < process ? 1 : 0;
+      ++report->indexed_entries;
+    }
+  }
+}
+
 void RoutingHub::UpdateRoutingTexts() {
   const ledger::RoutingRecord& routing = daemon_.replica().ledger().routing();
   routing_texts_.Update(routing.version, routing.text);
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -59,8 +59,7 @@
 }
 
 std::optional<UpstreamLimit> InstanceDirectory::ReadLimit(
-    const UpstreamId& id, std::uint64_t born,
-    const std::optional<RequestRate>& named) {
+    const UpstreamId& id, std::uint64_t born, const NamedTerms& named) {
   const auto known = limits_.find(id);
   const bool same_start = known != limits_.end() && known->second.born == born;
   const UpstreamLimit read{
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -55,6 +55,7 @@
 void Placer::IndexInstances() {
   for (auto& [name, service] : services_) {
     service.instances.clear();
+    service.limits_rejections = false;
   }
   std::map<ServiceName, std::map<FailureDomain, std::vector<Instance*>>> ready;
   for (auto& [id, instance] : instances_) {
@@ -62,6 +63,7 @@
     if (service != services_.end() &&
         instance.record.state == membership::InstanceState::kReady) {
       service->second.instances.push_back(&instance);
+      service->second.limits_rejections |= instance.rejection_limit > 0;
       ready[instance.record.service][instance.record.failure_domain].push_back(
           &instance);
     }
@@ -141,6 +143,8 @@
   }
   const bool engine = service->second.declared.engine.has_value();
   const std::uint64_t key = PrefixKey(request);
+  const std::uint64_t request_tokens =
+      std::uint64_t{request.prompt_tokens} + request.max_output_tokens;
   const std::vector<const Instance*>& all = service->second.instances;
   const std::vector<std::size_t> dedicated_engines =
       engine ? DedicatedEngines(service->second, now)
@@ -158,7 +162,8 @@
   double best_score = 0;
   for (const Instance* candidate : all) {
     const Instance& instance = *candidate;
-    if (!IsUsable(instance, now) || IsFull(instance, service->second, now) ||
+    if (!IsUsable(instance, now) ||
+        IsFull(instance, service->second, request_tokens, now) ||
         !HasPermittedVersion(instance.record, request) ||
         excluded.count(instance.record.id) > 0) {
       continue;
@@ -197,7 +202,7 @@
                      found->second.instances.end(),
                      [&](const Instance* candidate) {
                        return !IsUsable(*candidate, now) ||
-                              IsFull(*candidate, found->second, now);
+                              IsFull(*candidate, found->second, 0, now);
                      });
 }
 
@@ -238,6 +243,11 @@
   Instance& instance = found->second;
   if (!unreachable) {
     instance.avoid_until = std::max(instance.avoid_until, now + kFullAvoidance);
+    RecordRejection(&instance, now);
+    const auto service = services_.find(instance.record.service);
+    if (service != services_.end() && service->second.limits_rejections) {
+      rejecting_.insert(id);
+    }
     return;
   }
   const std::uint32_t doublings = std::min(instance.failures, kMaxDoublings);
--- a/src/policy/placer_limit.cc
+++ b/src/policy/placer_limit.cc
@@ -34,6 +34,7 @@
 }
 
 void Placer::AgeLimitShares(TimePoint now) {
+  UpdateRoomParts(now);
   if (!shares_confirmed_ || now - shares_confirmed_at_ < kLimitShareLease) {
     return;
   }
--- a/src/policy/placer_load.cc
+++ b/src/policy/placer_load.cc
@@ -30,6 +30,12 @@
     SubtractRemoteLoad(remote);
     remote.upstreams.clear();
   }
+  for (const UpstreamId& id : load.rejecting) {
+    const auto found = instances_.find(id);
+    if (found != instances_.end()) {
+      RecordRejection(&found->second, now);
+    }
+  }
   remote.valid_until = std::max(remote.valid_until, now + load.valid_for);
   AddRemoteLoad(load, now, &remote);
   if (options_.use_remote_placements) {
@@ -261,6 +267,8 @@
     }
   }
   urgent_.clear();
+  load.rejecting.assign(rejecting_.begin(), rejecting_.end());
+  rejecting_.clear();
   return load;
 }
 
--- a/src/policy/placer_score.cc
+++ b/src/policy/placer_score.cc
@@ -104,7 +104,11 @@
 }
 
 bool Placer::IsFull(const Instance& instance, const Service& service,
-                    TimePoint now) const {
+                    std::uint64_t request_tokens, TimePoint now) const {
+  if (service.limits_rejections &&
+      ExceedsRoom(instance, service, request_tokens, now)) {
+    return true;
+  }
   const UpstreamLoad total = TotalLoad(instance, now);
   const std::uint32_t slots = std::max(instance.record.slots, 1U);
   if (!service.declared.engine) {
--- a/src/policy/standard_dispatcher_limit.cc
+++ b/src/policy/standard_dispatcher_limit.cc
@@ -41,7 +41,7 @@
   const auto known = limits_.find(upstream);
   const NamedLimit before =
       known == limits_.end() ? NamedLimit() : known->second;
-  MergeLimit({upstream, 0, AfterAnswer(before, named)}, now);
+  MergeLimit({upstream, 0, AfterAnswer(before, {named, std::nullopt})}, now);
 }
 
 void StandardDispatcher::MergeLimit(const UpstreamLimit& limit, TimePoint now) {
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -147,6 +147,8 @@
                      std::chrono::milliseconds(report.value().history_ms));
     hooks_.entries(report.value());
     hooks_.limit_shares(sent, report.value().limit_shares);
+    hooks_.room_share(
+        sent, {report.value().entry_index, report.value().indexed_entries});
   }
 }
 
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -109,6 +109,9 @@
   };
   hooks.suspicions = [this] { return proxy_.Suspicions(); };
   hooks.limits = [this] { return proxy_.Limits(); };
+  hooks.room_share = [this](TimePoint sent, const policy::RoomShare& share) {
+    proxy_.SetRoomShare(share, sent);
+  };
   hooks.limit_shares = [this](TimePoint sent,
                               const std::vector<policy::LimitShare>& shares) {
     proxy_.SetLimitShares(shares, sent);
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -190,8 +190,11 @@
   const bool own_answer =
       !response_traits_.limit_malformed && response_traits_.has_signature &&
       response_traits_.matches_request && response_traits_.names_request;
-  if (status != kMisdirected && (response_traits_.limit || own_answer)) {
-    owner_.OnLimit(*this, response_traits_.limit);
+  const NamedTerms named{response_traits_.limit,
+                         response_traits_.rejection_limit, own_answer};
+  if (status != kMisdirected &&
+      (named.limit || named.rejection_limit || own_answer)) {
+    owner_.OnLimit(*this, named);
   }
 }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -109,8 +109,10 @@
   for (const membership::InstanceRecord& record : directory_.TakeChanges()) {
     const bool restarted = placer_.SetInstance(record);
     placer_.SetLimit(record.id, record.limit.limit(), now);
+    placer_.SetRejectionLimit(record.id, record.limit.rejection_limit, now);
     if (restarted) {
       paths_.Forget(record.id);
+      placer_.RecordStart(record.id, now);
     }
     if (restarted || record.state != InstanceState::kReady) {
       pool_.CloseAllIdle(record.id);
@@ -351,6 +353,9 @@
 
 void Proxy::OnRejected(const Exchange& exchange) {
   placer_.RecordFailure(exchange.upstream(), false, MonotonicNow());
+  if (placer_.has_urgent_load()) {
+    hooks_.urgent_load();
+  }
 }
 
 void Proxy::OnUnreachable(const Exchange& exchange) {
@@ -394,6 +399,8 @@
          ScrapeLine("upstream_paths_lost", paths_.lost()) +
          ScrapeLine("relay_connections", relay_pool_.open()) +
          ScrapeLine("upstreams_with_limit", placer_.UpstreamsWithLimit()) +
+         ScrapeLine("upstreams_with_rejection_limit",
+                    placer_.UpstreamsWithRejectionLimit()) +
          ScrapeLine("stream_versions_known", stream_versions_.size()) +
          ScrapeLine("entries_known", entries_) +
          ScrapeLine("routes_version", routing_version().value) +
--- a/src/proxy/proxy_signals.cc
+++ b/src/proxy/proxy_signals.cc
@@ -32,8 +32,7 @@
       {{"backoff_ms", MillisecondText(counted)}});
 }
 
-void Proxy::OnLimit(const Exchange& exchange,
-                    const std::optional<RequestRate>& named) {
+void Proxy::OnLimit(const Exchange& exchange, const NamedTerms& named) {
   const std::optional<UpstreamLimit> changed = directory_.ReadLimit(
       exchange.upstream(), exchange.upstream_start(), named);
   if (!changed) {
@@ -43,11 +42,17 @@
       {{"limited", changed->limit.limited ? "1" : "0"},
        {"milli_per_second",
         std::to_string(changed->limit.rate.milli_per_second)},
+       {"rejection_limit", std::to_string(changed->limit.rejection_limit)},
        {"revision", std::to_string(changed->limit.revision)}});
   ApplyDirectoryChanges();
   hooks_.limit(*changed);
 }
 
+void Proxy::SetRoomShare(const policy::RoomShare& share,
+                         TimePoint confirmed_at) {
+  placer_.SetRoomShare(share, confirmed_at, MonotonicNow());
+}
+
 void Proxy::SetLimitShares(const std::vector<policy::LimitShare>& shares,
                            TimePoint confirmed_at) {
   placer_.SetLimitShares(shares, confirmed_at, MonotonicNow());
--- a/tests/fakes/limit_fleet.h
+++ b/tests/fakes/limit_fleet.h
@@ -162,7 +162,9 @@
       entry.told_at = now_;
     }
     const bool news =
-        entry.directory.ReadLimit(UpstreamId("u"), 1, answer.limit).has_value();
+        entry.directory
+            .ReadLimit(UpstreamId("u"), 1, {answer.limit, std::nullopt})
+            .has_value();
     ApplyDirectory(entry);
     return news;
   }
--- a/tests/fakes/test_dialect.h
+++ b/tests/fakes/test_dialect.h
@@ -80,6 +80,9 @@
       traits.limit = http::ParseRequestRate(*limit);
       traits.limit_malformed = !traits.limit;
     }
+    if (const std::string* limit = head.fields.Find("rejection-limit")) {
+      traits.rejection_limit = static_cast<std::uint32_t>(std::stoul(*limit));
+    }
     return traits;
   }
 };
--- a/tests/src/fuzz-instance_directory.cc
+++ b/tests/src/fuzz-instance_directory.cc
@@ -285,8 +285,13 @@
       InstanceDirectory& reader = *rc::gen::arbitrary<bool>() ? a : b;
       InstanceDirectory& other = &reader == &a ? b : a;
       const auto milli = *rc::gen::inRange<std::uint64_t>(0, 3);
-      const auto named =
+      NamedTerms named;
+      named.limit =
           milli == 0 ? std::nullopt : std::optional(RequestRate{milli});
+      const auto rejections = *rc::gen::inRange<std::uint32_t>(0, 3);
+      named.rejection_limit =
+          rejections == 0 ? std::nullopt : std::optional(rejections);
+      named.complete = *rc::gen::arbitrary<bool>();
       const auto born = *rc::gen::inRange<std::uint64_t>(1, 3);
       const auto read = reader.ReadLimit(UpstreamId("i0"), born, named);
       if (read && *rc::gen::arbitrary<bool>()) {
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -298,6 +298,23 @@
   }
 }
 
+TEST_CASE("a rejection limit is read, and never as none") {
+  struct Case {
+    const char* text;
+    std::optional<std::uint32_t> read;
+  };
+  for (const Case& one : {Case{"3", 3}, Case{" 1 ", 1}, Case{"0", 1},
+                          Case{"many", std::nullopt}}) {
+    CAPTURE(one.text);
+    http::ResponseHead head;
+    head.status = 200;
+    head.fields.Set("Server-Brittle", one.text);
+    const auto traits = PlatformDialect().ReadResponse(head, AttemptId("a"));
+    CHECK(traits.rejection_limit == one.read);
+    CHECK(traits.limit_malformed == !one.read.has_value());
+  }
+}
+
 TEST_CASE("a valid settings file is decoded") {
   const auto settings = DecodeSettings(R"({"node_name":"edge-1","role":"entry",
    "zone":"z","ip":"10.1.0.40","listen":{"front":"10.1.0.40:8227",
--- a/tests/src/unit-upstream-limit.cc
+++ b/tests/src/unit-upstream-limit.cc
@@ -83,6 +83,34 @@
   }
 }
 
+TEST_CASE("an upstream that names a rejection limit gets this entry's part") {
+  ProxyEntry entry;
+  auto& upstream = entry.AddUpstream([](LoopbackPeer& peer,
+                                        const std::string& request) {
+    if (IdOf(request) == "0") {
+      peer.Send(MakeResponse("0", "ok", "signed: x\r\nrejection-limit: 1\r\n"));
+    }
+  });
+  REQUIRE(Receives(entry, Ask(entry, "/once/", "0"), "ok"));
+  CHECK(entry.data_path->Limits().front().limit.rejection_limit == 1);
+  // Two entries share three of its four slots; this one has the larger part.
+  const auto share_room = [&] {
+    const TimePoint now = adapter::MonotonicNow();
+    entry.data_path->ConfirmRouting(now, ConfigVersion{1},
+                                    std::chrono::hours(1));
+    entry.data_path->SetRoomShare({0, 2}, now);
+    return false;
+  };
+  entry.RunUntil(share_room, std::chrono::milliseconds(5200));
+  std::vector<std::shared_ptr<LoopbackPeer>> callers;
+  for (int i = 1; i <= 6; ++i) {
+    callers.push_back(entry.ConnectCaller());
+    callers.back()->Send(fakes::MakeRequest("/once/", std::to_string(i)));
+  }
+  entry.RunUntil(share_room, std::chrono::milliseconds(300));
+  CHECK(upstream.requests().size() == 3);
+}
+
 TEST_CASE("only an upstream's own answer withdraws its limit") {
   struct Case {
     const char* name;
