Split relaying from probing; name a start of an upstream by what it is

Cause: proxy_paths.cc did three jobs; LeavingInstance was used for starts that don't leave.

A silent request is given up only if the route allows another attempt; connections for relayed requests count in a planned stop; a path whose upstream drains is no longer remembered as lost.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -110,7 +110,7 @@
                     const adapter::ReplyHandle& reply);
   void HandleInstancePush(const adapter::InboundMessage& message);
   void HandleInstanceBeats(const adapter::InboundMessage& message);
-  void MarkLeaving(const std::vector<membership::LeavingInstance>& told);
+  void MarkLeaving(const std::vector<membership::InstanceStart>& told);
   void TakeLimits(const std::vector<UpstreamLimit>& told);
   std::vector<policy::LimitShare> LimitSharesOf(const ProcessId& entry);
   void HandleCrashes(const adapter::InboundMessage& message);
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -58,13 +58,12 @@
   friend bool operator==(const InstanceBeat&, const InstanceBeat&) = default;
 };
 
-/// @brief A start of an upstream that told an entry that it is leaving.
-struct LeavingInstance {
+/// @brief One start of an upstream; the next one under the same id is another.
+struct InstanceStart {
   UpstreamId id;
   std::uint64_t born = 0;
 
-  friend auto operator<=>(const LeavingInstance&,
-                          const LeavingInstance&) = default;
+  friend auto operator<=>(const InstanceStart&, const InstanceStart&) = default;
 };
 
 /// @brief Directory of the upstream instances. Records may arrive late,
@@ -104,7 +103,7 @@
   /// @brief Marks a start as leaving, which it told in an answer.
   /// @return Whether this is news. A start that is not known yet is remembered;
   /// an older or newer start of the same id is not affected.
-  bool MarkLeaving(const LeavingInstance& leaving);
+  bool MarkLeaving(const InstanceStart& leaving);
 
   /// @brief Merges the limit that a start named in its answers. As for
   /// MarkLeaving(), another start of the same id is not affected.
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -43,7 +43,7 @@
   /// Changes that no control VM has confirmed yet; see PartQuarantine.
   std::vector<policy::PartSuspicion> suspicions;
   /// Upstreams that told this entry lately that they are leaving.
-  std::vector<membership::LeavingInstance> leaving;
+  std::vector<membership::InstanceStart> leaving;
   /// Limits that upstreams told this entry lately.
   std::vector<UpstreamLimit> limits;
 
@@ -133,7 +133,7 @@
 };
 
 template <>
-struct FieldsOf<membership::LeavingInstance> {
+struct FieldsOf<membership::InstanceStart> {
   static auto Tie(auto& m) { return std::tie(m.id, m.born); }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -13,8 +13,8 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
-#include "rattanward/port/event_sink.h"
 #include "rattanward/policy/room_share.h"
+#include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
 
 namespace rattanward::proxy {
@@ -72,7 +72,7 @@
   void AddSuspicions(const std::vector<policy::PartSuspicion>& suspicions);
 
   /// @brief Includes an upstream that is leaving in the next reports.
-  void AddLeaving(const membership::LeavingInstance& upstream);
+  void AddLeaving(const membership::InstanceStart& upstream);
 
   /// @brief Includes what an upstream named as its limit in the next reports.
   void AddLimit(const UpstreamLimit& limit);
@@ -103,7 +103,7 @@
   std::map<Endpoint, Control> controls_;
   std::vector<protocol::CrashWitness> witnesses_;
   /// With the time until which they are reported.
-  std::vector<std::pair<TimePoint, membership::LeavingInstance>> leaving_;
+  std::vector<std::pair<TimePoint, membership::InstanceStart>> leaving_;
   /// By upstream, with the time until which they are reported.
   std::map<UpstreamId, std::pair<TimePoint, UpstreamLimit>> limits_;
   /// By part.
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -96,8 +96,7 @@
   /// @brief No connection to that entry could be opened.
   virtual void OnPeerUnreachable(const Exchange& exchange) = 0;
   /// @brief The answer to a relayed request told that an upstream is leaving.
-  virtual void OnRelayedLeaving(
-      const membership::LeavingInstance& upstream) = 0;
+  virtual void OnRelayedLeaving(const membership::InstanceStart& upstream) = 0;
   virtual void Log(EventId id, const Exchange& exchange,
                    std::vector<EventField> fields) = 0;
   /// @brief Removes a finished exchange.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -56,7 +56,7 @@
   /// What is known against parts of prompts has changed at this entry.
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// An upstream told this entry that it is leaving.
-  std::function<void(const membership::LeavingInstance&)> leaving;
+  std::function<void(const membership::InstanceStart&)> leaving;
   /// An upstream told this entry another limit than the one known.
   std::function<void(const UpstreamLimit&)> limit;
   /// Long prompts were sent or streams began; see TakeUrgentLoad().
@@ -154,7 +154,9 @@
   const ProxyCounters& counters() const { return meter_.counters(); }
   std::size_t open_requests() const { return exchanges_.size(); }
   std::size_t waiting() const { return queue_.size(); }
-  std::size_t connections() const { return server_.connections(); }
+  std::size_t connections() const {
+    return server_.connections() + relay_server_.connections();
+  }
   std::uint64_t upstream_connections_opened() const { return pool_.opened(); }
   std::size_t upstreams() const { return directory_.size(); }
   /// @brief Returns the bound address for callers.
@@ -199,7 +201,7 @@
       const Endpoint& peer) override;
   void OnPeerUnable(const Exchange& exchange) override;
   void OnPeerUnreachable(const Exchange& exchange) override;
-  void OnRelayedLeaving(const membership::LeavingInstance& upstream) override;
+  void OnRelayedLeaving(const membership::InstanceStart& upstream) override;
 
  private:
   /// A request whose connection was lost, as it stood then.
@@ -208,6 +210,9 @@
     std::vector<policy::PartSuspicion> known_at_send;
   };
 
+  /// Time within which a probe of a path must succeed.
+  static constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
+
   /// Services none of whose upstreams is available, each with the time until
   /// which all of them want no request, if they do.
   using FullServices = std::map<ServiceName, std::optional<TimePoint>>;
@@ -241,11 +246,12 @@
   void OnRelayRequest(const std::shared_ptr<http::ServerConnection>& peer,
                       http::ServerRequest request);
   void AnswerReachQuestion(const std::shared_ptr<http::ServerConnection>& peer,
-                           const membership::LeavingInstance& upstream);
+                           const membership::InstanceStart& upstream);
   bool TryRelay(const std::shared_ptr<Exchange>& exchange);
   void ReleasePeer(const Endpoint& peer,
                    std::shared_ptr<http::ClientConnection> connection);
   void ProbePaths(TimePoint now);
+  std::vector<UpstreamId> ReadyUpstreams() const;
   std::vector<policy::WaitingUpstream> WaitingUpstreams() const;
   void OnProbed(const UpstreamId& id, std::uint64_t born, bool reached);
   void MarkPathReached(const UpstreamId& id);
--- a/include/rattanward/proxy/reach_question.h
+++ b/include/rattanward/proxy/reach_question.h
@@ -23,11 +23,11 @@
 };
 
 /// @brief Request line of the question.
-std::string ReachQuestionTarget(const membership::LeavingInstance& upstream);
+std::string ReachQuestionTarget(const membership::InstanceStart& upstream);
 
 /// @brief Reads the start of the upstream that a request asks about.
 /// @return None if the request isn't such a question.
-std::optional<membership::LeavingInstance> ParseReachQuestion(
+std::optional<membership::InstanceStart> ParseReachQuestion(
     const http::RequestHead& head);
 
 /// @brief Status of the answer.
@@ -36,7 +36,7 @@
 /// @brief Asks another entry whether it reaches a start of an upstream.
 /// @param done Called once.
 void AskReach(asio::io_context& io, const Endpoint& peer,
-              const membership::LeavingInstance& upstream, Duration timeout,
+              const membership::InstanceStart& upstream, Duration timeout,
               std::function<void(Reach)> done);
 
 }  // namespace rattanward::proxy
--- a/include/rattanward/proxy/relay_fields.h
+++ b/include/rattanward/proxy/relay_fields.h
@@ -30,7 +30,7 @@
   /// The entry can't serve the request, which has not run; another entry may.
   bool unable = false;
   /// The start of the upstream that answered.
-  std::optional<membership::LeavingInstance> upstream;
+  std::optional<membership::InstanceStart> upstream;
 
   friend bool operator==(const RelayedResponse&,
                          const RelayedResponse&) = default;
--- a/src/control/routing_hub_signals.cc
+++ b/src/control/routing_hub_signals.cc
@@ -9,8 +9,8 @@
 }  // namespace
 
 void RoutingHub::MarkLeaving(
-    const std::vector<membership::LeavingInstance>& told) {
-  for (const membership::LeavingInstance& leaving : told) {
+    const std::vector<membership::InstanceStart>& told) {
+  for (const membership::InstanceStart& leaving : told) {
     const InstanceRecord* record = directory_.Find(leaving.id);
     if (directory_.MarkLeaving(leaving) && record != nullptr) {
       SendRecordsToControls({*record});
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -33,7 +33,7 @@
   return newly_leaving || new_limit ? Change::kChanged : change;
 }
 
-bool InstanceDirectory::MarkLeaving(const LeavingInstance& leaving) {
+bool InstanceDirectory::MarkLeaving(const InstanceStart& leaving) {
   const auto [mark, added] = leaving_.try_emplace(leaving.id, leaving.born);
   if (!added && mark->second >= leaving.born) {
     return false;
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -82,7 +82,7 @@
   }
 }
 
-void ControlLink::AddLeaving(const membership::LeavingInstance& upstream) {
+void ControlLink::AddLeaving(const membership::InstanceStart& upstream) {
   leaving_.emplace_back(MonotonicNow() + kSignalReportTime, upstream);
 }
 
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -72,7 +72,7 @@
               [this](const std::vector<policy::PartSuspicion>& suspicions) {
                 link_.AddSuspicions(suspicions);
               },
-              [this](const membership::LeavingInstance& upstream) {
+              [this](const membership::InstanceStart& upstream) {
                 link_.AddLeaving(upstream);
                 link_.SendReports();
               },
--- a/src/proxy/exchange_relay.cc
+++ b/src/proxy/exchange_relay.cc
@@ -139,7 +139,8 @@
 
 bool Exchange::MayAbandonSilent(TimePoint now) const {
   return state_ == State::kSent && !relay_peer_ &&
-         now - last_byte_at_ >= kShortSilence && is_retryable();
+         now - last_byte_at_ >= kShortSilence && is_retryable() &&
+         attempts_ < request_.route->max_attempts;
 }
 
 void Exchange::OnPathLost() {
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -3,6 +3,7 @@
 
 #include "rattanward/http/reachability.h"
 #include "rattanward/proxy/proxy.h"
+#include "rattanward/proxy/reach_question.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -10,9 +11,12 @@
 using adapter::MonotonicNow;
 
 constexpr Duration kProbeDelay{std::chrono::milliseconds(30)};
-constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 /// Other entries that are asked whether they reach the upstream.
 constexpr int kMaxReachQuestions = 2;
+/// Time in which a sample shows whether other paths are lost, too.
+constexpr Duration kSampleTime{std::chrono::milliseconds(500)};
+/// The entry that is asked needs kProbeTimeout and kSampleTime at most.
+constexpr Duration kReachTimeout{std::chrono::milliseconds(1100)};
 constexpr Duration kQuarantineRetryAfter{std::chrono::seconds(30)};
 
 Error QuarantineError(std::string message) {
@@ -85,6 +89,65 @@
                        });
 }
 
+void Proxy::AnswerReachQuestion(
+    const std::shared_ptr<http::ServerConnection>& peer,
+    const membership::InstanceStart& upstream) {
+  const auto answer = [peer](Reach reach) {
+    http::ResponseHead head;
+    head.status = ReachStatus(reach);
+    peer->Respond(std::move(head), "");
+  };
+  const membership::InstanceRecord* record = directory_.Find(upstream.id);
+  if (record == nullptr || record->stamp.born != upstream.born) {
+    answer(Reach::kNotReached);
+    return;
+  }
+  http::CheckReachable(
+      io_, record->endpoint, kProbeTimeout,
+      [this, upstream, answer](bool reached) {
+        OnProbed(upstream.id, upstream.born, reached);
+        if (reached) {
+          answer(Reach::kReached);
+          return;
+        }
+        timers_.After(kSampleTime, [this, answer](TimePoint) {
+          answer(HasLostMost() ? Reach::kUnknown : Reach::kNotReached);
+        });
+      });
+}
+
+/// Whether this entry may be cut off, so that an upstream that it doesn't reach
+/// need not be down.
+bool Proxy::HasLostMost() const {
+  return paths_.sampling() || 2 * paths_.lost() >= directory_.size();
+}
+
+/// Only this entry's path may be lost. Another entry that reaches the upstream
+/// shows that it didn't crash; if no other one answers, nothing is shown.
+void Proxy::ConfirmCrash(const CrashEvidence& evidence, int questions_left) {
+  const protocol::CrashWitness& witness = evidence.witness;
+  const membership::InstanceRecord* record = directory_.Find(witness.upstream);
+  if (record == nullptr || record->stamp.born != witness.born ||
+      relays_.empty()) {
+    RecordCrash(evidence);
+    return;
+  }
+  const std::optional<Endpoint> peer =
+      relays_.Choose(record->service, {}, MonotonicNow());
+  if (!peer || questions_left == 0) {
+    return;
+  }
+  AskReach(io_, *peer, {witness.upstream, witness.born}, kReachTimeout,
+           [this, evidence, peer, questions_left](Reach reach) {
+             if (reach == Reach::kNotReached) {
+               RecordCrash(evidence);
+             } else if (reach == Reach::kUnknown) {
+               relays_.RecordUnreachable(*peer, MonotonicNow());
+               ConfirmCrash(evidence, questions_left - 1);
+             }
+           });
+}
+
 void Proxy::RecordCrash(const CrashEvidence& evidence) {
   RecordCrashes({evidence.witness});
   std::vector<std::uint64_t> parts;
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -4,7 +4,6 @@
 
 #include "rattanward/http/reachability.h"
 #include "rattanward/proxy/proxy.h"
-#include "rattanward/proxy/reach_question.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -12,42 +11,23 @@
 using adapter::MonotonicNow;
 using membership::InstanceState;
 
-constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 /// Silences that are usual: an engine may be reading a long prompt.
 constexpr Duration kUsualEngineSilence{std::chrono::milliseconds(700)};
 constexpr Duration kUsualServiceSilence{std::chrono::milliseconds(400)};
-/// Time in which a sample shows whether other paths are lost, too.
-constexpr Duration kSampleTime{std::chrono::milliseconds(500)};
-/// The entry that is asked needs kProbeTimeout and kSampleTime at most.
-constexpr Duration kReachTimeout{std::chrono::milliseconds(1100)};
-/// Connections that this entry may hold to another one.
-constexpr std::uint32_t kMaxPeerConnections = 256;
-/// Entries that a request is relayed to, at most.
-constexpr std::size_t kMaxRelays = 6;
-/// Upstreams that a request doesn't reach before it is relayed.
-constexpr std::uint32_t kUnreachableBeforeRelay = 2;
-
-UpstreamId PoolKey(const Endpoint& peer) { return UpstreamId(ToString(peer)); }
 
 }  // namespace
 
-void Proxy::AddRelayPeers(const std::set<Endpoint>& nearby,
-                          const std::set<Endpoint>& remote) {
-  relays_.AddPeers(nearby, remote, MonotonicNow());
-}
-
 void Proxy::ProbePaths(TimePoint now) {
   std::vector<UpstreamId> known;
-  for (const membership::InstanceRecord& record : directory_.All()) {
-    if (record.state == InstanceState::kReady) {
-      known.push_back(record.id);
-    }
+  if (paths_.sampling()) {
+    known = ReadyUpstreams();
   }
   for (const UpstreamId& id :
        paths_.TakeDueProbes(WaitingUpstreams(), known, now)) {
     const membership::InstanceRecord* record = directory_.Find(id);
     if (record == nullptr || record->state != InstanceState::kReady) {
       paths_.Forget(id);
+      placer_.SetPathLost(id, false);
       continue;
     }
     http::CheckReachable(io_, record->endpoint, kProbeTimeout,
@@ -57,6 +37,16 @@
   }
 }
 
+std::vector<UpstreamId> Proxy::ReadyUpstreams() const {
+  std::vector<UpstreamId> ready;
+  for (const membership::InstanceRecord& record : directory_.All()) {
+    if (record.state == InstanceState::kReady) {
+      ready.push_back(record.id);
+    }
+  }
+  return ready;
+}
+
 std::vector<policy::WaitingUpstream> Proxy::WaitingUpstreams() const {
   std::map<UpstreamId, policy::WaitingUpstream> waiting;
   for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
@@ -128,141 +118,4 @@
   }
 }
 
-/// Relays a request that this entry can't send to an upstream.
-/// @return Whether the request was relayed or refused.
-bool Proxy::TryRelay(const std::shared_ptr<Exchange>& exchange) {
-  const TimePoint now = MonotonicNow();
-  const ServiceName& service = exchange->placement().service;
-  const bool unreached =
-      exchange->unreachable_count() >= kUnreachableBeforeRelay;
-  if (!unreached && !placer_.ShouldRelay(service, now)) {
-    return false;
-  }
-  if (exchange->routed().relayed) {
-    if (placer_.HasPath(service)) {
-      return false;
-    }
-    exchange->Refuse(MakeError(ErrorCode::kNoPath,
-                               "this entry has no path to an upstream either"));
-    return true;
-  }
-  const std::set<Endpoint>& tried = exchange->relays_tried();
-  const std::optional<Endpoint> peer = tried.size() < kMaxRelays
-                                           ? relays_.Choose(service, tried, now)
-                                           : std::nullopt;
-  if (peer) {
-    return exchange->RelayTo(*peer);
-  }
-  const TimePoint arrived = exchange->placement().arrived;
-  const bool half_over = now - arrived >= (exchange->deadline() - arrived) / 2;
-  if (half_over && !placer_.HasPath(service)) {
-    exchange->Refuse(MakeError(ErrorCode::kNoPath,
-                               "no path to an upstream, nor to an entry that "
-                               "has one"));
-    return true;
-  }
-  return false;
-}
-
-std::shared_ptr<http::ClientConnection> Proxy::ConnectToPeer(
-    const Endpoint& peer) {
-  const auto connection = relay_pool_.Acquire(
-      PoolKey(peer), peer, kMaxPeerConnections, MonotonicNow());
-  if (connection) {
-    relays_.RecordSent(peer);
-  }
-  return connection;
-}
-
-void Proxy::ReleasePeer(const Endpoint& peer,
-                        std::shared_ptr<http::ClientConnection> connection) {
-  relays_.RecordEnded(peer);
-  relay_pool_.Release(PoolKey(peer), std::move(connection), MonotonicNow());
-}
-
-void Proxy::OnPeerUnable(const Exchange& exchange) {
-  relays_.RecordUnable(*exchange.relay_peer(), exchange.placement().service,
-                       MonotonicNow());
-}
-
-void Proxy::OnPeerUnreachable(const Exchange& exchange) {
-  relays_.RecordUnreachable(*exchange.relay_peer(), MonotonicNow());
-}
-
-void Proxy::OnRelayRequest(const std::shared_ptr<http::ServerConnection>& peer,
-                           http::ServerRequest request) {
-  std::optional<RelayedRequest> relayed =
-      TakeRelayedRequest(&request.head.fields);
-  if (relayed) {
-    AcceptRequest(peer, std::move(request), std::move(relayed));
-    return;
-  }
-  const auto upstream = ParseReachQuestion(request.head);
-  if (upstream) {
-    AnswerReachQuestion(peer, *upstream);
-    return;
-  }
-  RespondError(*peer,
-               MakeError(ErrorCode::kUnknownPath, "not a relayed request"));
-}
-
-void Proxy::AnswerReachQuestion(
-    const std::shared_ptr<http::ServerConnection>& peer,
-    const membership::LeavingInstance& upstream) {
-  const auto answer = [peer](Reach reach) {
-    http::ResponseHead head;
-    head.status = ReachStatus(reach);
-    peer->Respond(std::move(head), "");
-  };
-  const membership::InstanceRecord* record = directory_.Find(upstream.id);
-  if (record == nullptr || record->stamp.born != upstream.born) {
-    answer(Reach::kNotReached);
-    return;
-  }
-  http::CheckReachable(
-      io_, record->endpoint, kProbeTimeout,
-      [this, upstream, answer](bool reached) {
-        OnProbed(upstream.id, upstream.born, reached);
-        if (reached) {
-          answer(Reach::kReached);
-          return;
-        }
-        timers_.After(kSampleTime, [this, answer](TimePoint) {
-          answer(HasLostMost() ? Reach::kUnknown : Reach::kNotReached);
-        });
-      });
-}
-
-/// Whether this entry may be cut off, so that an upstream that it doesn't reach
-/// need not be down.
-bool Proxy::HasLostMost() const {
-  return paths_.sampling() || 2 * paths_.lost() >= directory_.size();
-}
-
-/// Only this entry's path may be lost. Another entry that reaches the upstream
-/// shows that it didn't crash; if no other one answers, nothing is shown.
-void Proxy::ConfirmCrash(const CrashEvidence& evidence, int questions_left) {
-  const protocol::CrashWitness& witness = evidence.witness;
-  const membership::InstanceRecord* record = directory_.Find(witness.upstream);
-  if (record == nullptr || record->stamp.born != witness.born ||
-      relays_.empty()) {
-    RecordCrash(evidence);
-    return;
-  }
-  const std::optional<Endpoint> peer =
-      relays_.Choose(record->service, {}, MonotonicNow());
-  if (!peer || questions_left == 0) {
-    return;
-  }
-  AskReach(io_, *peer, {witness.upstream, witness.born}, kReachTimeout,
-           [this, evidence, peer, questions_left](Reach reach) {
-             if (reach == Reach::kNotReached) {
-               RecordCrash(evidence);
-             } else if (reach == Reach::kUnknown) {
-               relays_.RecordUnreachable(*peer, MonotonicNow());
-               ConfirmCrash(evidence, questions_left - 1);
-             }
-           });
-}
-
 }  // namespace rattanward::proxy
--- a/src/proxy/proxy_signals.cc
+++ b/src/proxy/proxy_signals.cc
@@ -13,7 +13,7 @@
   OnRelayedLeaving({exchange.upstream(), exchange.upstream_start()});
 }
 
-void Proxy::OnRelayedLeaving(const membership::LeavingInstance& upstream) {
+void Proxy::OnRelayedLeaving(const membership::InstanceStart& upstream) {
   if (!directory_.MarkLeaving(upstream)) {
     return;
   }
--- a/src/proxy/reach_question.cc
+++ b/src/proxy/reach_question.cc
@@ -23,7 +23,7 @@
         timer_(io),
         done_(std::move(done)) {}
 
-  void Start(const membership::LeavingInstance& upstream, Duration timeout) {
+  void Start(const membership::InstanceStart& upstream, Duration timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& e) {
       if (!e) {
@@ -72,12 +72,12 @@
 
 }  // namespace
 
-std::string ReachQuestionTarget(const membership::LeavingInstance& upstream) {
+std::string ReachQuestionTarget(const membership::InstanceStart& upstream) {
   return std::string(kPrefix) + std::to_string(upstream.born) + '/' +
          upstream.id.str();
 }
 
-std::optional<membership::LeavingInstance> ParseReachQuestion(
+std::optional<membership::InstanceStart> ParseReachQuestion(
     const http::RequestHead& head) {
   std::string_view target = head.target;
   if (head.method != "GET" || target.substr(0, kPrefix.size()) != kPrefix) {
@@ -92,7 +92,7 @@
       target[length] != '/') {
     return std::nullopt;
   }
-  return membership::LeavingInstance{
+  return membership::InstanceStart{
       UpstreamId(std::string(target.substr(length + 1))), born};
 }
 
@@ -109,7 +109,7 @@
 }
 
 void AskReach(asio::io_context& io, const Endpoint& peer,
-              const membership::LeavingInstance& upstream, Duration timeout,
+              const membership::InstanceStart& upstream, Duration timeout,
               std::function<void(Reach)> done) {
   std::make_shared<Question>(io, peer, std::move(done))
       ->Start(upstream, timeout);
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -71,7 +71,7 @@
         [this](const std::vector<policy::PartSuspicion>& changed) {
           suspicions.insert(suspicions.end(), changed.begin(), changed.end());
         };
-    hooks.leaving = [this](const membership::LeavingInstance& upstream) {
+    hooks.leaving = [this](const membership::InstanceStart& upstream) {
       leaving.push_back(upstream);
     };
     hooks.limit = [this](const UpstreamLimit& limit) {
@@ -134,7 +134,7 @@
   TestDialect dialect;
   std::vector<protocol::CrashWitness> witnesses;
   std::vector<policy::PartSuspicion> suspicions;
-  std::vector<membership::LeavingInstance> leaving;
+  std::vector<membership::InstanceStart> leaving;
   std::vector<UpstreamLimit> limits;
   std::vector<Event> events;
   std::unique_ptr<proxy::Proxy> data_path;
--- a/tests/src/unit-relay.cc
+++ b/tests/src/unit-relay.cc
@@ -205,8 +205,7 @@
   });
   CHECK(Contains(fleet.Ask("/once/", "0"), "served"));
   REQUIRE(fleet[0].leaving.size() == 1);
-  CHECK(fleet[0].leaving[0] ==
-        membership::LeavingInstance{UpstreamId("u1"), 1});
+  CHECK(fleet[0].leaving[0] == membership::InstanceStart{UpstreamId("u1"), 1});
 }
 
 TEST_CASE("a lost path is no crash of an upstream that others reach") {
--- a/tests/src/unit-upstream-signals.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -87,7 +87,7 @@
     }
     CHECK(leaving.requests().size() == 1);
     REQUIRE(entry.leaving.size() == 1);
-    CHECK(entry.leaving[0] == membership::LeavingInstance{UpstreamId("u1"), 1});
+    CHECK(entry.leaving[0] == membership::InstanceStart{UpstreamId("u1"), 1});
   }
 }
 
