--- a/src/proxy/exchange_relay.cc
+++ b/src/proxy/exchange_relay.cc
@@ -9,7 +9,6 @@
 namespace rattanward::proxy {
 namespace {
 
-using adapter::MonotonicNow;
 using http::ClientFailure;
 
 constexpr Duration kPeerConnectTimeout{std::chrono::milliseconds(300)};
--- a/src/proxy/proxy_relay.cc
+++ b/src/proxy/proxy_relay.cc
@@ -63,8 +63,8 @@
 
 std::shared_ptr<http::ClientConnection> Proxy::ConnectToPeer(
     const Endpoint& peer) {
-  const auto connection = relay_pool_.Acquire(
-      PoolKey(peer), peer, kMaxPeerConnections, MonotonicNow());
+  auto connection = relay_pool_.Acquire(PoolKey(peer), peer,
+                                        kMaxPeerConnections, MonotonicNow());
   if (connection) {
     relays_.RecordSent(peer);
   }
--- a/tests/fakes/cut_path.h
+++ b/tests/fakes/cut_path.h
@@ -37,8 +37,9 @@
       socket.native_non_blocking(true, ignored);
       // Asio's own call waits for the connection.
       const auto to = acceptor_.local_endpoint();
-      ::connect(socket.native_handle(), to.data(),
-                static_cast<socklen_t>(to.size()));
+      // It fails with EINPROGRESS, as it is to stay under way.
+      static_cast<void>(::connect(socket.native_handle(), to.data(),
+                                  static_cast<socklen_t>(to.size())));
       waiting_.push_back(std::move(socket));
     }
   }
