--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -8,6 +8,8 @@
 #   deployment_ready                 waits until the entries answer
 #   deployment_stop                  stops all that was started
 #
+# With DEPLOYMENT_RELAYS set, entries relay requests to each other.
+#
 # After deployment_start: ENTRY_0..2, CONTROL_OPERATORS, ANNOUNCE, PID[name].
 BIN=${BUILD:-build}
 ANNOUNCE_TOKEN=local-announce-token-0001
@@ -46,14 +48,16 @@
 TOML
   local i
   for i in 0 1 2; do
-    [ "$i" = "$1" ] || cat >>"$DIR/entry-$1.toml" <<TOML
+    [ "$i" = "$1" ] && continue
+    cat >>"$DIR/entry-$1.toml" <<TOML
 
 [[peers]]
 process = "entry-$i"
 failure_domain = "${DOMAINS[$i]}"
 endpoint = "127.0.0.1:$((BASE + 30 + i))"
-http = "127.0.0.1:$((BASE + 10 + i))"
 TOML
+    [ -z "${DEPLOYMENT_RELAYS:-}" ] ||
+      echo "http = \"127.0.0.1:$((BASE + 10 + i))\"" >>"$DIR/entry-$1.toml"
   done
 }
 
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -2,6 +2,7 @@
 # To be sourced from the root of the checkout.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+DEPLOYMENT_RELAYS=1
 . scripts/deployment.sh
 WORK=$(mktemp -d)
 trap 'deployment_stop; [ -n "${KEEP_LOGS:-}" ] && echo "logs: $WORK" || rm -rf "$WORK"' EXIT
