Begin no second answer in a stream that was relayed in vain

What callers saw: nothing yet; found by reading. A stream whose path was lost, that no entry could take, and that then met an upstream which failed it, got that failure's head in the middle of its body.

Cause: what the last relay answered was kept when the request went to an upstream next.

Change: it is forgotten with that attempt.

Measured: unit-relay, the new case: the caller's stream doesn't end before; it is reset after.

Conclusion: mended.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -116,6 +116,7 @@
   }
   upstream_ = upstream;
   relay_peer_.reset();
+  relay_response_ = {};
   const policy::UpstreamLoad load = owner_.LoadOf(upstream_);
   upstream_start_ = owner_.StartOf(upstream_);
   upstream_version_ = owner_.VersionOf(upstream_);
--- a/tests/src/unit-relay.cc
+++ b/tests/src/unit-relay.cc
@@ -268,6 +268,40 @@
   CHECK(after == "1");
 }
 
+TEST_CASE("a stream that no entry could go on with gets no second answer") {
+  asio::io_context io;
+  Fleet fleet(2);
+  std::shared_ptr<LoopbackPeer> begun;
+  auto& first = fleet[0].AddUpstream(
+      [&](LoopbackPeer& peer, const std::string& request) {
+        peer.Send(fakes::StreamHead(IdOf(request)) +
+                  http::EncodeChunk("id: 1\ndata: a\n\n"));
+        begun = peer.shared_from_this();
+      },
+      "v1");
+  fleet[0].AddRecord(9, RefusingEndpoint(io), "v1");
+  fleet[1].AddRecord(9, RefusingEndpoint(io), "v1");
+  const auto caller = fleet[0].ConnectCaller();
+  caller->Send(MakeRequest("/resume/", "0"));
+  REQUIRE(
+      fleet.RunUntil([&] { return Contains(caller->received(), "data: a"); }));
+  first.Stop();
+  begun->Close(true);
+  REQUIRE(fleet.RunUntil([&] {
+    return CountEvents(fleet[0], EventId::kRequestRelayed) > 0 &&
+           fleet[0].data_path->waiting() > 0;
+  }));
+  fleet[0].AddUpstream(
+      [](LoopbackPeer& peer, const std::string& request) {
+        peer.Send(
+            MakeResponse(IdOf(request), "no", "signed: x\r\n", "500 Failed"));
+      },
+      "v1");
+  REQUIRE(fleet.RunUntil([&] { return caller->ended(); }));
+  CHECK_FALSE(Contains(caller->received(), "HTTP/1.1 500"));
+  CHECK_FALSE(Contains(caller->received(), "0\r\n\r\n"));
+}
+
 TEST_CASE("relay fields survive the way and are removed at its end") {
   http::Fields fields;
   const RelayedRequest request{ConfigVersion{7}, 2, "v1"};
