Forget a lost path with the address or the upstream that it belonged to

Cause: the probes' state was forgotten when an upstream moved, but the dispatcher was not told.

Change: it is told; the product's own interface only. On the event-driven data path the state belongs to the start of the upstream.

Conclusion: mended.

--- a/include/rattanward/entry/path_watch.h
+++ b/include/rattanward/entry/path_watch.h
@@ -33,6 +33,7 @@
 
  private:
   void Tick(TimePoint now);
+  void Forget(const UpstreamId& id);
   void Probe(const UpstreamId& id);
   void OnProbed(const UpstreamId& id, const Endpoint& endpoint, bool reached);
 
--- a/src/entry/path_watch.cc
+++ b/src/entry/path_watch.cc
@@ -31,13 +31,21 @@
   const auto [known, added] = endpoints_.emplace(id, endpoint);
   if (!added && known->second != endpoint) {
     known->second = endpoint;
-    paths_.Forget(id);
+    Forget(id);
   }
 }
 
 void PathWatch::RemoveUpstream(const UpstreamId& id) {
   endpoints_.erase(id);
+  Forget(id);
+}
+
+void PathWatch::Forget(const UpstreamId& id) {
+  const bool was_lost = paths_.IsLost(id);
   paths_.Forget(id);
+  if (was_lost) {
+    on_change_(id, false);
+  }
 }
 
 void PathWatch::RecordUnreached(const UpstreamId& id) {
--- a/tests/fakes/caller_entry.h
+++ b/tests/fakes/caller_entry.h
@@ -96,6 +96,14 @@
     return LoopbackPeer::Connect(core.context(), front.endpoint());
   }
 
+  /// @brief Announces the upstreams anew at another address.
+  void MoveUpstreams(const Endpoint& endpoint) {
+    announced_ = endpoint;
+    ++sequence_;
+    Announce(UpstreamKind::kModelEngine, "engine");
+    Announce(UpstreamKind::kService, "service");
+  }
+
   bool RunUntil(const std::function<bool()>& done) {
     const TimePoint end = entry::EntryCore::Now() + kEntryTestTimeout;
     while (!done() && entry::EntryCore::Now() < end) {
@@ -122,7 +130,7 @@
   void Announce(UpstreamKind kind, const std::string& id) {
     Announcement announcement;
     announcement.instance = UpstreamId(id);
-    announcement.sequence = 1;
+    announcement.sequence = sequence_;
     announcement.kind = kind;
     announcement.endpoint = announced_;
     announcement.models = {ModelName("small")};
@@ -132,6 +140,7 @@
   }
 
   Endpoint announced_;
+  std::uint64_t sequence_ = 1;
 };
 
 inline std::string Post(const std::string& path, const std::string& body,
--- a/tests/src/unit-entry-relay.cc
+++ b/tests/src/unit-entry-relay.cc
@@ -119,6 +119,17 @@
   CHECK(Contains(caller->received(), "Retry-After: "));
 }
 
+TEST_CASE("an upstream that moves is used again without a probe") {
+  asio::io_context io;
+  TwoEntries entries(RefusingEndpoint(io));
+  CHECK(Contains(entries.Ask(Completion()), "[DONE]"));
+  LoopbackUpstream moved(entries.cut.core.context(), RespondWell);
+  entries.cut.MoveUpstreams(moved.endpoint());
+  CHECK(Contains(entries.Ask(Completion()), "[DONE]"));
+  CHECK(Contains(entries.Ask(Post("/services/plugs/read", "{}")), "served"));
+  CHECK(moved.requests().size() == 2);
+}
+
 TEST_CASE("a caller that leaves ends its relayed request") {
   asio::io_context io;
   TwoEntries entries(RefusingEndpoint(io),
