--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -14,6 +14,7 @@
 }
 
 int RunShutdownQueue();
+int RunInnocentQuarantine();
 
 }  // namespace review
 
@@ -29,6 +30,8 @@
   int result = 2;
   if (which == "shutdown-queue") {
     result = RunShutdownQueue();
+  } else if (which == "innocent-quarantine") {
+    result = RunInnocentQuarantine();
   }
   Note("exit %d", result);
   return result;
