Review case 4: a configuration without tenants denies every request

What breaks: DENIED. The entries ask for an account on each route that isn't anonymous, also where the acknowledged configuration names no tenants, so that clients need no key.

--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -14,6 +14,7 @@
 }
 
 int RunShutdownQueue();
+int RunNoTenants();
 int RunInnocentQuarantine();
 
 }  // namespace review
@@ -30,6 +31,8 @@
   int result = 2;
   if (which == "shutdown-queue") {
     result = RunShutdownQueue();
+  } else if (which == "no-tenants") {
+    result = RunNoTenants();
   } else if (which == "innocent-quarantine") {
     result = RunInnocentQuarantine();
   }
