Review case 4: a runner that left is in use again after a restart of all processes

What breaks: DRAIN. That a runner has deregistered is kept in memory alone. If all processes are killed and start again, a heartbeat that the runner had sent before and that arrives late registers it anew, and all entries send to it.

Without the kill the late heartbeat changes nothing.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# The operator sends a configuration without tenants.
-exec bash "$(dirname "$0")/../run-case.sh" 4 no-tenants
+# A late heartbeat of a runner that has left, after a restart of all processes.
+exec bash "$(dirname "$0")/../run-case.sh" 4 late-heartbeat
--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -499,6 +499,30 @@
                .status == 200;
   }
 
+  /// Settings of a process that starts again.
+  void SetNotFirstStart(const Process& p) {
+    FILE* f = fopen(p.settings.c_str(), "r");
+    std::string text;
+    char buffer[4096];
+    for (std::size_t n = 0; f != nullptr && (n = fread(buffer, 1, sizeof buffer, f)) > 0;) {
+      text.append(buffer, n);
+    }
+    if (f != nullptr) {
+      fclose(f);
+    }
+    const std::string was = "\"first_start\":true";
+    const std::size_t at = text.find(was);
+    if (at != std::string::npos) {
+      text.replace(at, was.size(), "\"first_start\":false");
+    }
+    f = fopen((p.settings + ".new").c_str(), "w");
+    if (f != nullptr) {
+      fputs(text.c_str(), f);
+      fclose(f);
+      rename((p.settings + ".new").c_str(), p.settings.c_str());
+    }
+  }
+
   /// A figure of an entry's own metrics, for the record only.
   double Metric(const std::string& ip, const std::string& name) {
     const Answer a =
@@ -673,6 +697,15 @@
       SleepMs(50);
     }
   }
+  /// Sends no further heartbeat, and returns one that the caller delivers late.
+  std::string SilenceAndTakeBeat() {
+    silent_ = true;
+    SleepMs(100);
+    return BeatBody();
+  }
+  Answer SendLateBeat(const std::string& body) {
+    return deployment_.CallControl("PUT", "/-/instances/" + o_.id, body, 1);
+  }
   void Leave() {
     silent_ = true;
     deployment_.CallControl("DELETE", "/-/instances/" + o_.id,
@@ -681,13 +714,17 @@
   }
 
  private:
-  Answer Beat(double seconds) {
+  std::string BeatBody() {
     char body[1024];
     snprintf(body, sizeof body,
              R"({"service":"%s","address":"%s:%d","zone":"%s","version":"%s","slots":%d,"state":"%s","cold_remaining_ms":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%llu})",
              o_.service.c_str(), o_.ip.c_str(), o_.port, o_.zone.c_str(),
              o_.version.c_str(), o_.slots, state_.load(), ++sequence_,
              static_cast<unsigned long long>(born_));
+    return body;
+  }
+  Answer Beat(double seconds) {
+    const std::string body = BeatBody();
     // The daemon that acknowledged last is called again; the next one after a
     // failure or a second without an answer.
     const double until = Now() + seconds;
@@ -698,7 +735,7 @@
                   " HTTP/1.1\r\nHost: control\r\nContent-Type: "
                   "application/json\r\nConnection: close\r\n"
                   "Content-Length: " +
-                  std::to_string(strlen(body)) + "\r\n\r\n" + body,
+                  std::to_string(body.size()) + "\r\n\r\n" + body,
               1.0);
       if (a.complete && a.status / 100 == 2) {
         return a;
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -15,6 +15,7 @@
 
 int RunShutdownQueue();
 int RunNoTenants();
+int RunLateHeartbeat();
 int RunInnocentQuarantine();
 
 }  // namespace review
@@ -31,6 +32,8 @@
   int result = 2;
   if (which == "shutdown-queue") {
     result = RunShutdownQueue();
+  } else if (which == "late-heartbeat") {
+    result = RunLateHeartbeat();
   } else if (which == "no-tenants") {
     result = RunNoTenants();
   } else if (which == "innocent-quarantine") {
