--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -168,9 +168,7 @@
     const auto it = fields.find(name);
     return it == fields.end() ? std::string() : it->second;
   }
-  int status() const {
-    return first.size() > 12 ? atoi(first.c_str() + 9) : 0;
-  }
+  int status() const { return first.size() > 12 ? atoi(first.c_str() + 9) : 0; }
   std::string method() const { return first.substr(0, first.find(' ')); }
   std::string target() const {
     const std::size_t a = first.find(' ') + 1;
@@ -218,9 +216,9 @@
 };
 
 /// Reads an answer whole. `on_piece` sees the body as it arrives.
-inline void ReadAnswer(int fd, double until, Answer* a,
-                       const std::function<void(const std::string&)>& on_piece =
-                           {}) {
+inline void ReadAnswer(
+    int fd, double until, Answer* a,
+    const std::function<void(const std::string&)>& on_piece = {}) {
   std::string in;
   Message head;
   while (true) {
@@ -266,7 +264,8 @@
     } else {
       a->body += in;
       in.clear();
-      if (!length.empty() && a->body.size() >= strtoul(length.c_str(), nullptr, 10)) {
+      if (!length.empty() &&
+          a->body.size() >= strtoul(length.c_str(), nullptr, 10)) {
         a->complete = true;
         break;
       }
@@ -300,19 +299,22 @@
   return a;
 }
 
-// ---- processes of the project ------------------------------------------------
+// ---- processes of the project
+// ------------------------------------------------
 struct Layout {
   std::string root;    // the checkout
   std::string folder;  // temporary
   std::string net;     // "127.x.y."
-  int front = 8227, ready = 8220, control = 8229, internal = 7340, metrics = 9464;
+  int front = 8227, ready = 8220, control = 8229, internal = 7340,
+      metrics = 9464;
   int controls = 3, entries = 3;
   int tolerated = 1;
   std::string Core(int i) const { return net + std::to_string(11 + i); }
   std::string Edge(int i) const { return net + std::to_string(21 + i); }
   std::string Server(int i) const { return net + std::to_string(41 + i); }
-  std::string Proxy(int i) const { return net + std::to_string(81 + i); }
-  std::string Zone(int i) const { return std::string("zone-") + char('a' + i % 3); }
+  std::string Zone(int i) const {
+    return std::string("zone-") + char('a' + i % 3);
+  }
 };
 
 struct Process {
@@ -324,8 +326,6 @@
  public:
   Layout net;
   std::vector<Process> controls, entries;
-  /// Seeds as an entry's settings name them; the controls if empty.
-  std::function<std::vector<std::string>(int)> entry_seeds;
 
   Deployment() {
     char cwd[4096];
@@ -455,10 +455,12 @@
 "config_mode":"highest"})",
         p.name.c_str(), p.role.c_str(), cls.c_str(),
         core ? "control_plane" : "edge", ip.c_str(), net.Zone(i).c_str(),
-        core ? ("\"control\":\"" + ip + ":" + std::to_string(net.control) + "\"").c_str()
-             : ("\"front\":\"" + ip + ":" + std::to_string(net.front) +
-                "\",\"ready\":\"" + ip + ":" + std::to_string(net.ready) + "\"")
-                   .c_str(),
+        core
+            ? ("\"control\":\"" + ip + ":" + std::to_string(net.control) + "\"")
+                  .c_str()
+            : ("\"front\":\"" + ip + ":" + std::to_string(net.front) +
+               "\",\"ready\":\"" + ip + ":" + std::to_string(net.ready) + "\"")
+                  .c_str(),
         net.internal, net.internal + 15, list.c_str(), core ? "true" : "false",
         core ? "0.6" : "0.25", core ? 256 : 110, core ? 4096 : 4100,
         core ? 128 : 0, data.c_str(), net.tolerated);
@@ -495,7 +497,8 @@
   }
   bool IsReady(int i) {
     return Ask(net.Edge(i), net.ready,
-               "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 1)
+               "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+               1)
                .status == 200;
   }
 
@@ -504,7 +507,8 @@
     FILE* f = fopen(p.settings.c_str(), "r");
     std::string text;
     char buffer[4096];
-    for (std::size_t n = 0; f != nullptr && (n = fread(buffer, 1, sizeof buffer, f)) > 0;) {
+    for (std::size_t n = 0;
+         f != nullptr && (n = fread(buffer, 1, sizeof buffer, f)) > 0;) {
       text.append(buffer, n);
     }
     if (f != nullptr) {
@@ -547,7 +551,8 @@
     Answer a;
     int wait_ms = 50;
     while (Now() < until) {
-      std::string ip = net.Core(static_cast<int>(turn++ % static_cast<unsigned>(net.controls)));
+      std::string ip = net.Core(
+          static_cast<int>(turn++ % static_cast<unsigned>(net.controls)));
       for (int hop = 0; hop < 3; ++hop) {
         a = Ask(ip, net.control,
                 method + " " + path + " HTTP/1.1\r\nHost: control\r\n" +
@@ -586,13 +591,13 @@
     p.role = role;
     p.settings = net.folder + "/" + p.name + ".json";
     p.log = net.folder + "/" + p.name + ".log";
-    WriteSettings(p, cls, i, ip,
-                  cls == "edge" && entry_seeds ? entry_seeds(i) : Seeds());
+    WriteSettings(p, cls, i, ip, Seeds());
     return p;
   }
 };
 
-// ---- runners -----------------------------------------------------------------
+// ---- runners
+// -----------------------------------------------------------------
 struct Arrival {
   double at = 0;
   std::string attempt, runner, entry_ip, target, priority, last_event_id;
@@ -618,8 +623,6 @@
     std::size_t answer_bytes = 800;
     /// Control daemon that gets the heartbeats first.
     int beats_to = 0;
-    /// Path of a request that ends the process of a runner that begins it.
-    std::string poison;
   };
 
   Runner(Deployment& deployment, Options options)
@@ -655,7 +658,8 @@
     Note("runner %s (%s) starts at %s", o_.id.c_str(), o_.service.c_str(),
          o_.ip.c_str());
     const std::lock_guard<std::mutex> lock(mutex_);
-    threads_.emplace_back([this, listener, life] { AcceptLoop(listener, life); });
+    threads_.emplace_back(
+        [this, listener, life] { AcceptLoop(listener, life); });
     threads_.emplace_back([this, life] { BeatLoop(life); });
   }
 
@@ -716,11 +720,12 @@
  private:
   std::string BeatBody() {
     char body[1024];
-    snprintf(body, sizeof body,
-             R"({"service":"%s","address":"%s:%d","zone":"%s","version":"%s","slots":%d,"state":"%s","cold_remaining_ms":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%llu})",
-             o_.service.c_str(), o_.ip.c_str(), o_.port, o_.zone.c_str(),
-             o_.version.c_str(), o_.slots, state_.load(), ++sequence_,
-             static_cast<unsigned long long>(born_));
+    snprintf(
+        body, sizeof body,
+        R"({"service":"%s","address":"%s:%d","zone":"%s","version":"%s","slots":%d,"state":"%s","cold_remaining_ms":0,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%llu})",
+        o_.service.c_str(), o_.ip.c_str(), o_.port, o_.zone.c_str(),
+        o_.version.c_str(), o_.slots, state_.load(), ++sequence_,
+        static_cast<unsigned long long>(born_));
     return body;
   }
   Answer Beat(double seconds) {
@@ -758,8 +763,8 @@
     while (life_ == life) {
       sockaddr_in peer{};
       socklen_t size = sizeof peer;
-      const int fd = accept4(listener, reinterpret_cast<sockaddr*>(&peer), &size,
-                             SOCK_CLOEXEC);
+      const int fd = accept4(listener, reinterpret_cast<sockaddr*>(&peer),
+                             &size, SOCK_CLOEXEC);
       if (fd < 0) {
         break;
       }
@@ -867,13 +872,9 @@
       arrivals[index].run = true;
     }
     Note("%s: %s runs %s %s%s%s", from.c_str(), o_.id.c_str(), attempt.c_str(),
-         m.target().c_str(), m.Field("last-event-id").empty() ? "" : " after event ",
+         m.target().c_str(),
+         m.Field("last-event-id").empty() ? "" : " after event ",
          m.Field("last-event-id").c_str());
-    if (!o_.poison.empty() && m.target() == o_.poison) {
-      std::thread([this] { Crash(); }).detach();
-      SleepMs(50);
-      return false;
-    }
     const bool good = o_.stream ? Stream(fd, life, deadline, attempt, m)
                                 : Plain(fd, life, deadline, attempt);
     {
@@ -926,8 +927,9 @@
           return false;
         }
       }
-      const std::string event = "id: " + std::to_string(i) + "\ndata: " +
-                                attempt + " " + std::to_string(i) + "\n\n";
+      const std::string event = "id: " + std::to_string(i) +
+                                "\ndata: " + attempt + " " + std::to_string(i) +
+                                "\n\n";
       char size[32];
       snprintf(size, sizeof size, "%zx\r\n", event.size());
       if (!SendAll(fd, size + event + "\r\n")) {
@@ -953,10 +955,12 @@
   int listener_ = -1;
 };
 
-// ---- clients -----------------------------------------------------------------
+// ---- clients
+// -----------------------------------------------------------------
 inline std::string AttemptId() {
   static std::mutex m;
-  static std::mt19937_64 random(UnixMs() ^ static_cast<std::uint64_t>(getpid()));
+  static std::mt19937_64 random(UnixMs() ^
+                                static_cast<std::uint64_t>(getpid()));
   const std::lock_guard<std::mutex> lock(m);
   char text[32];
   snprintf(text, sizeof text, "%016llx",
--- a/review/standin/innocent_quarantine.cc
+++ b/review/standin/innocent_quarantine.cc
@@ -65,8 +65,8 @@
   std::mutex mutex;
   std::vector<Sent> sent;
   std::vector<std::thread> clients;
-  // Sixteen guide requests in flight in each zone, three in ten of them the same
-  // question of the same tenant, and four digests.
+  // Sixteen guide requests in flight in each zone, three in ten of them the
+  // same question of the same tenant, and four digests.
   for (int c = 0; c < 120; ++c) {
     clients.emplace_back([&, c] {
       std::mt19937 random(static_cast<unsigned>(c + 1));
@@ -85,11 +85,15 @@
         if (digest) {
           r.path = "/digest/d";
           snprintf(more, sizeof more,
-                   "X-Model: m\r\nX-Token-Usage: 9190,50\r\nX-Prefix-Hash: d1:6300,%x:2890\r\n", own);
+                   "X-Model: m\r\nX-Token-Usage: 9190,50\r\nX-Prefix-Hash: "
+                   "d1:6300,%x:2890\r\n",
+                   own);
         } else {
           r.path = "/guide/g";
           snprintf(more, sizeof more,
-                   "X-Model: m\r\nX-Token-Usage: 715,100\r\nX-Prefix-Hash: a1:172,%x:543\r\n", own);
+                   "X-Model: m\r\nX-Token-Usage: 715,100\r\nX-Prefix-Hash: "
+                   "a1:172,%x:543\r\n",
+                   own);
         }
         r.more = more;
         r.body = s.hot ? "Which papers do I need?"
@@ -105,8 +109,8 @@
     });
   }
   SleepMs(10000);
-  const auto count = [&](const std::string& kind, bool hot_only, double from, double to,
-                         int* asked, int* served) {
+  const auto count = [&](const std::string& kind, bool hot_only, double from,
+                         double to, int* asked, int* served) {
     const std::lock_guard<std::mutex> lock(mutex);
     *asked = 0;
     *served = 0;
@@ -148,22 +152,28 @@
     }
     int asked = 0, served = 0;
     count("guide", true, begin, Now(), &asked, &served);
-    Note("release %d: the question that is asked often, ended since: %d, %d served",
-         wave + 1, asked, served);
+    Note(
+        "release %d: the question that is asked often, ended since: %d, %d "
+        "served",
+        wave + 1, asked, served);
   }
   while (Now() < release + kReleases * kBetweenSeconds) {
     SleepMs(10);
   }
   int before_asked = 0, before_served = 0;
   count("guide", true, 0, release, &before_asked, &before_served);
-  Note("the question that is asked often, before the release: %d asked, %d served", before_asked, before_served);
+  Note(
+      "the question that is asked often, before the release: %d asked, %d "
+      "served",
+      before_asked, before_served);
   const double calm = Now();
   SleepMs((kCalmSeconds + 13) * 1000);
   over = true;
   for (auto& t : clients) {
     t.join();
   }
-  int guides = 0, guides_served = 0, hot = 0, hot_served = 0, digests = 0, digests_served = 0;
+  int guides = 0, guides_served = 0, hot = 0, hot_served = 0, digests = 0,
+      digests_served = 0;
   count("guide", false, calm, calm + kCalmSeconds, &guides, &guides_served);
   count("guide", true, calm, calm + kCalmSeconds, &hot, &hot_served);
   count("digest", false, calm, calm + kCalmSeconds, &digests, &digests_served);
@@ -174,20 +184,25 @@
     }
   }
   for (const auto& [status, n] : statuses) {
-    Note("the question that is asked often, since the calm: %d times status %d", n, status);
+    Note("the question that is asked often, since the calm: %d times status %d",
+         n, status);
   }
   int begun = 0;
   {
     const std::lock_guard<std::mutex> lock(arrivals_mutex);
     for (const Arrival& a : arrivals) {
-      begun += a.run && a.target == "/digest/d" && a.at >= calm && a.at < calm + kCalmSeconds ? 1 : 0;
+      begun += a.run && a.target == "/digest/d" && a.at >= calm &&
+                       a.at < calm + kCalmSeconds
+                   ? 1
+                   : 0;
     }
   }
   const int nothing = guides - guides_served;
-  Note("five calm seconds, no runner starts or leaves: guide (urgent, 1,715 "
-       "tokens): %d asked, %d got nothing (the often asked question: %d asked, "
-       "%d served); digest (less urgent, 9,690 tokens): %d asked, %d begun",
-       guides, nothing, hot, hot_served, digests, begun);
+  Note(
+      "five calm seconds, no runner starts or leaves: guide (urgent, 1,715 "
+      "tokens): %d asked, %d got nothing (the often asked question: %d asked, "
+      "%d served); digest (less urgent, 9,690 tokens): %d asked, %d begun",
+      guides, nothing, hot, hot_served, digests, begun);
   const bool broken = nothing >= 10 && nothing * 12 > guides && begun > 0;
   Note("TIER %s", broken ? "broken" : "held");
   return broken ? 1 : 0;
--- a/review/standin/late_heartbeat.cc
+++ b/review/standin/late_heartbeat.cc
@@ -56,7 +56,8 @@
         r.deadline_ms = 3000;
         const std::string attempt = AttemptId();
         const double at = Now();
-        const Answer a = Ask(d.net.Edge(c % 3), d.net.front, r.Text(attempt), 4);
+        const Answer a =
+            Ask(d.net.Edge(c % 3), d.net.front, r.Text(attempt), 4);
         {
           const std::lock_guard<std::mutex> lock(mutex);
           sent[attempt] = {at, a};
@@ -97,7 +98,8 @@
     SleepMs(10);
   }
   const Answer taken = leaving.SendLateBeat(late);
-  Note("the heartbeat sent at %.3f arrives at %.3f and is answered %d", beat_sent, Now(), taken.status);
+  Note("the heartbeat sent at %.3f arrives at %.3f and is answered %d",
+       beat_sent, Now(), taken.status);
   while (Now() < acked + kDrainSeconds + kLingerSeconds) {
     SleepMs(20);
   }
@@ -125,11 +127,12 @@
     ++broken;
     lost += answer.complete && answer.status == 200 ? 0 : 1;
   }
-  Note("deregistration acknowledged at %.3f; all processes back at %.3f; %zu "
-       "requests sent; reached the runner over 2 s after the acknowledgement: "
-       "%d from machines in touch (%.3f to %.3f), of which %d got no success; "
-       "%d within 3 s after the restart",
-       acked, back, sent.size(), broken, first, last, lost, early);
+  Note(
+      "deregistration acknowledged at %.3f; all processes back at %.3f; %zu "
+      "requests sent; reached the runner over 2 s after the acknowledgement: "
+      "%d from machines in touch (%.3f to %.3f), of which %d got no success; "
+      "%d within 3 s after the restart",
+      acked, back, sent.size(), broken, first, last, lost, early);
   return broken > 0 ? 1 : 0;
 }
 
--- a/review/standin/no_tenants.cc
+++ b/review/standin/no_tenants.cc
@@ -1,4 +1,5 @@
-// The operator sends a configuration without tenants; clients then carry no keys.
+// The operator sends a configuration without tenants; clients then carry no
+// keys.
 #include "harness.h"
 
 namespace review {
@@ -9,7 +10,9 @@
          R"(,"routes":[{"name":"book","host":"site.example","path_prefix":"/book/","route_kind":"non_idempotent","timeout_ms":3000,"slo_ms":300,"priority":1,"service":"desk","max_attempts":1,"anonymous":false,"sticky":false,"resumable":false}],
 "services":[{"name":"desk","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000})" +
-         (tenants ? R"(,"tenants":[{"name":"port","api_keys":["key-of-port-0001"],"priority":1}]})" : "}");
+         (tenants
+              ? R"(,"tenants":[{"name":"port","api_keys":["key-of-port-0001"],"priority":1}]})"
+              : "}");
 }
 
 }  // namespace
@@ -56,11 +59,17 @@
       ++asked;
       served += a.complete && a.status == 200 ? 1 : 0;
       denied += a.status == 401 || a.status == 403 || a.status == 404 ? 1 : 0;
-      other += a.status != 200 && a.status != 401 && a.status != 403 && a.status != 404 ? 1 : 0;
+      other += a.status != 200 && a.status != 401 && a.status != 403 &&
+                       a.status != 404
+                   ? 1
+                   : 0;
     }
     SleepMs(200);
   }
-  Note("%d proper requests: %d served, %d denied with 401, 403 or 404, %d others", asked, served, denied, other);
+  Note(
+      "%d proper requests: %d served, %d denied with 401, 403 or 404, %d "
+      "others",
+      asked, served, denied, other);
   return denied > 5 + asked / 500 ? 1 : 0;
 }
 
--- a/review/standin/shutdown_queue.cc
+++ b/review/standin/shutdown_queue.cc
@@ -107,16 +107,18 @@
       ++excused;  // the runner was still at work on it
     } else if (a.ended_at - a.sent_at > 0.2) {
       ++lost;
-      Note("LOST: %s was read, never passed on, and its connection ended "
-           "without an answer after %.3f s, %.3f s before its deadline",
-           s.attempt.c_str(), a.ended_at - a.sent_at,
-           12.0 - (a.ended_at - a.sent_at));
+      Note(
+          "LOST: %s was read, never passed on, and its connection ended "
+          "without an answer after %.3f s, %.3f s before its deadline",
+          s.attempt.c_str(), a.ended_at - a.sent_at,
+          12.0 - (a.ended_at - a.sent_at));
     }
   }
-  Note("%d requests: %d served, %d refused, %d ended at their deadline or by "
-       "a failure, %d cut at a runner that was still at work, %d lost in the "
-       "queue; %.1f s",
-       kRequests, served, refused, failed, excused, lost, Now() - begin);
+  Note(
+      "%d requests: %d served, %d refused, %d ended at their deadline or by "
+      "a failure, %d cut at a runner that was still at work, %d lost in the "
+      "queue; %.1f s",
+      kRequests, served, refused, failed, excused, lost, Now() - begin);
   return lost > 0 ? 1 : 0;
 }
 
