Require no key where a configuration has no tenants

Cause: an absent list of tenants was read like an empty one, so that every route that isn't anonymous asked for the key of an account, of which there were none. The class: optional parts whose absence, JSON null and empty value weren't told apart; null was an error for some, the default for others, and an object in place of a list was read as an empty list.

Change: the declaration says whether keys are needed (tenants present, even if empty). Without tenants a request without a key is allowed; one that shows a key is still refused, since the key may have been withdrawn. Every optional part reads null as absent; lists and objects of another kind are invalid.

--- a/include/rattanward/domain/routing.h
+++ b/include/rattanward/domain/routing.h
@@ -109,6 +109,9 @@
   ConfigVersion version;
   std::vector<Route> routes;
   std::vector<RoutedService> services;
+  /// Whether routes that aren't anonymous need the key of an account. Without
+  /// accounts, nobody may use them.
+  bool needs_keys = true;
   std::vector<RoutedAccount> accounts;
   CallerLimits limits;
 
@@ -144,6 +147,12 @@
   /// @brief The account that a key belongs to, or null.
   const RoutedAccount* FindAccount(const std::string& key) const;
 
+  /// @brief Whether a caller with this key may use the route.
+  /// @param key Empty if the caller shows none.
+  /// @note A key that belongs to no account is refused also where none is
+  /// needed, since it may have been withdrawn. Anonymous routes ignore keys.
+  bool IsAllowed(const Route& route, const std::string& key) const;
+
   /// @brief How urgent a request is among all that the declaration allows; 0
   /// is the most urgent. The account's rank goes first, then the route's.
   /// @param account Null for a request without a key.
--- a/src/domain/routing.cc
+++ b/src/domain/routing.cc
@@ -166,6 +166,13 @@
   return found == accounts_.end() ? nullptr : found->second;
 }
 
+bool RoutingTable::IsAllowed(const Route& route, const std::string& key) const {
+  if (route.anonymous || FindAccount(key) != nullptr) {
+    return true;
+  }
+  return !declaration_.needs_keys && key.empty();
+}
+
 std::uint32_t RoutingTable::RankOf(const Route& route,
                                    const RoutedAccount* account) const {
   const auto found =
--- a/src/proxy/proxy_requests.cc
+++ b/src/proxy/proxy_requests.cc
@@ -116,7 +116,7 @@
   }
   routed.traits = traits;
   routed.account = table_->FindAccount(routed.traits.key);
-  if (routed.account == nullptr && !routed.route->anonymous) {
+  if (!table_->IsAllowed(*routed.route, routed.traits.key)) {
     return DenialError(ErrorCode::kUnknownKey, "unknown key");
   }
   routed.service =
@@ -160,7 +160,7 @@
   // was queued.
   const RoutedRequest& routed = exchange.routed();
   if (routed.table != table_ &&
-      table_->FindAccount(routed.traits.key) == nullptr) {
+      !table_->IsAllowed(*routed.route, routed.traits.key)) {
     return DenialError(ErrorCode::kUnknownKey, "unknown key");
   }
   return outcome::success();
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -101,6 +101,63 @@
   }
 }
 
+TEST_CASE("an optional part of a configuration may be absent, null or empty") {
+  enum class Read { kAsAbsent, kInvalid, kEmptyAccounts, kDefaults };
+  struct Case {
+    const char* where;
+    Read null;
+    Read empty_list;
+    Read empty_object;
+  };
+  const std::vector<Case> cases = {
+      {"/tenants", Read::kAsAbsent, Read::kEmptyAccounts, Read::kInvalid},
+      {"/limits", Read::kAsAbsent, Read::kInvalid, Read::kAsAbsent},
+      {"/limits/idle_timeout_ms", Read::kAsAbsent, Read::kInvalid,
+       Read::kInvalid},
+      {"/services/0/engine", Read::kAsAbsent, Read::kInvalid, Read::kDefaults},
+      {"/routes/1/slo_ms", Read::kAsAbsent, Read::kInvalid, Read::kInvalid},
+      {"/routes/1/gap_slo_ms", Read::kAsAbsent, Read::kInvalid, Read::kInvalid},
+      {"/routes/1/priority", Read::kAsAbsent, Read::kInvalid, Read::kInvalid},
+      {"/routes/1/split", Read::kAsAbsent, Read::kInvalid, Read::kInvalid},
+      {"/routes/1/anonymous", Read::kAsAbsent, Read::kInvalid, Read::kInvalid},
+      {"/tenants/0/priority", Read::kAsAbsent, Read::kInvalid, Read::kInvalid}};
+  for (const Case& c : cases) {
+    CAPTURE(c.where);
+    const nlohmann::json::json_pointer where(c.where);
+    nlohmann::json without = ParseJson(kConfiguration);
+    if (without.contains(where)) {
+      without.at(where.parent_pointer()).erase(where.back());
+    }
+    const auto absent = DecodeConfiguration(without.dump());
+    REQUIRE(absent.has_value());
+    const auto check = [&](const nlohmann::json& value, Read expected) {
+      nlohmann::json with = without;
+      with[where] = value;
+      CAPTURE(with.at(where).dump());
+      const auto decoded = DecodeConfiguration(with.dump());
+      CHECK(decoded.has_value() == (expected != Read::kInvalid));
+      if (expected == Read::kAsAbsent) {
+        CHECK(decoded.value() == absent.value());
+      } else if (expected == Read::kEmptyAccounts) {
+        CHECK(decoded.value().accounts.empty());
+        CHECK(decoded.value().needs_keys);
+      } else if (expected == Read::kDefaults) {
+        CHECK(decoded.value() != absent.value());
+      }
+    };
+    check(nullptr, c.null);
+    check(nlohmann::json::array(), c.empty_list);
+    check(nlohmann::json::object(), c.empty_object);
+  }
+}
+
+TEST_CASE("keys are needed exactly if a configuration has tenants") {
+  nlohmann::json object = ParseJson(kConfiguration);
+  CHECK(DecodeConfiguration(object.dump()).value().needs_keys);
+  object.erase("tenants");
+  CHECK_FALSE(DecodeConfiguration(object.dump()).value().needs_keys);
+}
+
 TEST_CASE("unknown fields of a configuration are ignored") {
   nlohmann::json object = ParseJson(kConfiguration);
   object["new"] = 1;
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -12,6 +12,7 @@
 using adapter::MonotonicNow;
 using fakes::Contains;
 using fakes::LoopbackPeer;
+using fakes::MakeDeclaration;
 using fakes::MakeRequest;
 using fakes::MakeResponse;
 using fakes::ProxyEntry;
@@ -84,6 +85,27 @@
   CHECK(Contains(later->received(), "Retry-After:"));
 }
 
+TEST_CASE("a request without a key is served once no keys are needed") {
+  ProxyEntry entry;
+  entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
+    peer.Send(MakeResponse("1", "ok"));
+  });
+  RoutingDeclaration declaration = MakeDeclaration();
+  declaration.version = ConfigVersion{2};
+  declaration.accounts.clear();
+  declaration.needs_keys = false;
+  entry.data_path->SetRouting(
+      std::make_shared<const RoutingTable>(declaration));
+  entry.data_path->ConfirmRouting(MonotonicNow(), ConfigVersion{2},
+                                  std::chrono::hours(1));
+  const auto caller = entry.ConnectCaller();
+  caller->Send("GET /once/ HTTP/1.1\r\nHost: h\r\nid: 1\r\n\r\n");
+  CHECK(Receives(entry, caller, "ok"));
+  const auto withdrawn = entry.ConnectCaller();
+  withdrawn->Send(MakeRequest("/once/", "1"));
+  CHECK(Receives(entry, withdrawn, "HTTP/1.1 401"));
+}
+
 TEST_CASE("a request with a key is refused after the key lease expires") {
   ProxyEntry entry(std::chrono::milliseconds(100));
   entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
--- a/tests/src/unit-routing.cc
+++ b/tests/src/unit-routing.cc
@@ -87,6 +87,25 @@
   CHECK(table.FindAccount("") == nullptr);
 }
 
+TEST_CASE("where no keys are needed, only a request without one is allowed") {
+  auto declaration = MakeDeclaration();
+  declaration.routes[0].anonymous = true;
+  const auto allowed = [&](std::size_t route, const char* key) {
+    const RoutingTable table(declaration);
+    return table.IsAllowed(table.declaration().routes[route], key);
+  };
+  CHECK(allowed(1, "k2"));
+  CHECK_FALSE(allowed(1, ""));
+  CHECK(allowed(0, ""));
+  CHECK(allowed(0, "withdrawn"));
+  declaration.needs_keys = false;
+  declaration.accounts.clear();
+  CHECK(allowed(1, ""));
+  CHECK_FALSE(allowed(1, "withdrawn"));
+  declaration.needs_keys = true;
+  CHECK_FALSE(allowed(1, ""));
+}
+
 TEST_CASE("the account's rank goes first, the route's decides among equals") {
   auto declaration = MakeDeclaration();
   declaration.routes[0].rank = 2;
