--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -41,9 +41,12 @@
 
   /// @brief Closes each connection after its current response, and idle ones
   /// immediately.
-  /// @note Also applies to connections accepted later.
+  /// @note Connections accepted later are closed after their first response.
   void CloseAfterResponses();
 
+  /// @brief Accepts the connections in the listen queue, and no further ones.
+  void StopListening();
+
   /// @brief Stops accepting and aborts every connection.
   void Stop();
 
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -120,6 +120,9 @@
   /// it is idle.
   void CloseWhenIdle();
 
+  /// @brief Closes the connection after the next response.
+  void CloseAfterNextResponse() { close_requested_ = true; }
+
   /// @brief Number of output bytes not yet written to the socket.
   std::size_t buffered() const { return output_.size() - sent_; }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -111,10 +111,25 @@
   connections_[connection.get()] = connection;
   connection->Start();
   if (closing_) {
-    connection->CloseWhenIdle();
+    connection->CloseAfterNextResponse();
   }
 }
 
+void Server::StopListening() {
+  asio::error_code e;
+  for (int i = 0; i < asio::socket_base::max_listen_connections &&
+                  acceptor_.is_open() && e != asio::error::would_block;
+       ++i) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, e);
+    if (!e) {
+      AddConnection(std::move(socket));
+    }
+  }
+  acceptor_.close(e);
+  retry_timer_.cancel();
+}
+
 void Server::CloseAfterResponses() {
   closing_ = true;
   std::vector<std::shared_ptr<ServerConnection>> all;
