--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -4,6 +4,7 @@
 #include <asio/ip/udp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,8 @@
 
   /// @brief Shuts down gracefully.
   /// @param done Called once all requests are finished, or shortly before the
-  /// grace period ends.
+  /// grace period ends. Every request has then got a final answer; see
+  /// policy::StopPlan.
   /// @note Reports not ready from now on. New requests are served until the
   /// balancer has had time to notice, and rejected afterwards.
   void Shutdown(std::function<void()> done);
@@ -67,7 +69,7 @@
   void HandleReadyRequest(
       const std::shared_ptr<http::ServerConnection>& connection,
       const http::ServerRequest& request);
-  void CheckStopped();
+  void CheckStopped(TimePoint now);
   void PublishLoad();
   void ScheduleUrgentLoad();
 
@@ -79,7 +81,7 @@
   LoadExchange loads_;
   http::Server ready_server_;
   std::function<void()> on_stopped_;
-  TimePoint shutdown_started_at_;
+  std::optional<policy::StopPlan> stop_plan_;
   /// Text of the current routes, to which a pushed difference is applied.
   std::string routing_text_;
   std::set<Endpoint> local_peers_;
@@ -88,6 +90,7 @@
   std::uint32_t load_round_ = 0;
   Duration load_period_{std::chrono::milliseconds(100)};
   bool closed_idle_ = false;
+  bool closed_listeners_ = false;
   bool was_ready_ = false;
   bool urgent_load_scheduled_ = false;
   std::size_t entry_count_ = 1;
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -152,6 +152,9 @@
   /// @brief Ends a waiting request with an error response.
   void Refuse(const Error& error);
 
+  /// @brief Ends an open request because this entry stops now.
+  void EndForStop(Error error);
+
   const RoutedRequest& routed() const { return request_; }
   const policy::PlacementRequest& placement() const { return placement_; }
   /// @brief Restricts the request to upstreams with these versions; empty for
@@ -188,6 +191,14 @@
   /// sent.
   TimePoint last_byte_at() const { return last_byte_at_; }
   TimePoint deadline() const { return deadline_; }
+  /// @brief When the last attempt was sent.
+  TimePoint sent_at() const { return sent_at_; }
+  /// @brief Whether any upstream may have started to run the request.
+  bool may_have_run() const { return may_have_run_; }
+  /// @brief Whether the caller has got the first event of a stream.
+  bool stream_started() const { return stream_started_; }
+  /// @brief Whether the answer of the upstream states success.
+  bool succeeded() const { return http::IsSuccess(response_.status); }
   /// @brief Arrival time of the first event, or the current time if there is
   /// none. For a response that isn't a stream, valid when it completes.
   TimePoint answered_at() const;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -20,6 +20,8 @@
 #include "rattanward/policy/relay_choice.h"
 #include "rattanward/policy/request_queue.h"
 #include "rattanward/policy/retry_allowance.h"
+#include "rattanward/policy/run_time_estimator.h"
+#include "rattanward/policy/stop_plan.h"
 #include "rattanward/policy/upstream_paths.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
@@ -144,10 +146,15 @@
   bool Ready() const;
 
   /// @brief Reports not ready from now on, and closes each connection after its
-  /// next response.
-  void BeginShutdown();
+  /// next response. Requests that can't end in time are refused.
+  void BeginShutdown(const policy::StopPlan& plan);
   /// @brief Closes idle connections and refuses new requests on the others.
   void CloseIdle();
+  /// @brief Takes the connections in the listen queues, and no further ones.
+  void StopListening();
+  /// @brief Passes on the answers that have arrived, and then gives every open
+  /// request its final answer.
+  void EndOpen();
   bool idle() const { return exchanges_.empty(); }
 
   ConfigVersion routing_version() const;
@@ -224,6 +231,11 @@
       const std::shared_ptr<http::ServerConnection>& caller,
       const RequestTraits& traits, http::ServerRequest request,
       const std::optional<RelayedRequest>& relayed);
+  bool MayEndInTime(const Exchange& exchange) const;
+  Error StopError(const std::string& reason, Duration remaining) const;
+  bool RefuseIfTooLate(Exchange& exchange) const;
+  void RefuseTooLate();
+  void EndOpenAfter(int rounds);
   Status MayTakeRelayed(const RelayedRequest& relayed) const;
   Duration RetryAdviceFor(const Error& error,
                           const RequestTraits& traits) const;
@@ -290,8 +302,11 @@
   std::size_t entries_ = 1;
   ProxyMeter meter_;
   bool ever_confirmed_ = false;
-  bool stopping_ = false;
+  policy::RunTimeEstimator run_times_;
+  /// Set when a planned stop began.
+  std::optional<policy::StopPlan> stop_plan_;
   bool refusing_ = false;
+  bool ending_ = false;
   bool drain_scheduled_ = false;
 };
 
--- a/include/rattanward/proxy/proxy_meter.h
+++ b/include/rattanward/proxy/proxy_meter.h
@@ -21,6 +21,12 @@
   std::uint64_t retried = 0;
   std::uint64_t resumed = 0;
   std::uint64_t malformed = 0;
+  /// Ended by a planned stop, without having run.
+  std::uint64_t stopped_not_run = 0;
+  /// Ended by a planned stop, maybe run, without the begin of an answer.
+  std::uint64_t stopped_maybe_run = 0;
+  /// Streams cut by a planned stop.
+  std::uint64_t stopped_streams = 0;
 
   friend bool operator==(const ProxyCounters&, const ProxyCounters&) = default;
 };
@@ -37,6 +43,9 @@
   /// @brief Counts a request refused before an exchange was created for it.
   void RecordRefusal() { ++counters_.refused; }
 
+  /// @brief Counts a request that a planned stop ended.
+  void RecordStopped(bool may_have_run, bool stream_started);
+
   /// @brief Counts an exchange's event; events without a counter are ignored.
   void Count(EventId event);
 
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -21,11 +21,9 @@
 constexpr std::size_t kMaxEntriesToldAtOnce = 40;
 /// Sends within this time are told together.
 constexpr Duration kUrgentLoadDelay{std::chrono::milliseconds(2)};
-constexpr Duration kShutdownCheckPeriod{std::chrono::milliseconds(100)};
+constexpr Duration kShutdownCheckPeriod{std::chrono::milliseconds(50)};
 /// The balancer checks once a second and removes an entry after two failures.
 constexpr Duration kBalancerDetectionTime{std::chrono::milliseconds(2800)};
-/// Time reserved before the end of the grace period.
-constexpr Duration kShutdownMargin{std::chrono::milliseconds(200)};
 constexpr std::size_t kMaxReadyConnections = 64;
 constexpr std::size_t kMaxReadyBodyBytes = 64U << 10U;
 constexpr int kOk = 200;
@@ -281,22 +279,33 @@
     return;
   }
   on_stopped_ = std::move(done);
-  shutdown_started_at_ = MonotonicNow();
+  policy::StopTimes times;
+  times.notice = kBalancerDetectionTime;
+  times.grace = options_.grace;
+  stop_plan_ = policy::StopPlan(MonotonicNow(), times);
   events_({EventId::kShutdownStarted,
            {{"open", std::to_string(proxy_.open_requests())}}});
-  proxy_.BeginShutdown();
-  timers_.Every(kShutdownCheckPeriod, [this](TimePoint) { CheckStopped(); });
+  proxy_.BeginShutdown(*stop_plan_);
+  timers_.Every(kShutdownCheckPeriod,
+                [this](TimePoint now) { CheckStopped(now); });
 }
 
-void EntryNode::CheckStopped() {
-  const Duration elapsed = MonotonicNow() - shutdown_started_at_;
-  if (elapsed >= kBalancerDetectionTime && !closed_idle_) {
+void EntryNode::CheckStopped(TimePoint now) {
+  if (!stop_plan_->Takes(now) && !closed_idle_) {
     closed_idle_ = true;
     proxy_.CloseIdle();
   }
+  if (now >= stop_plan_->answers_at()) {
+    proxy_.EndOpen();
+  }
   const bool all_done =
       closed_idle_ && proxy_.idle() && proxy_.connections() == 0;
-  if (all_done || elapsed >= options_.grace - kShutdownMargin) {
+  if (all_done && !closed_listeners_) {
+    closed_listeners_ = true;
+    proxy_.StopListening();
+    return;
+  }
+  if (all_done || now >= stop_plan_->ends_at()) {
     timers_.Stop();
     on_stopped_();
   }
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -238,6 +238,7 @@
     return;
   }
   const auto self = shared_from_this();
+  const bool for_stop = error.code == ErrorCode::kShuttingDown;
   Release();
   if (stream_started_) {
     request_.caller->Flush();
@@ -249,13 +250,16 @@
     if (may_have_run_ && StatusImpliesNotRun(HttpStatus(error.code))) {
       error.code = ErrorCode::kUpstreamBroken;
       error.verdict = Verdict::kMayHaveRun;
+      error.retry_after.reset();
     }
     if (StatusImpliesNotRun(HttpStatus(error.code)) && !error.retry_after) {
       error.retry_after = owner_.RetryAfter(*this);
     }
     RespondRefusal(*request_.caller, error, request_.relayed.has_value());
   }
-  End(may_have_run_ ? EventId::kRequestFailed : EventId::kRequestShed,
+  const EventId ended =
+      may_have_run_ ? EventId::kRequestFailed : EventId::kRequestShed;
+  End(for_stop ? EventId::kRequestStopped : ended,
       {{"error", std::string(ErrorName(error.code))},
        {"reason", error.message},
        {"status", std::to_string(HttpStatus(error.code))},
--- /dev/null
+++ b/src/proxy/exchange_stop.cc
@@ -0,0 +1,17 @@
+#include <utility>
+
+#include "rattanward/proxy/exchange.h"
+
+namespace rattanward::proxy {
+
+void Exchange::EndForStop(Error error) {
+  if (state_ == State::kFinished) {
+    return;
+  }
+  // Fail() closes the connection, so a request that wasn't sent stays unsent.
+  may_have_run_ = may_have_run_ || (state_ == State::kSent && connection_ &&
+                                    connection_->sent_any());
+  Fail(std::move(error));
+}
+
+}  // namespace rattanward::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -154,7 +154,7 @@
   const bool has_upstreams =
       directory_.size() > 0 ||
       MonotonicNow() - started_at_ > kFirstUpstreamTimeout;
-  return !stopping_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
+  return !stop_plan_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
 }
 
 void Proxy::SetEntries(std::size_t entries) {
@@ -186,14 +186,6 @@
   return load;
 }
 
-void Proxy::BeginShutdown() { stopping_ = true; }
-
-void Proxy::CloseIdle() {
-  refusing_ = true;
-  server_.CloseAfterResponses();
-  relay_server_.CloseAfterResponses();
-}
-
 ConfigVersion Proxy::routing_version() const {
   return table_ ? table_->version() : ConfigVersion{};
 }
@@ -273,6 +265,9 @@
 
 /// Refuses a request that may no longer be sent to any upstream.
 bool Proxy::RefuseIfNotAllowed(Exchange& exchange) const {
+  if (RefuseIfTooLate(exchange)) {
+    return true;
+  }
   Status allowed = CheckNotQuarantined(exchange.routed().fingerprint,
                                        exchange.placement().prompt);
   if (allowed) {
@@ -314,6 +309,9 @@
 }
 
 bool Proxy::TryTakeRetry(const Exchange& exchange) {
+  if (!MayEndInTime(exchange)) {
+    return false;
+  }
   const ServiceName& service = exchange.placement().service;
   return allowances_.try_emplace(service, options_.retries)
       .first->second.TryTake(entries_, MonotonicNow());
@@ -378,6 +376,15 @@
     meter_.RecordResponseTime(
         exchange.routed().route->kind,
         exchange.answered_at() - exchange.routed().request.arrived);
+    if (exchange.succeeded()) {
+      run_times_.Record(exchange.routed().route->name,
+                        exchange.placement().service,
+                        exchange.placement().max_output_tokens,
+                        MonotonicNow() - exchange.sent_at(), MonotonicNow());
+    }
+  }
+  if (id == EventId::kRequestStopped) {
+    meter_.RecordStopped(exchange.may_have_run(), exchange.stream_started());
   }
   fields.insert(fields.begin(),
                 {{"request", exchange.routed().traits.attempt.str()},
@@ -419,6 +426,7 @@
   relay_pool_.CloseExpired(now);
   ProbePaths(now);
   AbandonSilent(now);
+  RefuseTooLate();
   part_quarantine_.Expire(now);
   stream_versions_.Expire(now);
   placer_.AgeLimitShares(now);
--- a/src/proxy/proxy_meter.cc
+++ b/src/proxy/proxy_meter.cc
@@ -46,6 +46,17 @@
   }
 }
 
+void ProxyMeter::RecordStopped(bool may_have_run, bool stream_started) {
+  if (stream_started) {
+    ++counters_.stopped_streams;
+  } else if (may_have_run) {
+    ++counters_.stopped_maybe_run;
+  } else {
+    ++counters_.stopped_not_run;
+  }
+  ++(may_have_run ? counters_.failed : counters_.refused);
+}
+
 std::string ProxyMeter::ScrapeText() const {
   std::string text =
       ScrapeLine("requests_arrived_total", counters_.arrived) +
@@ -55,7 +66,11 @@
       ScrapeLine("callers_left_total", counters_.caller_left) +
       ScrapeLine("requests_retried_total", counters_.retried) +
       ScrapeLine("streams_resumed_total", counters_.resumed) +
-      ScrapeLine("messages_malformed_total", counters_.malformed);
+      ScrapeLine("messages_malformed_total", counters_.malformed) +
+      ScrapeLine("requests_stopped_not_run_total", counters_.stopped_not_run) +
+      ScrapeLine("requests_stopped_maybe_run_total",
+                 counters_.stopped_maybe_run) +
+      ScrapeLine("requests_stopped_streams_total", counters_.stopped_streams);
   for (const auto& [kind, times] : response_times_) {
     text += times.Scrape("rattanward_answer_seconds",
                          "kind=\"" + std::string(KindName(kind)) + '"');
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -111,7 +111,7 @@
   }
   const auto exchanges = exchanges_;
   for (const std::shared_ptr<Exchange>& exchange : exchanges) {
-    if (exchange->MayAbandonSilent(now) &&
+    if (exchange->MayAbandonSilent(now) && MayEndInTime(*exchange) &&
         paths_.IsLost(exchange->upstream())) {
       exchange->OnPathLost();
     }
--- a/src/proxy/proxy_requests.cc
+++ b/src/proxy/proxy_requests.cc
@@ -16,7 +16,6 @@
 constexpr Duration kDefaultRetryAfter{std::chrono::milliseconds(250)};
 /// Control usually elects a leader within about this time.
 constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(1500)};
-constexpr Duration kShutdownRetryAfter{std::chrono::milliseconds(20)};
 constexpr Duration kDefaultDeadline{std::chrono::seconds(10)};
 
 std::uint64_t Fingerprint(const http::ServerRequest& request,
@@ -39,7 +38,7 @@
                           http::ServerRequest request,
                           std::optional<RelayedRequest> relayed) {
   meter_.RecordArrival();
-  if (stopping_) {
+  if (stop_plan_) {
     caller->CloseWhenIdle();
   }
   const std::string target = request.head.target;
@@ -88,9 +87,8 @@
     const RequestTraits& traits, http::ServerRequest request,
     const std::optional<RelayedRequest>& relayed) {
   if (refusing_) {
-    Error error = MakeError(ErrorCode::kShuttingDown, "entry is shutting down");
-    error.retry_after = kShutdownRetryAfter;
-    return error;
+    return StopError("entry is shutting down",
+                     traits.deadline.value_or(kDefaultDeadline));
   }
   if (!table_ || !ever_confirmed_) {
     Error error = MakeError(ErrorCode::kNoConfiguration, "no routes yet");
@@ -135,7 +133,7 @@
 /// Errors: kShuttingDown; kNoConfiguration if the routes are older than those
 /// by which the other entry took the request.
 Status Proxy::MayTakeRelayed(const RelayedRequest& relayed) const {
-  if (stopping_) {
+  if (stop_plan_) {
     return MakeError(ErrorCode::kShuttingDown, "entry is shutting down");
   }
   if (table_->version() < relayed.routes) {
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -49,6 +49,16 @@
   return declaration;
 }
 
+/// @brief A planned stop that begins now, with final answers after nine tenths
+/// of the grace time.
+inline policy::StopPlan MakeStopPlan(Duration grace = std::chrono::seconds(8)) {
+  policy::StopTimes times;
+  times.notice = grace / 3;
+  times.grace = grace;
+  times.answer_margin = grace / 10;
+  return {adapter::MonotonicNow(), times};
+}
+
 /// @brief An entry's data path on loopback, with upstreams whose responses the
 /// test defines.
 class ProxyEntry {
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -255,7 +255,7 @@
   ProxyEntry entry;
   const auto caller = entry.ConnectCaller();
   REQUIRE(entry.RunUntil([&] { return entry.data_path->connections() == 1; }));
-  entry.data_path->BeginShutdown();
+  entry.data_path->BeginShutdown(fakes::MakeStopPlan());
   CHECK_FALSE(entry.data_path->Ready());
   entry.data_path->CloseIdle();
   CHECK(entry.data_path->connections() == 0);
@@ -268,7 +268,7 @@
   const auto caller = entry.ConnectCaller();
   caller->Send(MakeRequest("/once/", "1").substr(0, 20));
   entry.RunUntil([&] { return false; }, std::chrono::milliseconds(50));
-  entry.data_path->BeginShutdown();
+  entry.data_path->BeginShutdown(fakes::MakeStopPlan());
   entry.data_path->CloseIdle();
   caller->Send(MakeRequest("/once/", "1").substr(20));
   CHECK(Receives(entry, caller, "HTTP/1.1 503"));
--- a/tests/src/unit-relay.cc
+++ b/tests/src/unit-relay.cc
@@ -123,7 +123,7 @@
   fleet[0].AddRecord(1, RefusingEndpoint(io));
   const auto& stopping = fleet[1].AddUpstream(Serve);
   const auto& other = fleet[2].AddUpstream(Serve);
-  fleet[1].data_path->BeginShutdown();
+  fleet[1].data_path->BeginShutdown(fakes::MakeStopPlan());
   for (int i = 0; i < 6; ++i) {
     CHECK(Contains(fleet.Ask("/once/", std::to_string(i)), "served"));
   }
