Read the socket before an idle connection is closed

Callers saw: a kept connection that ended without an answer to a request which had reached the entry long before: it lay unread in the socket while the event loop was busy. The same for the first request of a connection that was opened just before or during a planned stop, and a 408 for a head whose rest had arrived in time. Cause: CloseWhenIdle(), the idle timeout and the header timeout decided by what the event loop had read so far, not by what had arrived; connections accepted after CloseAfterResponses() were closed before they could send anything. Class: a decision on stale input. Change: all three read first and handle what is there (served, or refused by the owner, with Connection: close at a stop). A connection that has had no request gets one second for it at a stop.

--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -118,6 +118,8 @@
 
   /// @brief Closes the connection after the current response, or immediately if
   /// it is idle.
+  /// @note A request that has already arrived is handled. A connection without
+  /// a request so far gets a short time for its first one.
   void CloseWhenIdle();
 
   /// @brief Number of output bytes not yet written to the socket.
@@ -134,6 +136,7 @@
   void WaitReadable();
   void OnReadable();
   void ParseInput();
+  void ParseInputLater();
   void StartMessage();
   void DispatchRequest();
   bool ChargeBodyBudget();
@@ -151,6 +154,8 @@
   void SetDeadline(TimePoint deadline);
   void ArmTimer();
   void OnTimer();
+  bool ReadBeforeTimeout();
+  Duration IdleTimeout() const;
   void UpdateInputDeadline();
 
   asio::ip::tcp::socket socket_;
@@ -172,6 +177,7 @@
   /// does not rearm the timer until it expires.
   TimePoint timer_deadline_;
   bool message_started_ = false;
+  bool first_request_awaited_ = true;
   bool continue_sent_ = false;
   bool reading_ = false;
   bool writing_ = false;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "rattanward/http/server_connection.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -15,6 +16,8 @@
 /// Buffer limit for pipelined requests. While a request is in progress, reading
 /// stops at this size.
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+/// Time for the first request of a connection that is to be closed.
+constexpr Duration kFirstRequestTime{std::chrono::seconds(1)};
 /// Time for the peer to read the last response and close before the socket is
 /// closed.
 constexpr Duration kLingerTime{std::chrono::seconds(2)};
@@ -122,6 +125,7 @@
 void ServerConnection::DispatchRequest() {
   state_ = State::kBusy;
   message_started_ = false;
+  first_request_awaited_ = false;
   keep_alive_ = parser_.keep_alive();
   is_http10_ = parser_.head().version < 11;
   head_request_ = parser_.head().method == "HEAD";
@@ -239,11 +243,15 @@
   }
   WaitReadable();
   if (!input_.empty()) {
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this()] { self->ParseInput(); });
+    ParseInputLater();
   }
 }
 
+void ServerConnection::ParseInputLater() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->ParseInput(); });
+}
+
 void ServerConnection::Flush() {
   if (!writing_) {
     TrySend();
@@ -311,8 +319,17 @@
 
 void ServerConnection::CloseWhenIdle() {
   close_requested_ = true;
-  if (state_ == State::kReading && !message_started_ && input_.empty() &&
-      buffered() == 0) {
+  if (state_ != State::kReading || message_started_ || !input_.empty() ||
+      buffered() > 0) {
+    return;
+  }
+  const detail::ReadResult read = detail::ReadSome(socket_);
+  if (!read.bytes.empty()) {
+    input_.append(read.bytes);
+    ParseInputLater();
+  } else if (first_request_awaited_ && !read.peer_closed) {
+    UpdateInputDeadline();
+  } else {
     // A request that arrives during the close is never read, so the peer can
     // safely send it to another server.
     Close();
@@ -348,7 +365,14 @@
   }
   const bool in_head = message_started_ && !parser_.head_done();
   SetDeadline(in_head ? first_byte_time_ + limits_.header_timeout
-                      : MonotonicNow() + limits_.idle_timeout);
+                      : MonotonicNow() + IdleTimeout());
+}
+
+Duration ServerConnection::IdleTimeout() const {
+  if (close_requested_ && !message_started_) {
+    return std::min(limits_.idle_timeout, kFirstRequestTime);
+  }
+  return limits_.idle_timeout;
 }
 
 void ServerConnection::SetDeadline(TimePoint deadline) {
@@ -371,6 +395,21 @@
   });
 }
 
+/// Processes input that the event loop has not read yet. Returns whether there
+/// was any.
+bool ServerConnection::ReadBeforeTimeout() {
+  if (state_ != State::kReading || writing_) {
+    return false;
+  }
+  const detail::ReadResult read = detail::ReadSome(socket_);
+  if (read.bytes.empty()) {
+    return false;
+  }
+  input_.append(read.bytes);
+  ParseInput();
+  return true;
+}
+
 void ServerConnection::OnTimer() {
   timer_armed_ = false;
   if (state_ == State::kClosed || deadline_ == TimePoint::max()) {
@@ -380,6 +419,9 @@
     ArmTimer();
     return;
   }
+  if (ReadBeforeTimeout()) {
+    return;
+  }
   if (state_ == State::kReading && message_started_ && !writing_) {
     // Responds with status 408 instead of the status of kDeadlinePassed, since
     // no complete request was received.
