Keep a connection open whose peer was not told of its close

Callers saw: a stream that began before a planned stop ended whole, and the next request on the same connection was read and thrown away: its connection ended without an answer. Cause: whether a connection lingers (reads and discards) after an answer was decided by the wish to close at the end of the answer, not by what its head, sent before, had told the caller. Class: a decision that the peer doesn't know of. Change: only a head with Connection: close makes the connection linger. Another connection stays open for one second and answers a request with Connection: close, also one that was pipelined. Requests pipelined behind an announced close stay unanswered: RFC 9112, 9.6, forbids to process them, and their caller knows. Evidence: unit-http-kept-connections, "a request behind an answer that announced no close is answered" failed before in both subcases (REQUIRE( site.server().busy() == 1 ): 0 == 1), passes now. Conclusion: a stop loses no request behind an answer under way.

--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -118,8 +118,10 @@
 
   /// @brief Closes the connection after the current response, or immediately if
   /// it is idle.
-  /// @note A request that has already arrived is handled. A connection without
-  /// a request so far gets a short time for its first one.
+  /// @note A request that has already arrived is handled. A connection whose
+  /// peer has reason to send another request now gets a short time for it: if
+  /// it had none so far, or if the head of the current response, already sent,
+  /// doesn't announce the close.
   void CloseWhenIdle();
 
   /// @brief Number of output bytes not yet written to the socket.
@@ -184,6 +186,9 @@
   bool timer_armed_ = false;
   bool keep_alive_ = true;
   bool close_requested_ = false;
+  /// The head of the last response told that the connection will close. A peer
+  /// sends no further request after that, and one that was pipelined is unread.
+  bool close_announced_ = false;
   bool head_request_ = false;
   bool chunked_ = false;
   bool is_http10_ = false;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -16,8 +16,9 @@
 /// Buffer limit for pipelined requests. While a request is in progress, reading
 /// stops at this size.
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
-/// Time for the first request of a connection that is to be closed.
-constexpr Duration kFirstRequestTime{std::chrono::seconds(1)};
+/// Time for another request on a connection that is to be closed, if its peer
+/// has not been told so.
+constexpr Duration kLastRequestTime{std::chrono::seconds(1)};
 /// Time for the peer to read the last response and close before the socket is
 /// closed.
 constexpr Duration kLingerTime{std::chrono::seconds(2)};
@@ -159,7 +160,8 @@
 }
 
 void ServerConnection::AddConnectionField(ResponseHead* head) {
-  if (WillClose()) {
+  close_announced_ = WillClose();
+  if (close_announced_) {
     head->fields.Set("Connection", "close");
   } else if (is_http10_) {
     head->fields.Set("Connection", "keep-alive");
@@ -230,7 +232,7 @@
 void ServerConnection::EndResponse() {
   watcher_ = Watcher();
   chunked_ = false;
-  if (WillClose()) {
+  if (close_announced_) {
     state_ = State::kLingering;
     Flush();
     return;
@@ -370,7 +372,7 @@
 
 Duration ServerConnection::IdleTimeout() const {
   if (close_requested_ && !message_started_) {
-    return std::min(limits_.idle_timeout, kFirstRequestTime);
+    return std::min(limits_.idle_timeout, kLastRequestTime);
   }
   return limits_.idle_timeout;
 }
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -167,4 +167,59 @@
   CHECK(Site::Answers(*peer) == 1);
 }
 
+TEST_CASE("a request behind an answer that announced no close is answered") {
+  Site site;
+  site.Hold();
+  const auto peer = site.Connect();
+  peer->Send(kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().StartBody(ResponseHead{}, std::nullopt);
+  site.last().Write("stream");
+  site.last().Flush();
+  SUBCASE("sent after the answer") {
+    site.server().CloseAfterResponses();
+    site.last().FinishBody();
+    REQUIRE(site.RunUntil(
+        [&] { return CountOf(peer->received(), "\r\n0\r\n\r\n") == 1; }));
+    peer->Send(kRequest);
+  }
+  SUBCASE("sent before the answer was complete") {
+    peer->Send(kRequest);
+    site.RunFor(std::chrono::milliseconds(30));
+    site.server().CloseAfterResponses();
+    site.last().FinishBody();
+  }
+  site.RunUntil([&] { return peer->ended() || site.server().busy() == 1; });
+  REQUIRE(site.server().busy() == 1);
+  site.last().Respond(ResponseHead{}, "answer");
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK(ClosedAfterAnswers(*peer, 2));
+}
+
+TEST_CASE("a connection is closed after an answer that announced no close") {
+  Site site;
+  site.Hold();
+  const auto peer = site.Connect();
+  peer->Send(kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().StartBody(ResponseHead{}, std::nullopt);
+  site.server().CloseAfterResponses();
+  site.last().FinishBody();
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK_FALSE(peer->reset());
+  CHECK(site.server().connections() == 0);
+}
+
+TEST_CASE("requests pipelined behind an announced close are left unanswered") {
+  Site site;
+  site.Hold();
+  const auto peer = site.Connect();
+  peer->Send(kRequest + kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.server().CloseAfterResponses();
+  site.last().Respond(ResponseHead{}, "answer");
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK(ClosedAfterAnswers(*peer, 1));
+}
+
 }  // namespace rattanward::http
