Never let a reset overtake a complete answer

Callers saw: an answer, or the 503 of a planned stop, that broke off with a reset although the entry had sent it whole: a reset discards what the caller's side hasn't acknowledged yet. Cause: Server::Stop() reset every connection, also idle ones and those that linger after their last answer; a socket with unread input was closed, which resets it too; lingering ended after two seconds, whether the caller had received the answer or not. Class: a close that doesn't ask what is still on its way. Change: Abort() resets only a connection with a request in progress, and reads what is left on others first. Lingering goes on up to the idle timeout while input comes or sent bytes aren't acknowledged (SIOCOUTQ). Before a write timeout a write is tried: poll() reports a socket as writable only once much of its buffer is free. Evidence: unit-http-kept-connections, "an answer that was sent whole survives the stop of its server" failed before in all four variants (128,000 of 524,288 bytes, then error 104); "a refusal outlasts a caller that reads it late and still sends" fails with one linger time only (12,288 of 524,288 bytes). Both pass now. That lingering stays bounded: "lingering ends at the idle timeout if a caller reads nothing".

--- a/include/rattanward/http/detail/socket_io.h
+++ b/include/rattanward/http/detail/socket_io.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/error.hpp>
@@ -66,4 +69,15 @@
   return {count, static_cast<bool>(error)};
 }
 
+/// @brief Number of written bytes that the peer has not acknowledged.
+/// @note 0 if the system can't tell.
+inline std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+  int count = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): ioctl() has no other.
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &count) != 0 || count < 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(count);
+}
+
 }  // namespace rattanward::http::detail
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -23,6 +23,9 @@
   /// Maximum time without progress: between requests, within a request body,
   /// or while the peer does not read the response.
   Duration idle_timeout{std::chrono::seconds(15)};
+  /// Time for the peer to read the last response before the socket is closed.
+  /// It is repeated up to idle_timeout while the peer has not received all.
+  Duration linger_time{std::chrono::seconds(2)};
 };
 
 /// @brief Complete request.
@@ -111,9 +114,11 @@
   /// @brief Ends the response that StartBody() began.
   void FinishBody();
 
-  /// @brief Resets the connection.
+  /// @brief Closes the connection immediately, with a reset if a request is in
+  /// progress.
   /// @note A reset makes sure that the peer doesn't take a truncated response
-  /// for a complete one.
+  /// for a complete one. It also discards what the peer has not received yet,
+  /// so a complete response is never followed by one.
   void Abort();
 
   /// @brief Closes the connection after the current response, or immediately if
@@ -156,7 +161,11 @@
   void SetDeadline(TimePoint deadline);
   void ArmTimer();
   void OnTimer();
+  bool MakesProgress();
   bool ReadBeforeTimeout();
+  bool SendBeforeTimeout();
+  bool DiscardInput();
+  bool LingersOn();
   Duration IdleTimeout() const;
   void UpdateInputDeadline();
 
@@ -175,6 +184,7 @@
   State state_ = State::kReading;
   TimePoint first_byte_time_;
   TimePoint deadline_;
+  TimePoint linger_end_;
   /// Expiry of timer_. It can be earlier than deadline_, since a later deadline
   /// does not rearm the timer until it expires.
   TimePoint timer_deadline_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -19,9 +19,8 @@
 /// Time for another request on a connection that is to be closed, if its peer
 /// has not been told so.
 constexpr Duration kLastRequestTime{std::chrono::seconds(1)};
-/// Time for the peer to read the last response and close before the socket is
-/// closed.
-constexpr Duration kLingerTime{std::chrono::seconds(2)};
+/// Limits the reads of one event-loop step that discard input.
+constexpr int kMaxDiscardingReads = 16;
 
 }  // namespace
 
@@ -306,15 +305,43 @@
   SetResetOnClose(false);
   asio::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  SetDeadline(MonotonicNow() + kLingerTime);
+  linger_end_ = MonotonicNow() + limits_.idle_timeout;
+  SetDeadline(MonotonicNow() + limits_.linger_time);
   WaitReadable();
 }
 
+/// Reads and discards input, so that closing the socket doesn't reset the
+/// connection. Returns whether all of it was read.
+bool ServerConnection::DiscardInput() {
+  for (int i = 0; i < kMaxDiscardingReads; ++i) {
+    if (detail::ReadSome(socket_).bytes.empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Whether the peer needs more time to read the last response.
+bool ServerConnection::LingersOn() {
+  const TimePoint now = MonotonicNow();
+  const bool discarded = DiscardInput();
+  if (now >= linger_end_ ||
+      (discarded && detail::UnacknowledgedBytes(socket_) == 0)) {
+    return false;
+  }
+  SetDeadline(std::min(now + limits_.linger_time, linger_end_));
+  return true;
+}
+
 void ServerConnection::Abort() {
   if (state_ == State::kClosed) {
     return;
   }
-  SetResetOnClose(true);
+  if (state_ == State::kBusy) {
+    SetResetOnClose(true);
+  } else {
+    DiscardInput();
+  }
   watcher_ = Watcher();
   Close();
 }
@@ -397,12 +424,30 @@
   });
 }
 
-/// Processes input that the event loop has not read yet. Returns whether there
-/// was any.
-bool ServerConnection::ReadBeforeTimeout() {
-  if (state_ != State::kReading || writing_) {
+/// Does before a timeout what the socket allows and the event loop has not done
+/// yet. Returns whether the timeout no longer applies.
+bool ServerConnection::MakesProgress() {
+  if (writing_) {
+    return SendBeforeTimeout();
+  }
+  if (state_ == State::kLingering) {
+    return LingersOn();
+  }
+  return state_ == State::kReading && ReadBeforeTimeout();
+}
+
+bool ServerConnection::SendBeforeTimeout() {
+  const std::string_view output = output_;
+  const auto sent = detail::WriteSome(socket_, output.substr(sent_));
+  if (sent.failed || sent.count == 0) {
     return false;
   }
+  sent_ += sent.count;
+  SetDeadline(MonotonicNow() + limits_.idle_timeout);
+  return true;
+}
+
+bool ServerConnection::ReadBeforeTimeout() {
   const detail::ReadResult read = detail::ReadSome(socket_);
   if (read.bytes.empty()) {
     return false;
@@ -421,7 +466,7 @@
     ArmTimer();
     return;
   }
-  if (ReadBeforeTimeout()) {
+  if (MakesProgress()) {
     return;
   }
   if (state_ == State::kReading && message_started_ && !writing_) {
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -17,6 +20,10 @@
 using fakes::LoopbackPeer;
 
 constexpr Duration kTestLimit{std::chrono::seconds(10)};
+/// What the socket buffers of a loopback connection hold.
+constexpr std::size_t kSocketBytes = 512U << 10U;
+constexpr int kSmallWindowBytes = 8192;
+const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 std::size_t CountOf(const std::string& text, const std::string& part) {
@@ -94,6 +101,50 @@
   Server server_;
 };
 
+/// Caller that reads only when the test says so.
+class Caller {
+ public:
+  /// @param window Size of the receive buffer in bytes; 0 for the usual one.
+  explicit Caller(Site& site, int window = 0) : socket_(io_) {
+    socket_.open(asio::ip::tcp::v4());
+    if (window > 0) {
+      socket_.set_option(asio::socket_base::receive_buffer_size(window));
+    }
+    const Endpoint server = site.server().endpoint();
+    socket_.connect({asio::ip::make_address(server.address), server.port});
+  }
+
+  void Send(const std::string& bytes) {
+    std::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+
+  /// Reads until the connection ends. Returns the number of bytes.
+  std::size_t ReadAll() {
+    asio::read(socket_, asio::dynamic_buffer(received_), error_);
+    ended_ = true;
+    return received_.size();
+  }
+
+  /// The same while the server's event loop runs.
+  std::size_t ReadAllWhile(Site& site) {
+    std::thread reader([this] { ReadAll(); });
+    site.RunUntil([this] { return ended_.load(); });
+    reader.join();
+    return received_.size();
+  }
+
+  asio::ip::tcp::socket& socket() { return socket_; }
+  std::error_code error() const { return error_; }
+
+ private:
+  asio::io_context io_;
+  asio::ip::tcp::socket socket_;
+  std::string received_;
+  std::error_code error_;
+  std::atomic<bool> ended_ = false;
+};
+
 bool ClosedAfterAnswers(const LoopbackPeer& peer, std::size_t answers) {
   return peer.ended() && !peer.reset() && Site::Answers(peer) == answers &&
          CountOf(peer.received(), "Connection: close") == 1;
@@ -222,4 +273,59 @@
   CHECK(ClosedAfterAnswers(*peer, 1));
 }
 
+TEST_CASE("an answer that was sent whole survives the stop of its server") {
+  for (const bool unread_input : {false, true}) {
+    for (const std::string& request : {kRequest, kLastRequest}) {
+      CAPTURE(unread_input);
+      CAPTURE(request);
+      Site site;
+      site.Hold();
+      Caller caller(site);
+      caller.Send(request);
+      REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+      site.last().Respond(ResponseHead{}, std::string(kSocketBytes, 'x'));
+      REQUIRE(site.last().buffered() == 0);
+      if (unread_input) {
+        caller.Send("GET");
+      }
+      site.server().Stop();
+      CHECK(caller.ReadAll() > kSocketBytes);
+      CHECK(caller.error() == asio::error::eof);
+    }
+  }
+}
+
+TEST_CASE("a refusal outlasts a caller that reads it late and still sends") {
+  Site site;
+  ServerLimits limits;
+  limits.linger_time = std::chrono::milliseconds(50);
+  site.server().SetLimits(limits);
+  site.server().make_error_response = [](const Error&) {
+    return Response{ResponseHead{}, std::string(kSocketBytes, 'x')};
+  };
+  Caller caller(site, kSmallWindowBytes);
+  caller.Send("POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n");
+  site.RunFor(std::chrono::milliseconds(100));
+  caller.Send(std::string(1000, 'y'));
+  site.RunFor(std::chrono::milliseconds(100));
+  caller.Send(std::string(1000, 'y'));
+  CHECK(caller.ReadAllWhile(site) > kSocketBytes);
+  CHECK(caller.error() == asio::error::eof);
+}
+
+TEST_CASE("lingering ends at the idle timeout if a caller reads nothing") {
+  Site site;
+  ServerLimits limits;
+  limits.linger_time = std::chrono::milliseconds(20);
+  limits.idle_timeout = std::chrono::milliseconds(150);
+  site.server().SetLimits(limits);
+  site.Hold();
+  Caller caller(site, kSmallWindowBytes);
+  caller.Send(kLastRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().Respond(ResponseHead{}, std::string(kSocketBytes, 'x'));
+  REQUIRE(site.last().buffered() == 0);
+  CHECK(site.RunUntil([&] { return site.server().connections() == 0; }));
+}
+
 }  // namespace rattanward::http
