Send the rest of an answer to a half-closed caller

Callers saw: a caller that closes its sending side once its answer has begun to arrive got a truncated answer with a normal close. Cause: a close by the peer ended the connection at once, also if a complete answer waited in the output buffer. Class: input decides about output. Change: a complete answer is sent to its end; a caller that has really closed resets the connection at the next write, and nothing but the buffer is held for it (up to the idle timeout). Conclusion: only a caller that really half-closes met it.

--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -164,6 +164,7 @@
   bool MakesProgress();
   bool ReadBeforeTimeout();
   bool SendBeforeTimeout();
+  void OnPeerClosed(bool reset);
   bool DiscardInput();
   bool LingersOn();
   Duration IdleTimeout() const;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -70,7 +70,7 @@
 void ServerConnection::OnReadable() {
   const detail::ReadResult read = detail::ReadSome(socket_);
   if (read.peer_closed) {
-    CloseAndNotify();
+    OnPeerClosed(read.reset);
     return;
   }
   if (state_ != State::kLingering && !read.bytes.empty()) {
@@ -82,6 +82,18 @@
   }
 }
 
+/// A peer that closes its side while it awaits a response counts as gone, since
+/// a closed and a half-closed connection look the same. The rest of a complete
+/// response is still sent.
+void ServerConnection::OnPeerClosed(bool reset) {
+  if (reset || state_ == State::kBusy || buffered() == 0) {
+    CloseAndNotify();
+    return;
+  }
+  state_ = State::kLingering;
+  input_.clear();
+}
+
 void ServerConnection::StartMessage() {
   limits_ = handler_.Limits();
   parser_ = RequestParser(limits_.parser);
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -20,8 +20,9 @@
 using fakes::LoopbackPeer;
 
 constexpr Duration kTestLimit{std::chrono::seconds(10)};
-/// What the socket buffers of a loopback connection hold.
+/// What the socket buffers of a loopback connection hold, and more than that.
 constexpr std::size_t kSocketBytes = 512U << 10U;
+constexpr std::size_t kLargeBytes = 16U << 20U;
 constexpr int kSmallWindowBytes = 8192;
 const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -295,6 +296,39 @@
   }
 }
 
+TEST_CASE("a caller that closes its sending side gets the rest of its answer") {
+  Site site;
+  site.Hold();
+  Caller caller(site);
+  SUBCASE("of a kept connection") { caller.Send(kRequest); }
+  SUBCASE("of a connection that was told to close") {
+    caller.Send(kLastRequest);
+  }
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().Respond(ResponseHead{}, std::string(kLargeBytes, 'x'));
+  REQUIRE(site.last().buffered() > 0);
+  caller.socket().shutdown(asio::ip::tcp::socket::shutdown_send);
+  site.RunFor(std::chrono::milliseconds(30));
+  CHECK(caller.ReadAllWhile(site) > kLargeBytes);
+  CHECK(caller.error() == asio::error::eof);
+}
+
+TEST_CASE("a caller that closes before its answer is gone") {
+  Site site;
+  site.Hold();
+  bool gone = false;
+  Caller caller(site);
+  caller.Send(kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().Watch({[&] { gone = true; }, {}});
+  SUBCASE("both sides") { caller.socket().close(); }
+  SUBCASE("its sending side") {
+    caller.socket().shutdown(asio::ip::tcp::socket::shutdown_send);
+  }
+  CHECK(site.RunUntil([&] { return gone; }));
+  CHECK(site.server().connections() == 0);
+}
+
 TEST_CASE("a refusal outlasts a caller that reads it late and still sends") {
   Site site;
   ServerLimits limits;
