Let a longer idle timeout reach connections that are idle

Callers saw: after a configuration that lengthens the idle timeout, a kept connection that closed before the new time, while its caller rightly counted on it (callers reuse connections by the configured timeout). Cause: a connection keeps the limits of its last request while it is idle. Class: state copied at the begin of a wait that outlasts the state. Change: an idle connection is closed at the longer of the timeout in force at its last request and that in force now, since its caller may know either. Keep-Alive isn't advertised: its whole seconds can't tell a timeout of 1.5 s truly, and callers without it keep below the configured timeout.

--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -164,6 +164,7 @@
   bool MakesProgress();
   bool ReadBeforeTimeout();
   bool SendBeforeTimeout();
+  bool ProlongIdle();
   void OnPeerClosed(bool reset);
   bool DiscardInput();
   bool LingersOn();
@@ -186,6 +187,7 @@
   TimePoint first_byte_time_;
   TimePoint deadline_;
   TimePoint linger_end_;
+  TimePoint idle_since_;
   /// Expiry of timer_. It can be earlier than deadline_, since a later deadline
   /// does not rearm the timer until it expires.
   TimePoint timer_deadline_;
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -362,4 +362,33 @@
   CHECK(site.RunUntil([&] { return site.server().connections() == 0; }));
 }
 
+TEST_CASE("a changed idle timeout cuts no connection that counts on a longer") {
+  constexpr Duration kShort{std::chrono::milliseconds(60)};
+  constexpr Duration kLong{std::chrono::seconds(5)};
+  Site site;
+  std::shared_ptr<LoopbackPeer> peer;
+  SUBCASE("lengthened") {
+    site.SetIdleTimeout(kShort);
+    peer = site.ConnectAndAsk();
+    site.SetIdleTimeout(kLong);
+  }
+  SUBCASE("shortened") {
+    site.SetIdleTimeout(kLong);
+    peer = site.ConnectAndAsk();
+    site.SetIdleTimeout(kShort);
+  }
+  site.RunFor(std::chrono::milliseconds(200));
+  CHECK_FALSE(peer->ended());
+  peer->Send(kRequest);
+  CHECK(site.RunUntil([&] { return Site::Answers(*peer) == 2; }));
+}
+
+TEST_CASE("a connection is closed at the idle timeout") {
+  Site site;
+  site.SetIdleTimeout(std::chrono::milliseconds(60));
+  const auto peer = site.ConnectAndAsk();
+  CHECK(site.RunUntil([&] { return peer->ended(); }));
+  CHECK_FALSE(peer->reset());
+}
+
 }  // namespace rattanward::http
