Send nothing on a kept connection that its upstream has closed

Callers saw: 502 (may have run) for a request that wasn't idempotent, sent on a kept connection whose close by the upstream had arrived, but was not read yet; it could have gone to another upstream. After stray bytes of the upstream on the idle connection the request was sent behind them. Cause: a reused connection was written to without a look at its socket; a write to a connection closed by the other side succeeds once, so the failure was "no response" instead of "not sent". Class: a decision on stale input. Change: Send() reads before it writes on a reused connection; if there is anything, the exchange fails with "not sent" in the next step of the event loop, and nothing has been written. Evidence: unit-http-connection, "nothing is sent on a kept connection that its upstream has closed" failed before in both subcases ("closed", "stray bytes": CHECK( second.failure == ClientFailure::kNotSent )), passes now. Conclusion: "not sent" was always true where it was said: it is said only if no byte was given to the socket. It was said too seldom.

--- a/include/rattanward/http/client_connection.h
+++ b/include/rattanward/http/client_connection.h
@@ -64,6 +64,8 @@
   ClientConnection(asio::io_context& io, Endpoint peer);
 
   /// @brief Sends a request and connects first if necessary.
+  /// @note Fails with kNotSent if the peer has closed a reused connection or
+  /// has sent anything on it since its last response.
   /// @param head Serialized request head.
   /// @param body Request body; kept until the exchange has completed.
   /// @param connect_timeout Timeout for establishing a new connection.
@@ -108,6 +110,8 @@
 
  private:
   void Connect(Duration timeout);
+  bool ReadsNothing();
+  void FailLater();
   void TrySend();
   void WaitReadable();
   void OnReadable();
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -76,12 +77,35 @@
       ParserLimits{kMaxResponseHeadBytes, kUnlimitedBodyBytes}, head_request_);
   if (connected_) {
     idle_before_ = MonotonicNow() - idle_since_;
-    TrySend();
+    if (ReadsNothing()) {
+      TrySend();
+    } else {
+      FailLater();
+    }
   } else {
     Connect(connect_timeout);
   }
 }
 
+/// Whether the idle connection is open and has no input, also none that the
+/// event loop has not read yet.
+bool ClientConnection::ReadsNothing() {
+  const detail::ReadResult read = detail::ReadSome(socket_);
+  return read.bytes.empty() && !read.peer_closed;
+}
+
+/// Fails in a later event-loop step, since the caller of Send() may not be
+/// ready for it.
+void ClientConnection::FailLater() {
+  asio::error_code ignored;
+  socket_.close(ignored);
+  asio::post(io_, [self = shared_from_this()] {
+    if (!self->closed_) {
+      self->Fail(ClientFailure::kNotSent);
+    }
+  });
+}
+
 void ClientConnection::Connect(Duration timeout) {
   connecting_ = true;
   asio::error_code e;
--- a/tests/src/unit-http-connection.cc
+++ b/tests/src/unit-http-connection.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/http/client_connection.h"
 #include "rattanward/http/server.h"
 
@@ -111,4 +112,30 @@
   CHECK(error == asio::error::connection_reset);
 }
 
+TEST_CASE("nothing is sent on a kept connection that its upstream has closed") {
+  asio::io_context io;
+  tcp::acceptor acceptor = Listen(io);
+  RecordingHandler first;
+  RecordingHandler second;
+  const auto connection = std::make_shared<ClientConnection>(
+      io, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+  const auto send = [&](RecordingHandler& handler) {
+    connection->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                     std::make_shared<const std::string>(),
+                     std::chrono::seconds(5), &handler);
+  };
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  send(first);
+  tcp::socket upstream = acceptor.accept();
+  asio::write(upstream, asio::buffer(response));
+  REQUIRE(RunUntil(io, [&] { return first.completed; }));
+  REQUIRE(connection->Reusable(adapter::MonotonicNow()));
+  // The event loop does not run between this and the next request.
+  SUBCASE("closed") { upstream.shutdown(tcp::socket::shutdown_send); }
+  SUBCASE("stray bytes") { asio::write(upstream, asio::buffer(response)); }
+  send(second);
+  REQUIRE(RunUntil(io, [&] { return second.completed || second.failure; }));
+  CHECK(second.failure == ClientFailure::kNotSent);
+}
+
 }  // namespace rattanward::http
