Keep accepting and reading through errors that pass

Callers saw: an event loop that stood still until the next connection, if one was aborted before it was accepted; a processor that was used up, if the system (not the process) ran out of descriptors or memory; a connection cut by an interrupted read or write. Cause: Asio's accept() waits without a limit after ECONNABORTED unless told otherwise; only EMFILE waited before the next accept; EINTR counted as the end of a connection. Class: the kinds of an error weren't told apart. Change: aborted connections are skipped; ENFILE, ENOBUFS and ENOMEM wait like EMFILE; EINTR is tried again. Conclusion: nothing shows that the users' machines met one.

--- a/include/rattanward/http/detail/socket_io.h
+++ b/include/rattanward/http/detail/socket_io.h
@@ -38,6 +38,12 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+/// @brief Whether the operation may simply be tried again.
+inline bool IsTemporary(const asio::error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again ||
+         error == asio::error::interrupted;
+}
+
 /// @brief Reads available bytes into a thread-local buffer.
 /// @note All connections share this buffer, so that thousands of idle
 /// connections need no buffers of their own.
@@ -45,7 +51,7 @@
   thread_local std::array<char, kReadBytes> buffer;
   asio::error_code error;
   const std::size_t count = socket.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block || error == asio::error::try_again) {
+  if (IsTemporary(error)) {
     return {};
   }
   if (error) {
@@ -63,7 +69,7 @@
   asio::error_code error;
   const std::size_t count =
       socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-  if (error == asio::error::would_block || error == asio::error::try_again) {
+  if (IsTemporary(error)) {
     return {};
   }
   return {count, static_cast<bool>(error)};
--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -68,7 +69,18 @@
   std::function<Response(const Error&)> make_error_response;
 
  private:
+  enum class AcceptResult : std::uint8_t {
+    kAccepted,
+    kNoneWaiting,
+    kNoResources,
+    /// The connection has failed before it was accepted.
+    kFailed,
+  };
+
   void Accept();
+  void AcceptWaiting();
+  AcceptResult AcceptOne();
+  void StopAccepting();
   void ScheduleAcceptRetry();
   void AddConnection(asio::ip::tcp::socket socket);
 
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -146,7 +146,7 @@
         asio::buffer(body_->data() + in_body, body_->size() - in_body)};
     asio::error_code e;
     const std::size_t count = socket_.write_some(buffers, e);
-    if (e == asio::error::would_block || e == asio::error::try_again) {
+    if (detail::IsTemporary(e)) {
       writing_ = true;
       socket_.async_wait(
           tcp::socket::wait_write,
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdio>
 #include <utility>
 #include <vector>
@@ -23,6 +24,14 @@
   return text.data();
 }
 
+/// Whether accepting failed for want of descriptors or memory, of this process
+/// or of the system. All other errors concern one connection.
+bool IsLackOfResources(const asio::error_code& error) {
+  return error == asio::error::no_descriptors || error.value() == ENFILE ||
+         error == asio::error::no_buffer_space ||
+         error == asio::error::no_memory;
+}
+
 }  // namespace
 
 Server::Server(asio::io_context& io, Options options, RequestHandler handler)
@@ -54,6 +63,10 @@
   if (!e) {
     acceptor_.non_blocking(true, e);
   }
+  if (!e) {
+    // Otherwise accept() waits for the next connection after an aborted one.
+    acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), e);
+  }
   if (e) {
     return MakeError(ErrorCode::kDisconnected,
                      ToString(endpoint) + ": " + e.message());
@@ -64,31 +77,44 @@
 }
 
 void Server::Accept() {
-  acceptor_.async_wait(
-      tcp::acceptor::wait_read, [this](const asio::error_code& wait_error) {
-        if (wait_error || stopped_) {
-          return;
-        }
-        for (int i = 0; i < kMaxAcceptsPerWakeup; ++i) {
-          asio::error_code e;
-          tcp::socket socket(io_);
-          acceptor_.accept(socket, e);
-          if (e == asio::error::would_block || e == asio::error::try_again) {
-            break;
-          }
-          if (e == asio::error::no_descriptors) {
-            ScheduleAcceptRetry();
-            return;
-          }
-          if (!e) {
-            AddConnection(std::move(socket));
-          }
-        }
-        Accept();
-      });
-}
-
-/// Waits before the next accept when the process has no free descriptors,
+  acceptor_.async_wait(tcp::acceptor::wait_read,
+                       [this](const asio::error_code& wait_error) {
+                         if (!wait_error && !stopped_) {
+                           AcceptWaiting();
+                         }
+                       });
+}
+
+void Server::AcceptWaiting() {
+  for (int i = 0; i < kMaxAcceptsPerWakeup; ++i) {
+    const AcceptResult result = AcceptOne();
+    if (result == AcceptResult::kNoResources) {
+      ScheduleAcceptRetry();
+      return;
+    }
+    if (result == AcceptResult::kNoneWaiting) {
+      break;
+    }
+  }
+  Accept();
+}
+
+Server::AcceptResult Server::AcceptOne() {
+  asio::error_code e;
+  tcp::socket socket(io_);
+  acceptor_.accept(socket, e);
+  if (!e) {
+    AddConnection(std::move(socket));
+    return AcceptResult::kAccepted;
+  }
+  if (e == asio::error::would_block || e == asio::error::try_again) {
+    return AcceptResult::kNoneWaiting;
+  }
+  return IsLackOfResources(e) ? AcceptResult::kNoResources
+                              : AcceptResult::kFailed;
+}
+
+/// Waits before the next accept when descriptors or memory are used up,
 /// instead of busy-looping on a readable acceptor.
 void Server::ScheduleAcceptRetry() {
   retry_timer_.expires_after(kAcceptRetryDelay);
@@ -126,11 +152,15 @@
   }
 }
 
-void Server::Stop() {
+void Server::StopAccepting() {
   stopped_ = true;
   asio::error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
+}
+
+void Server::Stop() {
+  StopAccepting();
   for (const auto& [key, connection] : std::exchange(connections_, {})) {
     connection->Abort();
   }
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -39,8 +39,8 @@
 /// A server whose requests are answered at once, unless a test takes them.
 class Site {
  public:
-  Site()
-      : server_(io_, {},
+  explicit Site(std::size_t max_connections = 100)
+      : server_(io_, {max_connections, kLargeBytes},
                 [this](const std::shared_ptr<ServerConnection>& connection,
                        const ServerRequest& /*request*/) {
                   last_ = connection;
