Send no interim response to an HTTP/1.0 caller

Callers saw: "100 Continue" in front of the answer where a caller of HTTP/1.0 had sent Expect; it takes that for the answer. Cause: the version wasn't looked at; RFC 9110, 10.1.1, says to ignore the field. Change: 100 Continue is sent from HTTP/1.1 on only. Evidence: unit-http-kept-connections, "a caller without interim responses gets none" failed before (CHECK( peer->received().empty() )), passes now. Conclusion: few callers speak 1.0 and send Expect.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -15,6 +15,8 @@
 /// Buffer limit for pipelined requests. While a request is in progress, reading
 /// stops at this size.
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+/// HTTP/1.1. An older peer doesn't know interim responses.
+constexpr int kFirstVersionWithContinue = 11;
 
 }  // namespace
 
@@ -120,7 +122,8 @@
     return;
   }
   if (parser_.head_done()) {
-    if (!had_head && parser_.head().fields.HasToken("expect", "100-continue")) {
+    if (!had_head && parser_.head().version >= kFirstVersionWithContinue &&
+        parser_.head().fields.HasToken("expect", "100-continue")) {
       output_ += "HTTP/1.1 100 Continue\r\n\r\n";
       Flush();
     }
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -391,4 +391,16 @@
   CHECK_FALSE(peer->reset());
 }
 
+TEST_CASE("a caller without interim responses gets none") {
+  Site site;
+  const auto peer = site.Connect();
+  peer->Send(
+      "POST / HTTP/1.0\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n");
+  site.RunFor(std::chrono::milliseconds(30));
+  CHECK(peer->received().empty());
+  peer->Send("x");
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK(peer->received().rfind("HTTP/1.1 200", 0) == 0);
+}
+
 }  // namespace rattanward::http
