Answer a request on a connection beyond the limit

Callers saw: a reset, if a server had as many connections as it may hold, although their request was there already. Cause: such a connection was closed without a look at its input. Evidence: unit-http-kept-connections, "a request beyond the connection limit gets an answer" failed before (0 answers, a reset), passes now.

--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -23,6 +23,8 @@
 
   /// @brief Resource limits over all connections.
   struct Options {
+    /// A request on one of the next few connections is refused; further
+    /// connections are closed.
     std::size_t max_connections = 1024;
     /// Total bytes of the request bodies being received or still referenced.
     std::size_t max_body_bytes = 16U << 20U;
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -129,6 +129,11 @@
   /// doesn't announce the close.
   void CloseWhenIdle();
 
+  /// @brief Rejects the first request as soon as its head is complete, and then
+  /// closes the connection.
+  /// @param error Reason given to ServerHandler::OnRejected().
+  void RefuseRequest(Error error);
+
   /// @brief Number of output bytes not yet written to the socket.
   std::size_t buffered() const { return output_.size() - sent_; }
 
@@ -183,6 +188,7 @@
   /// Bytes of the current request body that are charged to body_budget_.
   std::size_t charged_bytes_ = 0;
   Watcher watcher_;
+  std::optional<Error> refusal_;
   State state_ = State::kReading;
   TimePoint first_byte_time_;
   TimePoint deadline_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -16,6 +16,9 @@
 /// Limits the connections accepted per wakeup, so that other handlers of the
 /// io_context also run.
 constexpr int kMaxAcceptsPerWakeup = 64;
+/// Connections beyond the limit whose request is refused with a response.
+/// Further ones are closed unread.
+constexpr std::size_t kMaxRefusals = 64;
 
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text{};
@@ -126,17 +129,20 @@
 }
 
 void Server::AddConnection(tcp::socket socket) {
-  if (connections_.size() >= options_.max_connections) {
-    // Closed without a response, since the peer may not have sent a request.
-    OnRejected(MakeError(ErrorCode::kTooManyOpenRequests,
-                         "connection limit of the server reached"));
+  const Error full = MakeError(ErrorCode::kTooManyOpenRequests,
+                               "connection limit of the server reached");
+  if (connections_.size() >= options_.max_connections + kMaxRefusals) {
+    OnRejected(full);
     return;
   }
+  const bool refused = connections_.size() >= options_.max_connections;
   auto connection =
       std::make_shared<ServerConnection>(std::move(socket), *this);
   connections_[connection.get()] = connection;
   connection->Start();
-  if (closing_) {
+  if (refused) {
+    connection->RefuseRequest(full);
+  } else if (closing_) {
     connection->CloseWhenIdle();
   }
 }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -117,6 +117,11 @@
                      "memory budget for request bodies exhausted"));
     return;
   }
+  if (refusal_ && parser_.head_done()) {
+    head_request_ = parser_.head().method == "HEAD";
+    Reject(*refusal_);
+    return;
+  }
   if (parser_.done()) {
     DispatchRequest();
     return;
--- a/src/http/server_connection_end.cc
+++ b/src/http/server_connection_end.cc
@@ -87,6 +87,11 @@
   }
 }
 
+void ServerConnection::RefuseRequest(Error error) {
+  refusal_ = std::move(error);
+  CloseWhenIdle();
+}
+
 void ServerConnection::CloseAndNotify() {
   const auto on_disconnect = std::move(watcher_.on_disconnect);
   watcher_ = Watcher();
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -391,6 +391,21 @@
   CHECK_FALSE(peer->reset());
 }
 
+TEST_CASE("a request beyond the connection limit gets an answer") {
+  Site site(1);
+  const auto first = site.ConnectAndAsk();
+  const auto second = site.Connect();
+  second->Send(kRequest);
+  REQUIRE(site.RunUntil([&] { return second->ended(); }));
+  CHECK(CountOf(second->received(), "HTTP/1.1 503") == 1);
+  CHECK(CountOf(second->received(), "Connection: close") == 1);
+  CHECK_FALSE(second->reset());
+  second->Close();
+  REQUIRE(site.RunUntil([&] { return site.server().connections() == 1; }));
+  first->Send(kRequest);
+  CHECK(site.RunUntil([&] { return Site::Answers(*first) == 2; }));
+}
+
 TEST_CASE("a caller without interim responses gets none") {
   Site site;
   const auto peer = site.Connect();
