Let a stopping program finish all answers of a server

Callers saw: at the end of a planned stop, answers that were given but not written or received were cut by the end of the process, and connections in the accept queue were reset when the listener closed. Cause: a server could only be told to close after responses, and to stop. Class: no operation for what a stop needs. Change: Server::Finish(limit, on_finished) accepts what waits in the queue, closes the listener, closes each connection after its answer (told or with time for one more request, lingering bounded) and tells once none is left or the limit has passed. The programs don't call it yet. Evidence: unit-http-kept-connections: "a server finishes once its callers have all their answers" (16 MB to a slow reader), "a server that finishes answers what waits to be accepted", "a server finishes at its limit, and at once without connections". New operation, so no failure before. Conclusion: a connection that completes its handshake between the last accept and the close of the listener is still reset by the kernel.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -16,6 +16,7 @@
 /// Limits the connections accepted per wakeup, so that other handlers of the
 /// io_context also run.
 constexpr int kMaxAcceptsPerWakeup = 64;
+constexpr int kMaxQueuedConnections = 4096;
 /// Connections beyond the limit whose request is refused with a response.
 /// Further ones are closed unread.
 constexpr std::size_t kMaxRefusals = 64;
@@ -41,6 +42,7 @@
     : io_(io),
       acceptor_(io),
       retry_timer_(io),
+      finish_timer_(io),
       options_(options),
       handler_(std::move(handler)),
       body_budget_(
@@ -158,6 +160,44 @@
   }
 }
 
+void Server::Finish(Duration limit, std::function<void()> on_finished) {
+  AcceptQueued();
+  StopAccepting();
+  on_finished_ = std::move(on_finished);
+  EndFinishAfter(limit);
+  CloseAfterResponses();
+  if (connections_.empty()) {
+    EndFinishAfter(Duration(0));
+  }
+}
+
+/// A closed acceptor resets the connections that wait in its queue.
+void Server::AcceptQueued() {
+  for (int i = 0; i < kMaxQueuedConnections && !stopped_; ++i) {
+    const AcceptResult result = AcceptOne();
+    if (result == AcceptResult::kNoneWaiting ||
+        result == AcceptResult::kNoResources) {
+      return;
+    }
+  }
+}
+
+void Server::EndFinishAfter(Duration time) {
+  finish_timer_.expires_after(time);
+  finish_timer_.async_wait([this](const asio::error_code& e) {
+    if (!e) {
+      EndFinish();
+    }
+  });
+}
+
+void Server::EndFinish() {
+  finish_timer_.cancel();
+  if (const auto on_finished = std::exchange(on_finished_, nullptr)) {
+    on_finished();
+  }
+}
+
 void Server::StopAccepting() {
   stopped_ = true;
   asio::error_code ignored;
@@ -167,6 +207,8 @@
 
 void Server::Stop() {
   StopAccepting();
+  finish_timer_.cancel();
+  on_finished_ = nullptr;
   for (const auto& [key, connection] : std::exchange(connections_, {})) {
     connection->Abort();
   }
@@ -198,6 +240,9 @@
 
 void Server::OnClosed(ServerConnection& connection) {
   connections_.erase(&connection);
+  if (on_finished_ && connections_.empty()) {
+    EndFinishAfter(Duration(0));
+  }
 }
 
 void RespondError(ServerConnection& connection, const Error& error,
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -391,6 +391,58 @@
   CHECK_FALSE(peer->reset());
 }
 
+TEST_CASE("a server finishes once its callers have all their answers") {
+  Site site;
+  site.Hold();
+  bool finished = false;
+  Caller reading(site, kSmallWindowBytes);
+  reading.Send(kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.server().Finish(kTestLimit, [&] { finished = true; });
+  site.RunFor(std::chrono::milliseconds(30));
+  CHECK_FALSE(finished);
+  site.last().Respond(ResponseHead{}, std::string(kLargeBytes, 'x'));
+  site.RunFor(std::chrono::milliseconds(30));
+  CHECK_FALSE(finished);
+  CHECK(reading.ReadAllWhile(site) > kLargeBytes);
+  CHECK(reading.error() == asio::error::eof);
+  reading.socket().close();
+  CHECK(site.RunUntil([&] { return finished; }));
+}
+
+TEST_CASE("a server that finishes answers what waits to be accepted") {
+  Site site;
+  bool finished = false;
+  const auto peer = site.Connect();
+  peer->Send(kRequest);
+  site.server().Finish(kTestLimit, [&] { finished = true; });
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK(ClosedAfterAnswers(*peer, 1));
+  peer->Close();
+  CHECK(site.RunUntil([&] { return finished; }));
+}
+
+TEST_CASE("a server finishes at its limit, and at once without connections") {
+  Site site;
+  bool finished = false;
+  SUBCASE("no connection") {
+    site.server().Finish(kTestLimit, [&] { finished = true; });
+    CHECK_FALSE(finished);
+    site.RunFor(std::chrono::milliseconds(30));
+    CHECK(finished);
+  }
+  SUBCASE("a request that is never answered") {
+    site.Hold();
+    const auto peer = site.Connect();
+    peer->Send(kRequest);
+    REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+    site.server().Finish(std::chrono::milliseconds(50),
+                         [&] { finished = true; });
+    CHECK(site.RunUntil([&] { return finished; }));
+    CHECK(site.server().busy() == 1);
+  }
+}
+
 TEST_CASE("a request beyond the connection limit gets an answer") {
   Site site(1);
   const auto first = site.ConnectAndAsk();
