--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -22,6 +23,8 @@
 
   /// @brief Resource limits over all connections.
   struct Options {
+    /// A request on one of the next few connections is refused; further
+    /// connections are closed.
     std::size_t max_connections = 1024;
     /// Total bytes of the request bodies being received or still referenced.
     std::size_t max_body_bytes = 16U << 20U;
@@ -47,6 +50,14 @@
   /// @brief Accepts the connections in the listen queue, and no further ones.
   void StopListening();
 
+  /// @brief Accepts the connections that already wait, stops accepting, and
+  /// closes each connection as CloseAfterResponses() does.
+  /// @param limit Maximum time until on_finished is called.
+  /// @param on_finished Called once, in a later event-loop step, when the peers
+  /// have received all responses and no connection is left, or at the limit.
+  /// Not called after Stop().
+  void Finish(Duration limit, std::function<void()> on_finished);
+
   /// @brief Stops accepting and aborts every connection.
   void Stop();
 
@@ -71,13 +82,29 @@
   std::function<Response(const Error&)> make_error_response;
 
  private:
+  enum class AcceptResult : std::uint8_t {
+    kAccepted,
+    kNoneWaiting,
+    kNoResources,
+    /// The connection has failed before it was accepted.
+    kFailed,
+  };
+
   void Accept();
+  void AcceptWaiting();
+  AcceptResult AcceptOne();
+  void AcceptQueued();
+  void StopAccepting();
+  void EndFinish();
+  void EndFinishAfter(Duration time);
   void ScheduleAcceptRetry();
   void AddConnection(asio::ip::tcp::socket socket);
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
+  asio::steady_timer finish_timer_;
+  std::function<void()> on_finished_;
   Options options_;
   RequestHandler handler_;
   ServerLimits limits_;
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -23,6 +23,9 @@
   /// Maximum time without progress: between requests, within a request body,
   /// or while the peer does not read the response.
   Duration idle_timeout{std::chrono::seconds(15)};
+  /// Time for the peer to read the last response before the socket is closed.
+  /// It is repeated up to idle_timeout while the peer has not received all.
+  Duration linger_time{std::chrono::seconds(2)};
 };
 
 /// @brief Complete request.
@@ -111,17 +114,25 @@
   /// @brief Ends the response that StartBody() began.
   void FinishBody();
 
-  /// @brief Resets the connection.
+  /// @brief Closes the connection immediately, with a reset if a request is in
+  /// progress.
   /// @note A reset makes sure that the peer doesn't take a truncated response
-  /// for a complete one.
+  /// for a complete one. It also discards what the peer has not received yet,
+  /// so a complete response is never followed by one.
   void Abort();
 
   /// @brief Closes the connection after the current response, or immediately if
   /// it is idle.
+  /// @note A request that has already arrived is handled. A connection whose
+  /// peer has reason to send another request now gets a short time for it: if
+  /// it had none so far, or if the head of the current response, already sent,
+  /// doesn't announce the close.
   void CloseWhenIdle();
 
-  /// @brief Closes the connection after the next response.
-  void CloseAfterNextResponse() { close_requested_ = true; }
+  /// @brief Rejects the first request as soon as its head is complete, and then
+  /// closes the connection.
+  /// @param error Reason given to ServerHandler::OnRejected().
+  void RefuseRequest(Error error);
 
   /// @brief Number of output bytes not yet written to the socket.
   std::size_t buffered() const { return output_.size() - sent_; }
@@ -137,6 +148,7 @@
   void WaitReadable();
   void OnReadable();
   void ParseInput();
+  void ParseInputLater();
   void StartMessage();
   void DispatchRequest();
   bool ChargeBodyBudget();
@@ -154,6 +166,14 @@
   void SetDeadline(TimePoint deadline);
   void ArmTimer();
   void OnTimer();
+  bool MakesProgress();
+  bool ReadBeforeTimeout();
+  bool SendBeforeTimeout();
+  bool ProlongIdle();
+  void OnPeerClosed(bool reset);
+  bool DiscardInput();
+  bool LingersOn();
+  Duration IdleTimeout() const;
   void UpdateInputDeadline();
 
   asio::ip::tcp::socket socket_;
@@ -168,19 +188,26 @@
   /// Bytes of the current request body that are charged to body_budget_.
   std::size_t charged_bytes_ = 0;
   Watcher watcher_;
+  std::optional<Error> refusal_;
   State state_ = State::kReading;
   TimePoint first_byte_time_;
   TimePoint deadline_;
+  TimePoint linger_end_;
+  TimePoint idle_since_;
   /// Expiry of timer_. It can be earlier than deadline_, since a later deadline
   /// does not rearm the timer until it expires.
   TimePoint timer_deadline_;
   bool message_started_ = false;
+  bool first_request_awaited_ = true;
   bool continue_sent_ = false;
   bool reading_ = false;
   bool writing_ = false;
   bool timer_armed_ = false;
   bool keep_alive_ = true;
   bool close_requested_ = false;
+  /// The head of the last response told that the connection will close. A peer
+  /// sends no further request after that, and one that was pipelined is unread.
+  bool close_announced_ = false;
   bool head_request_ = false;
   bool chunked_ = false;
   bool is_http10_ = false;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdio>
 #include <utility>
 #include <vector>
@@ -15,6 +16,10 @@
 /// Limits the connections accepted per wakeup, so that other handlers of the
 /// io_context also run.
 constexpr int kMaxAcceptsPerWakeup = 64;
+constexpr int kMaxQueuedConnections = 4096;
+/// Connections beyond the limit whose request is refused with a response.
+/// Further ones are closed unread.
+constexpr std::size_t kMaxRefusals = 64;
 
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text{};
@@ -23,12 +28,21 @@
   return text.data();
 }
 
+/// Whether accepting failed for want of descriptors or memory, of this process
+/// or of the system. All other errors concern one connection.
+bool IsLackOfResources(const asio::error_code& error) {
+  return error == asio::error::no_descriptors || error.value() == ENFILE ||
+         error == asio::error::no_buffer_space ||
+         error == asio::error::no_memory;
+}
+
 }  // namespace
 
 Server::Server(asio::io_context& io, Options options, RequestHandler handler)
     : io_(io),
       acceptor_(io),
       retry_timer_(io),
+      finish_timer_(io),
       options_(options),
       handler_(std::move(handler)),
       body_budget_(
@@ -54,6 +68,10 @@
   if (!e) {
     acceptor_.non_blocking(true, e);
   }
+  if (!e) {
+    // Otherwise accept() waits for the next connection after an aborted one.
+    acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), e);
+  }
   if (e) {
     return MakeError(ErrorCode::kDisconnected,
                      ToString(endpoint) + ": " + e.message());
@@ -64,31 +82,44 @@
 }
 
 void Server::Accept() {
-  acceptor_.async_wait(
-      tcp::acceptor::wait_read, [this](const asio::error_code& wait_error) {
-        if (wait_error || stopped_) {
-          return;
-        }
-        for (int i = 0; i < kMaxAcceptsPerWakeup; ++i) {
-          asio::error_code e;
-          tcp::socket socket(io_);
-          acceptor_.accept(socket, e);
-          if (e == asio::error::would_block || e == asio::error::try_again) {
-            break;
-          }
-          if (e == asio::error::no_descriptors) {
-            ScheduleAcceptRetry();
-            return;
-          }
-          if (!e) {
-            AddConnection(std::move(socket));
-          }
-        }
-        Accept();
-      });
-}
-
-/// Waits before the next accept when the process has no free descriptors,
+  acceptor_.async_wait(tcp::acceptor::wait_read,
+                       [this](const asio::error_code& wait_error) {
+                         if (!wait_error && !stopped_) {
+                           AcceptWaiting();
+                         }
+                       });
+}
+
+void Server::AcceptWaiting() {
+  for (int i = 0; i < kMaxAcceptsPerWakeup; ++i) {
+    const AcceptResult result = AcceptOne();
+    if (result == AcceptResult::kNoResources) {
+      ScheduleAcceptRetry();
+      return;
+    }
+    if (result == AcceptResult::kNoneWaiting) {
+      break;
+    }
+  }
+  Accept();
+}
+
+Server::AcceptResult Server::AcceptOne() {
+  asio::error_code e;
+  tcp::socket socket(io_);
+  acceptor_.accept(socket, e);
+  if (!e) {
+    AddConnection(std::move(socket));
+    return AcceptResult::kAccepted;
+  }
+  if (e == asio::error::would_block || e == asio::error::try_again) {
+    return AcceptResult::kNoneWaiting;
+  }
+  return IsLackOfResources(e) ? AcceptResult::kNoResources
+                              : AcceptResult::kFailed;
+}
+
+/// Waits before the next accept when descriptors or memory are used up,
 /// instead of busy-looping on a readable acceptor.
 void Server::ScheduleAcceptRetry() {
   retry_timer_.expires_after(kAcceptRetryDelay);
@@ -100,34 +131,27 @@
 }
 
 void Server::AddConnection(tcp::socket socket) {
-  if (connections_.size() >= options_.max_connections) {
-    // Closed without a response, since the peer may not have sent a request.
-    OnRejected(MakeError(ErrorCode::kTooManyOpenRequests,
-                         "connection limit of the server reached"));
+  const Error full = MakeError(ErrorCode::kTooManyOpenRequests,
+                               "connection limit of the server reached");
+  if (connections_.size() >= options_.max_connections + kMaxRefusals) {
+    OnRejected(full);
     return;
   }
+  const bool refused = connections_.size() >= options_.max_connections;
   auto connection =
       std::make_shared<ServerConnection>(std::move(socket), *this);
   connections_[connection.get()] = connection;
   connection->Start();
-  if (closing_) {
-    connection->CloseAfterNextResponse();
+  if (refused) {
+    connection->RefuseRequest(full);
+  } else if (closing_) {
+    connection->CloseWhenIdle();
   }
 }
 
 void Server::StopListening() {
-  asio::error_code e;
-  for (int i = 0; i < asio::socket_base::max_listen_connections &&
-                  acceptor_.is_open() && e != asio::error::would_block;
-       ++i) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, e);
-    if (!e) {
-      AddConnection(std::move(socket));
-    }
-  }
-  acceptor_.close(e);
-  retry_timer_.cancel();
+  AcceptQueued();
+  StopAccepting();
 }
 
 void Server::CloseAfterResponses() {
@@ -141,11 +165,54 @@
   }
 }
 
-void Server::Stop() {
+void Server::Finish(Duration limit, std::function<void()> on_finished) {
+  StopListening();
+  on_finished_ = std::move(on_finished);
+  EndFinishAfter(limit);
+  CloseAfterResponses();
+  if (connections_.empty()) {
+    EndFinishAfter(Duration(0));
+  }
+}
+
+/// A closed acceptor resets the connections that wait in its queue.
+void Server::AcceptQueued() {
+  for (int i = 0; i < kMaxQueuedConnections && !stopped_; ++i) {
+    const AcceptResult result = AcceptOne();
+    if (result == AcceptResult::kNoneWaiting ||
+        result == AcceptResult::kNoResources) {
+      return;
+    }
+  }
+}
+
+void Server::EndFinishAfter(Duration time) {
+  finish_timer_.expires_after(time);
+  finish_timer_.async_wait([this](const asio::error_code& e) {
+    if (!e) {
+      EndFinish();
+    }
+  });
+}
+
+void Server::EndFinish() {
+  finish_timer_.cancel();
+  if (const auto on_finished = std::exchange(on_finished_, nullptr)) {
+    on_finished();
+  }
+}
+
+void Server::StopAccepting() {
   stopped_ = true;
   asio::error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
+}
+
+void Server::Stop() {
+  StopAccepting();
+  finish_timer_.cancel();
+  on_finished_ = nullptr;
   for (const auto& [key, connection] : std::exchange(connections_, {})) {
     connection->Abort();
   }
@@ -177,6 +244,9 @@
 
 void Server::OnClosed(ServerConnection& connection) {
   connections_.erase(&connection);
+  if (on_finished_ && connections_.empty()) {
+    EndFinishAfter(Duration(0));
+  }
 }
 
 void RespondError(ServerConnection& connection, const Error& error,
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -15,9 +15,8 @@
 /// Buffer limit for pipelined requests. While a request is in progress, reading
 /// stops at this size.
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
-/// Time for the peer to read the last response and close before the socket is
-/// closed.
-constexpr Duration kLingerTime{std::chrono::seconds(2)};
+/// HTTP/1.1. An older peer doesn't know interim responses.
+constexpr int kFirstVersionWithContinue = 11;
 
 }  // namespace
 
@@ -67,7 +66,7 @@
 void ServerConnection::OnReadable() {
   const detail::ReadResult read = detail::ReadSome(socket_);
   if (read.peer_closed) {
-    CloseAndNotify();
+    OnPeerClosed(read.reset);
     return;
   }
   if (state_ != State::kLingering && !read.bytes.empty()) {
@@ -79,6 +78,18 @@
   }
 }
 
+/// A peer that closes its side while it awaits a response counts as gone, since
+/// a closed and a half-closed connection look the same. The rest of a complete
+/// response is still sent.
+void ServerConnection::OnPeerClosed(bool reset) {
+  if (reset || state_ == State::kBusy || buffered() == 0) {
+    CloseAndNotify();
+    return;
+  }
+  state_ = State::kLingering;
+  input_.clear();
+}
+
 void ServerConnection::StartMessage() {
   limits_ = handler_.Limits();
   parser_ = RequestParser(limits_.parser);
@@ -106,12 +117,18 @@
                      "memory budget for request bodies exhausted"));
     return;
   }
+  if (refusal_ && parser_.head_done()) {
+    head_request_ = parser_.head().method == "HEAD";
+    Reject(*refusal_);
+    return;
+  }
   if (parser_.done()) {
     DispatchRequest();
     return;
   }
   if (parser_.head_done()) {
-    if (!had_head && parser_.head().fields.HasToken("expect", "100-continue")) {
+    if (!had_head && parser_.head().version >= kFirstVersionWithContinue &&
+        parser_.head().fields.HasToken("expect", "100-continue")) {
       output_ += "HTTP/1.1 100 Continue\r\n\r\n";
       Flush();
     }
@@ -122,6 +139,7 @@
 void ServerConnection::DispatchRequest() {
   state_ = State::kBusy;
   message_started_ = false;
+  first_request_awaited_ = false;
   keep_alive_ = parser_.keep_alive();
   is_http10_ = parser_.head().version < 11;
   head_request_ = parser_.head().method == "HEAD";
@@ -155,7 +173,8 @@
 }
 
 void ServerConnection::AddConnectionField(ResponseHead* head) {
-  if (WillClose()) {
+  close_announced_ = WillClose();
+  if (close_announced_) {
     head->fields.Set("Connection", "close");
   } else if (is_http10_) {
     head->fields.Set("Connection", "keep-alive");
@@ -226,7 +245,7 @@
 void ServerConnection::EndResponse() {
   watcher_ = Watcher();
   chunked_ = false;
-  if (WillClose()) {
+  if (close_announced_) {
     state_ = State::kLingering;
     Flush();
     return;
@@ -239,11 +258,15 @@
   }
   WaitReadable();
   if (!input_.empty()) {
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this()] { self->ParseInput(); });
+    ParseInputLater();
   }
 }
 
+void ServerConnection::ParseInputLater() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->ParseInput(); });
+}
+
 void ServerConnection::Flush() {
   if (!writing_) {
     TrySend();
@@ -290,115 +313,4 @@
   }
 }
 
-/// Keeps reading for a while after the last response. Closing a socket with
-/// unread input resets the connection, and the peer may lose the response.
-void ServerConnection::Linger() {
-  SetResetOnClose(false);
-  asio::error_code ignored;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  SetDeadline(MonotonicNow() + kLingerTime);
-  WaitReadable();
-}
-
-void ServerConnection::Abort() {
-  if (state_ == State::kClosed) {
-    return;
-  }
-  SetResetOnClose(true);
-  watcher_ = Watcher();
-  Close();
-}
-
-void ServerConnection::CloseWhenIdle() {
-  close_requested_ = true;
-  if (state_ == State::kReading && !message_started_ && input_.empty() &&
-      buffered() == 0) {
-    // A request that arrives during the close is never read, so the peer can
-    // safely send it to another server.
-    Close();
-  }
-}
-
-void ServerConnection::CloseAndNotify() {
-  const auto on_disconnect = std::move(watcher_.on_disconnect);
-  watcher_ = Watcher();
-  Close();
-  if (on_disconnect) {
-    on_disconnect();
-  }
-}
-
-void ServerConnection::Close() {
-  if (state_ == State::kClosed) {
-    return;
-  }
-  state_ = State::kClosed;
-  timer_.cancel();
-  asio::error_code ignored;
-  socket_.close(ignored);
-  input_ = std::string();
-  ReleaseBodyBudget();
-  parser_ = RequestParser(limits_.parser);
-  handler_.OnClosed(*this);
-}
-
-void ServerConnection::UpdateInputDeadline() {
-  if (state_ != State::kReading) {
-    return;
-  }
-  const bool in_head = message_started_ && !parser_.head_done();
-  SetDeadline(in_head ? first_byte_time_ + limits_.header_timeout
-                      : MonotonicNow() + limits_.idle_timeout);
-}
-
-void ServerConnection::SetDeadline(TimePoint deadline) {
-  deadline_ = deadline;
-  if (deadline_ != TimePoint::max() &&
-      (!timer_armed_ || deadline_ < timer_deadline_)) {
-    ArmTimer();
-  }
-}
-
-void ServerConnection::ArmTimer() {
-  timer_armed_ = true;
-  timer_deadline_ = deadline_;
-  timer_.expires_after(deadline_ - MonotonicNow());
-  timer_.async_wait([weak = weak_from_this()](const asio::error_code& e) {
-    const auto self = weak.lock();
-    if (!e && self) {
-      self->OnTimer();
-    }
-  });
-}
-
-void ServerConnection::OnTimer() {
-  timer_armed_ = false;
-  if (state_ == State::kClosed || deadline_ == TimePoint::max()) {
-    return;
-  }
-  if (MonotonicNow() < deadline_) {
-    ArmTimer();
-    return;
-  }
-  if (state_ == State::kReading && message_started_ && !writing_) {
-    // Responds with status 408 instead of the status of kDeadlinePassed, since
-    // no complete request was received.
-    Response response = handler_.OnRejected(
-        MakeError(ErrorCode::kDeadlinePassed,
-                  "request not received completely within the timeout"));
-    state_ = State::kBusy;
-    message_started_ = false;
-    close_requested_ = true;
-    constexpr int kRequestTimeout = 408;
-    response.head.status = kRequestTimeout;
-    Respond(std::move(response.head), response.body);
-    return;
-  }
-  if (state_ == State::kReading && !writing_) {
-    Close();
-    return;
-  }
-  CloseAndNotify();
-}
-
 }  // namespace rattanward::http
