Give an attempt at a lost path up only if the next one can begin

What callers saw: an answer that ended early (a stream was reset, an ordinary request got 502) 1.5 s after its upstream had last sent something, if a new connection to that upstream was refused or hung, although the upstream was still at work and its open connection would have brought the answer.

Cause: AbandonSilent looked only at the route's kind and number of attempts. The upstream's connection was closed first, and then the next attempt could be refused: the retry budget was used up, the stream had no event ids, no other upstream of the service or of the stream's version was known; or it waited for an upstream with room until its deadline. An upstream that stops taking connections while it finishes its work (a planned stop of its own) makes its path lost in just this way. Class: what is held is given up before it is known that there is something in its place.

Change: the event loop asks first whether the key, the quarantine and the versions allow another attempt, whether an upstream with room or an entry to relay to is there, and takes the retry from the budget. Only then is the old connection closed, and the next attempt begins in the same step, so that one free place can't be counted for several requests. Closing before sending is kept: a request never runs at two upstreams.

Evidence: unit-lost-path.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -145,9 +145,10 @@
   /// silent for longer than one in order.
   bool MayAbandonSilent(TimePoint now) const;
 
-  /// @brief The path to the upstream of a request that may be sent again is
-  /// lost.
-  void OnPathLost();
+  /// @brief Gives up an attempt whose path is lost. The request waits again.
+  /// @note The owner has taken the retry, and knows that the next attempt may
+  /// begin: an attempt is not given up for nothing.
+  void LeaveLostPath();
 
   /// @brief Ends a waiting request with an error response.
   void Refuse(const Error& error);
@@ -236,6 +237,8 @@
   void FinishRelay();
   void HandleRelayFailure(http::ClientFailure failure);
   void HandleConnectionLoss(const std::string& reason);
+  void RecordConnectionLoss(const std::string& reason);
+  bool MayGoOn() const;
   void Requeue();
   void Fail(Error error);
   void Release();
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -248,6 +248,7 @@
   void AnswerReachQuestion(const std::shared_ptr<http::ServerConnection>& peer,
                            const membership::InstanceStart& upstream);
   bool TryRelay(const std::shared_ptr<Exchange>& exchange);
+  std::optional<Endpoint> ChoosePeer(const Exchange& exchange, TimePoint now);
   void ReleasePeer(const Endpoint& peer,
                    std::shared_ptr<http::ClientConnection> connection);
   void ProbePaths(TimePoint now);
@@ -257,6 +258,7 @@
   void MarkPathReached(const UpstreamId& id);
   void MarkPathLost(const UpstreamId& id);
   void AbandonSilent(TimePoint now);
+  bool MaySendOn(const Exchange& exchange, TimePoint now);
   bool HasLostMost() const;
   void ConfirmCrash(const CrashEvidence& evidence, int questions_left);
   void ProbeAfterLoss(const CrashEvidence& evidence);
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -190,6 +190,23 @@
     HandleRelayFailure(ClientFailure::kTruncated);
     return;
   }
+  RecordConnectionLoss(reason);
+  if (MayGoOn() && owner_.TryTakeRetry(*this)) {
+    Requeue();
+    return;
+  }
+  Fail(MakeError(ErrorCode::kUpstreamBroken, reason, Verdict::kMayHaveRun));
+}
+
+/// Whether the route allows another attempt, also of a stream that has begun.
+bool Exchange::MayGoOn() const {
+  // A stream can be resumed only if its events have ids.
+  const bool can_resume = !stream_started_ || !splitter_.last_id().empty();
+  return is_retryable() && can_resume &&
+         attempts_ < request_.route->max_attempts;
+}
+
+void Exchange::RecordConnectionLoss(const std::string& reason) {
   may_have_run_ = true;
   owner_.OnOutcome(*this, false);
   owner_.OnConnectionLost(*this);
@@ -207,16 +224,6 @@
   excluded_.insert(upstream_);
   Release();
   splitter_.DiscardPartialEvent();
-  const Error error =
-      MakeError(ErrorCode::kUpstreamBroken, reason, Verdict::kMayHaveRun);
-  // A stream can be resumed only if its events have ids.
-  const bool can_resume = !stream_started_ || !splitter_.last_id().empty();
-  if (is_retryable() && can_resume &&
-      attempts_ < request_.route->max_attempts && owner_.TryTakeRetry(*this)) {
-    Requeue();
-    return;
-  }
-  Fail(error);
 }
 
 void Exchange::Requeue() {
--- a/src/proxy/exchange_relay.cc
+++ b/src/proxy/exchange_relay.cc
@@ -138,16 +138,14 @@
 
 bool Exchange::MayAbandonSilent(TimePoint now) const {
   return state_ == State::kSent && !relay_peer_ &&
-         now - last_byte_at_ >= kShortSilence && is_retryable() &&
-         attempts_ < request_.route->max_attempts;
+         now - last_byte_at_ >= kShortSilence && MayGoOn();
 }
 
-void Exchange::OnPathLost() {
+void Exchange::LeaveLostPath() {
   const auto self = shared_from_this();
-  if (connection_) {
-    connection_->Close();
-    HandleConnectionLoss("no path to the upstream");
-  }
+  connection_->Close();
+  RecordConnectionLoss("no path to the upstream");
+  Requeue();
 }
 
 }  // namespace rattanward::proxy
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -104,7 +104,9 @@
   ScheduleDrain();
 }
 
-/// Requests that may be sent again don't wait for a path that is lost.
+/// Requests that may be sent again don't wait for a path that is lost if
+/// another attempt can begin at once. Otherwise their upstream may still
+/// answer.
 void Proxy::AbandonSilent(TimePoint now) {
   if (paths_.lost() == 0) {
     return;
@@ -112,10 +114,32 @@
   const auto exchanges = exchanges_;
   for (const std::shared_ptr<Exchange>& exchange : exchanges) {
     if (exchange->MayAbandonSilent(now) &&
-        paths_.IsLost(exchange->upstream())) {
-      exchange->OnPathLost();
+        paths_.IsLost(exchange->upstream()) && MaySendOn(*exchange, now) &&
+        TryTakeRetry(*exchange)) {
+      exchange->LeaveLostPath();
+      FullServices none_known;
+      TryPlace(exchange, &none_known);
     }
   }
 }
 
+/// Whether a request that an upstream has could be sent to another one, or be
+/// relayed, at once.
+bool Proxy::MaySendOn(const Exchange& exchange, TimePoint now) {
+  policy::PlacementRequest placement = exchange.placement();
+  if (!MayStart(exchange) ||
+      !CheckNotQuarantined(exchange.routed().fingerprint, placement.prompt)) {
+    return false;
+  }
+  if (placer_.ShouldRelay(placement.service, now)) {
+    return !exchange.routed().relayed && ChoosePeer(exchange, now).has_value();
+  }
+  if (exchange.stream_version()) {
+    placement.versions = {*exchange.stream_version()};
+  }
+  std::set<UpstreamId> excluded = exchange.excluded();
+  excluded.insert(exchange.upstream());
+  return placer_.Choose(placement, excluded, now).has_value();
+}
+
 }  // namespace rattanward::proxy
--- a/src/proxy/proxy_relay.cc
+++ b/src/proxy/proxy_relay.cc
@@ -43,10 +43,7 @@
                                "this entry has no path to an upstream either"));
     return true;
   }
-  const std::set<Endpoint>& tried = exchange->relays_tried();
-  const std::optional<Endpoint> peer = tried.size() < kMaxRelays
-                                           ? relays_.Choose(service, tried, now)
-                                           : std::nullopt;
+  const std::optional<Endpoint> peer = ChoosePeer(*exchange, now);
   if (peer) {
     return exchange->RelayTo(*peer);
   }
@@ -61,6 +58,14 @@
   return false;
 }
 
+std::optional<Endpoint> Proxy::ChoosePeer(const Exchange& exchange,
+                                          TimePoint now) {
+  const std::set<Endpoint>& tried = exchange.relays_tried();
+  return tried.size() < kMaxRelays
+             ? relays_.Choose(exchange.placement().service, tried, now)
+             : std::nullopt;
+}
+
 std::shared_ptr<http::ClientConnection> Proxy::ConnectToPeer(
     const Endpoint& peer) {
   auto connection = relay_pool_.Acquire(PoolKey(peer), peer,
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -53,13 +53,14 @@
 /// test defines.
 class ProxyEntry {
  public:
-  explicit ProxyEntry(Duration key_lease = std::chrono::seconds(4)) {
+  explicit ProxyEntry(Duration key_lease = std::chrono::seconds(4),
+                      double fixed_retries = 100) {
     proxy::ProxyOptions options;
     options.process = ProcessId("entry");
     options.failure_domain = FailureDomain("d");
     options.listen = {"127.0.0.1", 0};
     options.relay_listen = {"127.0.0.1", 0};
-    options.retries.fixed_retries = 100;
+    options.retries.fixed_retries = fixed_retries;
     options.max_body_bytes = 2U << 20U;
     options.max_connections = 5000;
     options.key_lease = key_lease;
