Refuse at once what waits for a service that the routes no longer have

What callers saw: a request that waited for room at an upstream of a service which a new version of the routes drops got no answer until its deadline, though nothing could serve it any more: 4.98 s of 5 s in the test, then the 503 of a passed deadline, too late to come back.

Cause: to the placer, a service that isn't there looks like one whose upstreams are all full. Class: a decision that was made when the request came in isn't made again when what it rests on changes (as for keys, versions and the quarantine, which are checked again at each placing).

Change: the check before placing asks the routes in force for the service. A request that was not sent gets 503 with Retry-After, and its next attempt goes by the new routes; that stays true, as it is not sent.

--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -275,6 +275,10 @@
 bool Proxy::RefuseIfNotAllowed(Exchange& exchange) const {
   Status allowed = CheckNotQuarantined(exchange.routed().fingerprint,
                                        exchange.placement().prompt);
+  if (allowed && !table_->FindService(exchange.placement().service)) {
+    allowed = MakeError(ErrorCode::kNoUpstream,
+                        "the routes in force no longer have its service");
+  }
   if (allowed) {
     allowed = RestrictVersions(exchange);
   }
