Don't take an upstream for unreachable that rejects a stream's next attempt

What callers saw: none of it directly. A stream whose upstream broke off and whose next upstream said that it didn't run the request went on at a third one. But the second one's path counted as lost: it got no request until a probe succeeded, requests that were silent there could be given up after 1.5 s, and the third attempt was not taken from the retry budget, up to four times for each stream.

Cause: an answer that doesn't go on with the stream was reported as a failure of the connection, of the kind of a request that wasn't sent. Class: one signal with two meanings.

Change: it is handled as the rejection that it is. The upstream is avoided and not asked again for this request, the retry comes from the budget, and the rejection is no attempt of the request, as before.

Evidence: unit-proxy-answers, new case. On the code before: a path-lost event in both of its runs, and 3 arrivals where the budget allowed 2 ('CHECK( 3 == 2 )').

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -238,8 +238,12 @@
     // The next upstream did not resume the stream.
     const auto self = shared_from_this();
     connection_->Close();
-    OnFailure(response_traits_.not_run ? ClientFailure::kNotSent
-                                       : ClientFailure::kTruncated);
+    if (response_traits_.not_run && !relay_peer_) {
+      HandleRejection();
+    } else {
+      OnFailure(response_traits_.not_run ? ClientFailure::kNotSent
+                                         : ClientFailure::kTruncated);
+    }
   }
 }
 
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -133,10 +133,11 @@
 }
 
 void Exchange::HandleRejection() {
-  if (response_traits_.backoff_for) {
-    // Neither a failure of the upstream nor an attempt of the request.
+  if (response_traits_.backoff_for || stream_started_) {
+    // Not an attempt of the request.
     --attempts_;
-  } else {
+  }
+  if (!response_traits_.backoff_for) {
     owner_.OnOutcome(*this, false);
     owner_.OnRejected(*this);
   }
--- a/tests/src/unit-proxy-answers.cc
+++ b/tests/src/unit-proxy-answers.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -319,4 +320,38 @@
   CHECK_FALSE(Contains(caller->received(), "id: 2\nda\r"));
 }
 
+TEST_CASE(
+    "an upstream that rejects a stream's next attempt isn't unreachable") {
+  for (const double fixed_retries : {100.0, 0.0}) {
+    CAPTURE(fixed_retries);
+    ProxyEntry entry(std::chrono::seconds(4), fixed_retries);
+    int arrivals = 0;
+    const auto handler = [&](LoopbackPeer& peer, const std::string& /*text*/) {
+      if (++arrivals == 1) {
+        peer.Send(StreamHead("1") + http::EncodeChunk("id: 1\ndata: a\n\n"));
+        peer.Close(true);
+      } else if (arrivals == 2) {
+        peer.Send(MakeResponse("1", "no", "not-run: 1\r\n", "503 Full"));
+      } else {
+        peer.Send(StreamHead("1") + http::EncodeChunk("id: 2\ndata: b\n\n") +
+                  "0\r\n\r\n");
+      }
+    };
+    for (int i = 0; i < 3; ++i) {
+      entry.AddUpstream(handler);
+    }
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/resume/", "1"));
+    const bool has_budget = fixed_retries > 1;
+    CHECK(entry.RunUntil([&] {
+      return caller->ended() || Contains(caller->received(), "0\r\n\r\n");
+    }));
+    CHECK(Contains(caller->received(), "data: b") == has_budget);
+    CHECK(arrivals == (has_budget ? 3 : 2));
+    CHECK(std::none_of(
+        entry.events.begin(), entry.events.end(),
+        [](const Event& event) { return event.id == EventId::kPathLost; }));
+  }
+}
+
 }  // namespace rattanward::proxy
