Don't end a silent service call before its class's deadline

What callers saw (product's own interface): a call to a plain service that took longer than 30 s to begin its answer, or paused for so long, ended with 502 and may have run, though its class allows more time.

Cause: a fixed time of 30 s without bytes in the call to the service, not tied to the deadline that the operator declares. Class: a silence is taken for an end.

Change: the plan of a service call carries its silence: 30 s, or the class's deadline where that is longer. Streams are as before: their upstream can be asked whether it still works on them.

Evidence: unit-caller-request, new case, before: 'CHECK( 2000000us == 90s )' (the plan held the silence of streams, which wasn't used), and unit-upstream-attempt: 'CHECK( 30000000us == 60000us )' (the call's timer).

--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -28,7 +28,8 @@
   policy::RequestInfo info;
   UpstreamRequest request;
   AnswerShape shape = AnswerShape::kEventStream;
-  /// Time without bytes after which the status of a stream is queried.
+  /// Time without bytes after which the status of a stream is queried, and a
+  /// service call ends.
   Duration silence{0};
   /// First-token target of the request's class.
   Duration first_token_target{0};
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -44,8 +44,8 @@
   /// @param io Event loop of the attempt.
   /// @param start Upstream, and the statuses that declare a request not run.
   /// @param request Request to send; must outlive the attempt.
-  /// @param silence_timeout Time without bytes after which the status of the
-  /// stream is queried on a new connection.
+  /// @param silence_timeout Time without bytes after which the status of a
+  /// stream is queried on a new connection, and a service call ends.
   /// @param timers Creates the timers of the attempt and of its calls.
   UpstreamAttempt(asio::io_context& io, policy::StartAttempt start,
                   const UpstreamRequest& request, Duration silence_timeout,
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -14,6 +14,8 @@
 /// Number of leading prompt bytes that are hashed to recognize shared prefixes.
 constexpr std::size_t kPromptPrefixBytes = 512;
 constexpr int kNoIndent = -1;
+/// Silence after which a service's call ends, if its class allows no more time.
+constexpr Duration kServiceSilence{std::chrono::seconds(30)};
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::string_view kServicesPath = "/services/";
 
@@ -239,6 +241,8 @@
   plan.info.service = name;
   plan.info.idempotent = idempotent;
   plan.shape = AnswerShape::kService;
+  // A service can't be asked whether it still works on a call.
+  plan.silence = std::max(kServiceSilence, request_class.value()->deadline);
   plan.request.path = slash == rest.size() ? "/" : rest.substr(slash);
   plan.request.path += request.head.target.substr(PathOf(request).size());
   plan.request.content_type = HeaderValue(request, "Content-Type");
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -13,7 +13,6 @@
 using policy::AttemptEnd;
 
 constexpr Duration kStatusTimeout{std::chrono::milliseconds(700)};
-constexpr Duration kServiceTimeout{std::chrono::seconds(30)};
 /// Delay before the next status check of a stream that made no progress.
 constexpr Duration kResumeDelay{std::chrono::milliseconds(50)};
 /// An attempt ends after this many silence timeouts without progress.
@@ -83,7 +82,7 @@
 
 void UpstreamAttempt::RunServiceCall(AttemptSink ended) {
   on_end_ = std::move(ended);
-  call_ = NewCall(kServiceTimeout);
+  call_ = NewCall(silence_timeout_);
   call_->Send(MakeInitialHead(), request_.body,
               MakeWatcher(
                   [](UpstreamAttempt& self, const auto& answer) {
--- a/tests/fakes/stepped_call_timers.h
+++ b/tests/fakes/stepped_call_timers.h
@@ -29,6 +29,9 @@
     }
   }
 
+  /// @brief Delay of the timer that was started last.
+  Duration last_delay() const { return last_delay_; }
+
  private:
   class Timer : public entry::CallTimer {
    public:
@@ -37,8 +40,9 @@
     Timer(const Timer&) = delete;
     Timer& operator=(const Timer&) = delete;
 
-    void Start(Duration /*delay*/, Callback callback) override {
+    void Start(Duration delay, Callback callback) override {
       Cancel();
+      owner_.last_delay_ = delay;
       callback_ = std::move(callback);
       owner_.running_.push_back(this);
     }
@@ -70,6 +74,7 @@
 
   /// In the order of their start.
   std::vector<Timer*> running_;
+  Duration last_delay_{0};
 };
 
 }  // namespace rattanward::fakes
--- a/tests/src/unit-caller-request.cc
+++ b/tests/src/unit-caller-request.cc
@@ -2,6 +2,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "rattanward/adapter/announcement_json.h"
 #include "rattanward/entry/caller_request.h"
@@ -124,6 +126,22 @@
   CHECK_FALSE(checked.value().plan.info.idempotent);
 }
 
+TEST_CASE("a silent service call doesn't end before its class's deadline") {
+  const std::vector<std::pair<int, int>> deadlines_and_silences = {
+      {0, 30}, {12, 30}, {90, 90}};
+  for (const auto& [deadline, silence] : deadlines_and_silences) {
+    Config config = MakeSnapshot().config();
+    config.classes[1].deadline = std::chrono::seconds(deadline);
+    http::ServerRequest request = Post("/services/plugs/assign/7", "");
+    request.head.fields.Set("Idempotency-Key", "k-1");
+    const auto checked =
+        CheckServiceCall(ConfigSnapshot(ConfigVersion{1}, config),
+                         config.accounts[0], request, RequestId("r"));
+    REQUIRE(checked);
+    CHECK(checked.value().plan.silence == std::chrono::seconds(silence));
+  }
+}
+
 TEST_CASE(
     "announcements round-trip through JSON; malformed ones are rejected") {
   Announcement announcement;
--- a/tests/src/unit-upstream-attempt.cc
+++ b/tests/src/unit-upstream-attempt.cc
@@ -331,6 +331,7 @@
   attempt->RunServiceCall([&](const auto&) { ended = true; });
   RunUntil(io, [&] { return leaving; });
   CHECK_FALSE(ended);
+  CHECK(timers.last_delay() == kSilence);
   attempt->CallerLeft();
 }
 
