Log a relayed answer that breaks off as failed

What operators saw (product's own interface): nothing of a stream that was passed on from another entry and reset when that entry ended, and 'request-shed', which means that the request has not run, where the other entry broke off before its answer, though it may have run.

Cause: the end of a relayed call told 'answered' for both a whole and a cut answer; only what had an answer of its own was recorded.

Change: a cut answer ends as such, and both ends are recorded once as request-failed with 'may have run'. Callers get what they got.

--- a/include/rattanward/entry/relay_desk.h
+++ b/include/rattanward/entry/relay_desk.h
@@ -52,6 +52,7 @@
   void TryNext(const std::shared_ptr<Pending>& pending);
   void OnEnd(const std::shared_ptr<Pending>& pending, const Endpoint& peer,
              RelayEnd end);
+  void RecordBroken(const Pending& pending);
   void Fail(const Pending& pending, const Error& error);
 
   asio::io_context& io_;
--- a/include/rattanward/entry/relayed_call.h
+++ b/include/rattanward/entry/relayed_call.h
@@ -26,6 +26,8 @@
   /// The other entry broke off; the request may have run. Nothing was sent to
   /// the caller.
   kBroken,
+  /// As kBroken, but the caller had the beginning of the answer, and was reset.
+  kCut,
 };
 
 /// @brief A caller's request that another entry handles, whose answer is passed
--- a/src/entry/relay_desk.cc
+++ b/src/entry/relay_desk.cc
@@ -27,6 +27,12 @@
   return error;
 }
 
+Error BrokenError() {
+  return MakeError(ErrorCode::kUpstreamBroken,
+                   "the entry that it was relayed to broke off",
+                   Verdict::kMayHaveRun);
+}
+
 }  // namespace
 
 RelayDesk::RelayDesk(asio::io_context& io, const RequestRecorder& recorder,
@@ -73,9 +79,12 @@
     case RelayEnd::kAnswered:
       return;
     case RelayEnd::kBroken:
-      Fail(*pending, MakeError(ErrorCode::kUpstreamBroken,
-                               "the entry that it was relayed to broke off",
-                               Verdict::kMayHaveRun));
+      RecordBroken(*pending);
+      CallerAnswer(pending->unserved.caller, pending->unserved.common_fields)
+          .Fail(BrokenError());
+      return;
+    case RelayEnd::kCut:
+      RecordBroken(*pending);
       return;
     case RelayEnd::kUnreached:
       choice_.RecordUnreachable(peer, now);
@@ -88,6 +97,14 @@
   TryNext(pending);
 }
 
+void RelayDesk::RecordBroken(const Pending& pending) {
+  RequestSummary summary;
+  summary.outcome = adapter::Outcome::kFailed;
+  summary.error = BrokenError();
+  summary.verdict = summary.error.verdict;
+  recorder_.Ended(pending.unserved.info, summary, Duration(0));
+}
+
 void RelayDesk::Fail(const Pending& pending, const Error& error) {
   recorder_.Shed(pending.unserved.info, error);
   CallerAnswer(pending.unserved.caller, pending.unserved.common_fields)
--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -118,7 +118,7 @@
   if (streams_) {
     // A reset shows the caller that the stream is incomplete.
     caller_->Abort();
-    End(RelayEnd::kAnswered);
+    End(RelayEnd::kCut);
   } else {
     End(failure == http::ClientFailure::kNotSent ? RelayEnd::kUnreached
                                                  : RelayEnd::kBroken);
--- a/tests/fakes/caller_entry.h
+++ b/tests/fakes/caller_entry.h
@@ -71,7 +71,9 @@
                        const entry::RelayPeers& peers = {})
       : core(policy::DispatcherOptions{}, MakeGateOptions(),
              [this](const Event& event) { events.push_back(event); }),
-        recorder(metrics, [](const Event&) {}),
+        recorder(
+            metrics,
+            [this](const Event& event) { request_events.push_back(event); }),
         front(
             core, recorder, "e", 100,
             [this](const auto&, const auto&) { return guard; }, nullptr),
@@ -114,6 +116,7 @@
 
   adapter::Metrics metrics;
   std::vector<Event> events;
+  std::vector<Event> request_events;
   std::shared_ptr<FakeGuard> guard = std::make_shared<FakeGuard>();
   entry::EntryCore core;
   entry::RequestRecorder recorder;
--- a/tests/src/unit-entry-relay.cc
+++ b/tests/src/unit-entry-relay.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -161,4 +162,43 @@
   CHECK(entries.reaching.guard->permission_requests == 1);
 }
 
+TEST_CASE("a relayed answer that breaks off is logged as failed, once") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      http::EncodeChunk("data: a\n\n");
+  for (const std::string& begun : {head, std::string()}) {
+    CAPTURE(begun);
+    asio::io_context io;
+    LoopbackUpstream peer(io,
+                          [&](LoopbackPeer& connection, const std::string&) {
+                            connection.Send(begun);
+                            if (begun.empty()) {
+                              connection.Close(true);
+                            }
+                          });
+    CallerEntry cut([](LoopbackPeer&, const std::string&) {},
+                    RefusingEndpoint(io), RelayPeers{{peer.endpoint()}, {}});
+    const auto caller = cut.Caller();
+    caller->Send(Completion());
+    const auto run_until = [&](const std::string& text) {
+      return cut.RunUntil([&] {
+        io.poll();
+        return caller->ended() || Contains(caller->received(), text);
+      });
+    };
+    if (!begun.empty()) {
+      REQUIRE(run_until("data: a"));
+      peer.connections()[0]->Close(true);
+    }
+    CHECK(run_until("\"error\""));
+    CHECK(std::count_if(cut.request_events.begin(), cut.request_events.end(),
+                        [](const Event& event) {
+                          return event.id == EventId::kRequestFailed;
+                        }) == 1);
+    CHECK(std::none_of(
+        cut.request_events.begin(), cut.request_events.end(),
+        [](const Event& event) { return event.id == EventId::kRequestShed; }));
+  }
+}
+
 }  // namespace rattanward::entry
