--- a/tests/src/unit-upstream-signals.cc
+++ b/tests/src/unit-upstream-signals.cc
@@ -197,4 +197,38 @@
   CHECK(entry.RequestCount() == 1);
 }
 
+TEST_CASE("what runs at an upstream ends whole after any signal of it") {
+  const std::vector<std::string> signals = {
+      "leaving: 1\r\n", "backoff-ms: 1000\r\nnot-run: 1\r\n", "not-run: 1\r\n",
+      "limit: 0\r\n", "rejection-limit: 1\r\n"};
+  for (const std::string& signal : signals) {
+    CAPTURE(signal);
+    ProxyEntry entry;
+    std::vector<std::shared_ptr<LoopbackPeer>> running;
+    entry.AddUpstream([&](LoopbackPeer& peer, const std::string& request) {
+      running.push_back(peer.shared_from_this());
+      if (IdOf(request) == "1") {
+        peer.Send(fakes::StreamHead("1") +
+                  http::EncodeChunk("id: 1\ndata: a\n\n"));
+      } else if (IdOf(request) == "2") {
+        peer.Send(MakeResponse("2", "no", signal, "503 Busy"));
+      }
+    });
+    const auto ordinary = entry.ConnectCaller();
+    ordinary->Send(MakeRequest("/once/", "0"));
+    const auto stream = entry.ConnectCaller();
+    stream->Send(MakeRequest("/stream/", "1"));
+    REQUIRE(Receives(entry, stream, "data: a"));
+    const auto signalled = entry.ConnectCaller();
+    signalled->Send(MakeRequest("/single/", "2"));
+    CHECK(Receives(entry, signalled, "\r\n\r\n"));
+    entry.RunUntil([] { return false; }, std::chrono::milliseconds(300));
+    REQUIRE(running.size() == 3);
+    running[0]->Send(MakeResponse("0", "whole"));
+    running[1]->Send(http::EncodeChunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    CHECK(Receives(entry, ordinary, "whole"));
+    CHECK(Receives(entry, stream, "0\r\n\r\n"));
+  }
+}
+
 }  // namespace rattanward::proxy
