Keep the daemons alive at SIGHUP, and let early and repeated signals end them in order

Cause: the default action of the signal. Nothing handled SIGHUP; control's signal_set was made after the start, and both sets were gone while the process still ended.

Change: adapter::StopSignals, made in the first line of main(). It blocks SIGTERM and SIGINT until they are watched, delivers one that came before, swallows later ones, and blocks them again until the process has ended. SIGHUP is ignored, since settings are read once.

--- a/apps/rattanward-control/main.cc
+++ b/apps/rattanward-control/main.cc
@@ -1,6 +1,4 @@
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -10,6 +8,7 @@
 #include "rattanward/adapter/event_log.h"
 #include "rattanward/adapter/file_log_storage.h"
 #include "rattanward/adapter/settings.h"
+#include "rattanward/adapter/stop_signals.h"
 #include "rattanward/control/control_daemon.h"
 #include "rattanward/rpc/control_calls.h"
 #include "rattanward/rpc/event_feed.h"
@@ -66,7 +65,8 @@
 
 /// Runs the control VM until a signal or a storage failure stops it, and
 /// returns the exit code. Events go to the log and to operators who watch.
-int Serve(const StartupInputs& inputs, adapter::FileLogStorage storage) {
+int Serve(const StartupInputs& inputs, adapter::FileLogStorage storage,
+          adapter::StopSignals& signals) {
   asio::io_context io(1);
   rpc::EventFeed feed;
   const auto sink = adapter::MakeEventSink(inputs.log);
@@ -91,15 +91,13 @@
   if (!started) {
     return PrintError(started.error(), kExitCannotListen);
   }
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const asio::error_code& error, int) {
-    if (!error) {
-      events({EventId::kShutdownStarted, {}});
-      daemon.Stop();
-    }
+  signals.Watch(io, [&] {
+    events({EventId::kShutdownStarted, {}});
+    daemon.Stop();
   });
   events({EventId::kProcessReady, {}});
   io.run();
+  signals.Close();
   feed.Close();
   server.Stop();
   if (daemon.failure()) {
@@ -109,7 +107,7 @@
   return 0;
 }
 
-int Main() {
+int Main(adapter::StopSignals& signals) {
   const auto inputs = ReadStartupInputs();
   if (!inputs) {
     return PrintError(inputs.error(), kExitBadSettings);
@@ -123,13 +121,14 @@
   if (!storage) {
     return PrintError(storage.error(), kExitStorage);
   }
-  return Serve(inputs.value(), std::move(storage.value()));
+  return Serve(inputs.value(), std::move(storage.value()), signals);
 }
 
 }  // namespace
 }  // namespace rattanward
 
 int main(int argc, char** argv) {
+  rattanward::adapter::StopSignals signals;
   const rattanward::adapter::ProgramInfo info{
       "rattanward-control", RATTANWARD_VERSION,
       "Usage: rattanward-control --settings control.toml\n"
@@ -137,5 +136,5 @@
   if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
     return 0;
   }
-  return rattanward::Main();
+  return rattanward::Main(signals);
 }
--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -1,5 +1,3 @@
-#include <asio/signal_set.hpp>
-#include <csignal>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -11,6 +9,7 @@
 #include "rattanward/adapter/event_log.h"
 #include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
+#include "rattanward/adapter/stop_signals.h"
 #include "rattanward/entry/caller_front.h"
 #include "rattanward/entry/claim_desk.h"
 #include "rattanward/entry/cluster_link.h"
@@ -74,10 +73,18 @@
               return MakeGuard(request, config);
             },
             [this] { return MetricsText(); }),
-        timers_(core_.context()),
-        signals_(core_.context(), SIGTERM, SIGINT) {}
+        timers_(core_.context()) {}
 
-  int Run() {
+  /// Runs the daemon until a signal stops it, and returns the exit code.
+  int Run(adapter::StopSignals& signals) {
+    signals.Watch(core_.context(), [this] { BeginShutdown(); });
+    const int code = Serve();
+    signals.Close();
+    return code;
+  }
+
+ private:
+  int Serve() {
     events_(Event{EventId::kProcessStarted, {}});
     const Status listening = StartComponents();
     if (!listening) {
@@ -85,17 +92,11 @@
       return kExitCannotListen;
     }
     events_(Event{EventId::kProcessReady, {}});
-    signals_.async_wait([this](const asio::error_code& e, int) {
-      if (!e) {
-        BeginShutdown();
-      }
-    });
     core_.Run();
     events_(Event{EventId::kProcessStopped, {}});
     return 0;
   }
 
- private:
   policy::DispatcherOptions DispatcherOptions() const {
     policy::DispatcherOptions options;
     options.profile = settings_.profile;
@@ -215,10 +216,9 @@
   entry::RequestRecorder recorder_;
   entry::CallerFront caller_front_;
   adapter::AsioTimerService timers_;
-  asio::signal_set signals_;
 };
 
-int Main() {
+int Main(adapter::StopSignals& signals) {
   const auto settings = adapter::LoadEntrySettings(FLAGS_settings);
   if (!settings) {
     std::cerr << settings.error().message << "\n";
@@ -240,13 +240,14 @@
     return 0;
   }
   Daemon daemon(settings.value(), token.value(), secret.value(), log.value());
-  return daemon.Run();
+  return daemon.Run(signals);
 }
 
 }  // namespace
 }  // namespace rattanward
 
 int main(int argc, char** argv) {
+  rattanward::adapter::StopSignals signals;
   const rattanward::adapter::ProgramInfo info{
       "rattanwardd", RATTANWARD_VERSION,
       "rattanwardd --settings FILE\nEntry daemon: takes callers' requests and "
@@ -254,6 +255,5 @@
   if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
     return 0;
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  return rattanward::Main();
+  return rattanward::Main(signals);
 }
