--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -1,5 +1,4 @@
-#include <asio/signal_set.hpp>
-#include <csignal>
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -11,12 +10,14 @@
 #include "rattanward/adapter/event_log.h"
 #include "rattanward/adapter/metrics.h"
 #include "rattanward/adapter/settings.h"
+#include "rattanward/adapter/stop_signals.h"
 #include "rattanward/entry/caller_front.h"
 #include "rattanward/entry/claim_desk.h"
 #include "rattanward/entry/cluster_link.h"
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
+#include "rattanward/policy/stop_plan.h"
 
 namespace rattanward {
 namespace {
@@ -28,12 +29,6 @@
 constexpr std::size_t kSpareConnections = 512;
 /// Interval at which a shutdown checks whether its present step is complete.
 constexpr auto kShutdownPollInterval = std::chrono::milliseconds(20);
-/// Longest wait of each drain step. Answers in flight are completed; the limit
-/// disconnects a caller that never reads its answer.
-constexpr auto kDrainTimeout = std::chrono::minutes(10);
-/// Longest wait until open claims are settled. Without a quorum of control VMs
-/// they can't be.
-constexpr auto kClaimFlushTimeout = std::chrono::seconds(3);
 
 /// Random id that tells the runs of this process apart.
 std::string RandomBootId() {
@@ -74,10 +69,18 @@
               return MakeGuard(request, config);
             },
             [this] { return MetricsText(); }),
-        timers_(core_.context()),
-        signals_(core_.context(), SIGTERM, SIGINT) {}
+        timers_(core_.context()) {}
 
-  int Run() {
+  /// Runs the daemon until a signal stops it, and returns the exit code.
+  int Run(adapter::StopSignals& signals) {
+    signals.Watch(core_.context(), [this] { BeginShutdown(); });
+    const int code = Serve();
+    signals.Close();
+    return code;
+  }
+
+ private:
+  int Serve() {
     events_(Event{EventId::kProcessStarted, {}});
     const Status listening = StartComponents();
     if (!listening) {
@@ -85,17 +88,11 @@
       return kExitCannotListen;
     }
     events_(Event{EventId::kProcessReady, {}});
-    signals_.async_wait([this](const asio::error_code& e, int) {
-      if (!e) {
-        BeginShutdown();
-      }
-    });
     core_.Run();
     events_(Event{EventId::kProcessStopped, {}});
     return 0;
   }
 
- private:
   policy::DispatcherOptions DispatcherOptions() const {
     policy::DispatcherOptions options;
     options.profile = settings_.profile;
@@ -153,34 +150,39 @@
     return adapter::ToScrapeText(metrics_.Snapshot());
   }
 
-  /// Shutdown, step 1: fails the readiness check, but goes on serving new
-  /// requests for the grace period, so that callers can notice it.
+  /// Shutdown, step 1: fails the readiness check and refuses what would not end
+  /// in time, but goes on serving new requests for the grace period, so that
+  /// callers can notice it.
   void BeginShutdown() {
-    events_(Event{EventId::kShutdownStarted, {}});
+    const TimePoint now = entry::EntryCore::Now();
+    const policy::StopPlan plan(
+        now, {settings_.shutdown_grace, settings_.shutdown_limit});
+    events_(Event{EventId::kShutdownStarted,
+                  {{"open", std::to_string(caller_front_.open_requests())}}});
     caller_front_.FailReadiness();
-    timers_.After(settings_.shutdown_grace, [this](TimePoint) { Drain(); });
+    core_.BeginStop(plan);
+    timers_.After(plan.takes_until() - now,
+                  [this, plan](TimePoint) { Drain(plan); });
   }
 
   /// Step 2: rejects new requests and waits until the open ones are answered.
-  void Drain() {
+  void Drain(const policy::StopPlan& plan) {
     core_.RefuseNewWork();
     const auto answered = [this] { return caller_front_.open_requests() == 0; };
-    PollUntil(kDrainTimeout, answered, [this] { CloseConnections(); });
+    PollUntil(plan.answers_at(), answered, [this, plan] { EndAnswers(plan); });
   }
 
-  /// Step 3: closes each connection after its present answer. Connections stay
-  /// open until here, so that requests which arrive during the drain get the
-  /// error that they did not run.
-  void CloseConnections() {
+  /// Step 3: gives what is still open its final answer and closes each
+  /// connection after it. Connections stay open until here, so that requests
+  /// which arrive during the drain get the error that they did not run. Claims
+  /// are settled meanwhile; without a quorum of control VMs they can't be.
+  void EndAnswers(const policy::StopPlan& plan) {
+    caller_front_.CutShort();
     caller_front_.CloseAfterResponses();
-    const auto closed = [this] { return caller_front_.connections() == 0; };
-    PollUntil(kDrainTimeout, closed, [this] { WaitForOpenClaims(); });
-  }
-
-  /// Step 4: waits until the claims of ended requests are settled.
-  void WaitForOpenClaims() {
-    const auto settled = [this] { return claims_.open() == 0; };
-    PollUntil(kClaimFlushTimeout, settled, [this] { Stop(); });
+    const auto done = [this] {
+      return caller_front_.connections() == 0 && claims_.open() == 0;
+    };
+    PollUntil(plan.ends_at(), done, [this] { Stop(); });
   }
 
   void Stop() {
@@ -190,18 +192,19 @@
     core_.Stop();
   }
 
-  /// Calls on_done once is_done() gives true or the timeout has passed, without
+  /// Calls on_done once is_done() gives true or the time has come, without
   /// blocking the event loop.
-  void PollUntil(Duration timeout, const std::function<bool()>& is_done,
+  void PollUntil(TimePoint end, const std::function<bool()>& is_done,
                  const std::function<void()>& on_done) {
-    if (is_done() || timeout <= Duration(0)) {
+    const TimePoint now = entry::EntryCore::Now();
+    if (is_done() || now >= end) {
       on_done();
       return;
     }
-    timers_.After(
-        kShutdownPollInterval, [this, timeout, is_done, on_done](TimePoint) {
-          PollUntil(timeout - kShutdownPollInterval, is_done, on_done);
-        });
+    timers_.After(std::min<Duration>(kShutdownPollInterval, end - now),
+                  [this, end, is_done, on_done](TimePoint) {
+                    PollUntil(end, is_done, on_done);
+                  });
   }
 
   adapter::EntrySettings settings_;
@@ -215,10 +218,9 @@
   entry::RequestRecorder recorder_;
   entry::CallerFront caller_front_;
   adapter::AsioTimerService timers_;
-  asio::signal_set signals_;
 };
 
-int Main() {
+int Main(adapter::StopSignals& signals) {
   const auto settings = adapter::LoadEntrySettings(FLAGS_settings);
   if (!settings) {
     std::cerr << settings.error().message << "\n";
@@ -240,13 +242,14 @@
     return 0;
   }
   Daemon daemon(settings.value(), token.value(), secret.value(), log.value());
-  return daemon.Run();
+  return daemon.Run(signals);
 }
 
 }  // namespace
 }  // namespace rattanward
 
 int main(int argc, char** argv) {
+  rattanward::adapter::StopSignals signals;
   const rattanward::adapter::ProgramInfo info{
       "rattanwardd", RATTANWARD_VERSION,
       "rattanwardd --settings FILE\nEntry daemon: takes callers' requests and "
@@ -254,6 +257,5 @@
   if (!rattanward::adapter::ParseCommandLine(info, &argc, &argv)) {
     return 0;
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  return rattanward::Main();
+  return rattanward::Main(signals);
 }
