--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -58,6 +58,10 @@
   /// Not called after Stop().
   void Finish(Duration limit, std::function<void()> on_finished);
 
+  /// @brief Responds with an error to each request in progress.
+  /// @note Only for servers whose responses are sent at once, not in pieces.
+  void EndBusy(const Error& error);
+
   /// @brief Stops accepting and aborts every connection.
   void Stop();
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -202,6 +202,18 @@
   }
 }
 
+void Server::EndBusy(const Error& error) {
+  std::vector<std::shared_ptr<ServerConnection>> busy;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->busy()) {
+      busy.push_back(connection);
+    }
+  }
+  for (const auto& connection : busy) {
+    RespondError(*connection, error);
+  }
+}
+
 void Server::StopAccepting() {
   stopped_ = true;
   asio::error_code ignored;
