Count connections that end with a request unanswered

Operators couldn't tell how a caller's connection ended with a request unanswered: no counter, no line. Cause: the server connection told its owner only that it had closed. Change: each such end is counted by its reason; entries show the counters as rattanward_requests_unanswered_*_total. The fixture of the tests moves to tests/fakes/http_site.h. No event: a line for each needs a new event id. The server for relays and rattanwardd's fronts count, but don't show them.

--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -69,8 +70,17 @@
   void OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  ServerRequest request) override;
   Response OnRejected(const Error& error) override;
+  void OnUnanswered(UnansweredEnd end) override {
+    ++unanswered_.at(static_cast<std::size_t>(end));
+  }
   void OnClosed(ServerConnection& connection) override;
 
+  /// @brief Number of requests that ended without a complete response since the
+  /// start, by how their connections ended.
+  using UnansweredCounts =
+      std::array<std::uint64_t, kUnansweredEndNames.size()>;
+  const UnansweredCounts& unanswered() const { return unanswered_; }
+
   /// @brief Called for each rejected message or connection; may be empty.
   std::function<void(const Error&)> on_rejected;
 
@@ -105,6 +115,7 @@
   Options options_;
   RequestHandler handler_;
   ServerLimits limits_;
+  UnansweredCounts unanswered_{};
   std::shared_ptr<BodyBudget> body_budget_;
   Endpoint bound_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -12,6 +12,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/http/message.h"
 #include "rattanward/http/parser.h"
+#include "rattanward/http/unanswered_end.h"
 
 namespace rattanward::http {
 
@@ -66,6 +67,9 @@
   /// @return Response to the peer; the connection closes after it.
   virtual Response OnRejected(const Error& error) = 0;
 
+  /// @brief A connection ends with a request that has no complete response.
+  virtual void OnUnanswered(UnansweredEnd end) = 0;
+
   /// @brief The connection has closed; the owner must release it.
   virtual void OnClosed(ServerConnection& connection) = 0;
 };
@@ -119,7 +123,8 @@
   /// @note A reset makes sure that the peer doesn't take a truncated response
   /// for a complete one. It also discards what the peer has not received yet,
   /// so a complete response is never followed by one.
-  void Abort();
+  /// @param end Counted if a request has no complete response.
+  void Abort(UnansweredEnd end = UnansweredEnd::kAborted);
 
   /// @brief Closes the connection after the current response, or immediately if
   /// it is idle.
@@ -161,7 +166,8 @@
   void OnOutputSent();
   void SetResetOnClose(bool reset);
   void Linger();
-  void CloseAndNotify();
+  void CloseAndNotify(UnansweredEnd end);
+  bool unanswered() const;
   void Close();
   void SetDeadline(TimePoint deadline);
   void ArmTimer();
@@ -172,6 +178,7 @@
   bool ProlongIdle();
   void OnPeerClosed(bool reset);
   bool DiscardInput();
+  void DiscardBeforeClose();
   bool LingersOn();
   Duration IdleTimeout() const;
   void UpdateInputDeadline();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -134,6 +134,7 @@
   const Error full = MakeError(ErrorCode::kTooManyOpenRequests,
                                "connection limit of the server reached");
   if (connections_.size() >= options_.max_connections + kMaxRefusals) {
+    OnUnanswered(UnansweredEnd::kNotAccepted);
     OnRejected(full);
     return;
   }
@@ -210,7 +211,7 @@
   finish_timer_.cancel();
   on_finished_ = nullptr;
   for (const auto& [key, connection] : std::exchange(connections_, {})) {
-    connection->Abort();
+    connection->Abort(UnansweredEnd::kStopped);
   }
 }
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -83,7 +83,7 @@
 /// response is still sent.
 void ServerConnection::OnPeerClosed(bool reset) {
   if (reset || state_ == State::kBusy || buffered() == 0) {
-    CloseAndNotify();
+    CloseAndNotify(UnansweredEnd::kPeerLeft);
     return;
   }
   state_ = State::kLingering;
@@ -246,6 +246,9 @@
   watcher_ = Watcher();
   chunked_ = false;
   if (close_announced_) {
+    if (!input_.empty()) {
+      handler_.OnUnanswered(UnansweredEnd::kPipelined);
+    }
     state_ = State::kLingering;
     Flush();
     return;
@@ -277,7 +280,7 @@
   const std::string_view output = output_;
   const auto sent = detail::WriteSome(socket_, output.substr(sent_));
   if (sent.failed) {
-    CloseAndNotify();
+    CloseAndNotify(UnansweredEnd::kPeerLeft);
     return;
   }
   sent_ += sent.count;
--- a/src/http/server_connection_end.cc
+++ b/src/http/server_connection_end.cc
@@ -55,19 +55,37 @@
   return true;
 }
 
-void ServerConnection::Abort() {
+void ServerConnection::Abort(UnansweredEnd end) {
   if (state_ == State::kClosed) {
     return;
   }
+  if (unanswered()) {
+    handler_.OnUnanswered(end);
+  }
   if (state_ == State::kBusy) {
     SetResetOnClose(true);
   } else {
-    DiscardInput();
+    DiscardBeforeClose();
   }
   watcher_ = Watcher();
   Close();
 }
 
+/// Whether a request is in progress or its response has not been written.
+bool ServerConnection::unanswered() const {
+  return state_ == State::kBusy || buffered() > 0;
+}
+
+void ServerConnection::DiscardBeforeClose() {
+  asio::error_code ignored;
+  const bool unread =
+      message_started_ || !input_.empty() || socket_.available(ignored) > 0;
+  if (state_ == State::kReading && unread) {
+    handler_.OnUnanswered(UnansweredEnd::kUnread);
+  }
+  DiscardInput();
+}
+
 void ServerConnection::CloseWhenIdle() {
   close_requested_ = true;
   if (state_ != State::kReading || message_started_ || !input_.empty() ||
@@ -92,7 +110,10 @@
   CloseWhenIdle();
 }
 
-void ServerConnection::CloseAndNotify() {
+void ServerConnection::CloseAndNotify(UnansweredEnd end) {
+  if (unanswered()) {
+    handler_.OnUnanswered(end);
+  }
   const auto on_disconnect = std::move(watcher_.on_disconnect);
   watcher_ = Watcher();
   Close();
@@ -232,7 +253,7 @@
     Close();
     return;
   }
-  CloseAndNotify();
+  CloseAndNotify(UnansweredEnd::kNotRead);
 }
 
 }  // namespace rattanward::http
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -28,6 +28,16 @@
 /// can be recognised as outdated.
 constexpr Duration kGoneUpstreamRetention{std::chrono::seconds(120)};
 
+std::string UnansweredText(const http::Server& server) {
+  std::string text;
+  for (std::size_t i = 0; i < http::kUnansweredEndNames.size(); ++i) {
+    const std::string name(http::kUnansweredEndNames.at(i));
+    text += ScrapeLine("requests_unanswered_" + name + "_total",
+                       server.unanswered().at(i));
+  }
+  return text;
+}
+
 }  // namespace
 
 Proxy::Proxy(asio::io_context& io, ProxyOptions options, const Dialect& dialect,
@@ -387,7 +397,7 @@
 }
 
 std::string Proxy::ScrapeText() const {
-  return meter_.ScrapeText() +
+  return meter_.ScrapeText() + UnansweredText(server_) +
          ScrapeLine("upstream_connections_opened_total", pool_.opened()) +
          ScrapeLine("upstream_connections", pool_.open()) +
          ScrapeLine("caller_connections", server_.connections()) +
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -1,15 +1,14 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
-#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
-#include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
 
+#include "fakes/http_site.h"
 #include "fakes/loopback_peer.h"
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/http/server.h"
@@ -17,134 +16,18 @@
 namespace rattanward::http {
 namespace {
 
+using fakes::CountOf;
+using fakes::kRequest;
+using fakes::kTestLimit;
 using fakes::LoopbackPeer;
+using Caller = fakes::HttpCaller;
+using Site = fakes::HttpSite;
 
-constexpr Duration kTestLimit{std::chrono::seconds(10)};
 /// What the socket buffers of a loopback connection hold, and more than that.
 constexpr std::size_t kSocketBytes = 512U << 10U;
 constexpr std::size_t kLargeBytes = 16U << 20U;
 constexpr int kSmallWindowBytes = 8192;
 const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
-const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-
-std::size_t CountOf(const std::string& text, const std::string& part) {
-  std::size_t count = 0;
-  for (std::size_t at = text.find(part); at != std::string::npos;
-       at = text.find(part, at + part.size())) {
-    ++count;
-  }
-  return count;
-}
-
-/// A server whose requests are answered at once, unless a test takes them.
-class Site {
- public:
-  explicit Site(std::size_t max_connections = 100)
-      : server_(io_, {max_connections, kLargeBytes},
-                [this](const std::shared_ptr<ServerConnection>& connection,
-                       const ServerRequest& /*request*/) {
-                  last_ = connection;
-                  if (!hold_) {
-                    connection->Respond(ResponseHead{}, "answer");
-                  }
-                }) {
-    REQUIRE(server_.Listen({"127.0.0.1", 0}));
-  }
-
-  void SetIdleTimeout(Duration timeout) {
-    ServerLimits limits = server_.Limits();
-    limits.idle_timeout = timeout;
-    server_.SetLimits(limits);
-  }
-
-  std::shared_ptr<LoopbackPeer> Connect() {
-    return LoopbackPeer::Connect(io_, server_.endpoint());
-  }
-
-  /// Connects and has one request answered.
-  std::shared_ptr<LoopbackPeer> ConnectAndAsk() {
-    auto peer = Connect();
-    peer->Send(kRequest);
-    REQUIRE(RunUntil([&] { return Answers(*peer) == 1; }));
-    return peer;
-  }
-
-  template <class Done>
-  bool RunUntil(Done done) {
-    const TimePoint end = adapter::MonotonicNow() + kTestLimit;
-    while (!done() && adapter::MonotonicNow() < end) {
-      io_.run_one_for(std::chrono::milliseconds(5));
-    }
-    return done();
-  }
-
-  void RunFor(Duration time) {
-    const TimePoint end = adapter::MonotonicNow() + time;
-    while (adapter::MonotonicNow() < end) {
-      io_.run_one_for(std::chrono::milliseconds(5));
-    }
-  }
-
-  static std::size_t Answers(const LoopbackPeer& peer) {
-    return CountOf(peer.received(), "HTTP/1.1 200");
-  }
-
-  asio::io_context& io() { return io_; }
-  Server& server() { return server_; }
-  /// The connection of the last request.
-  ServerConnection& last() { return *last_; }
-  void Hold() { hold_ = true; }
-
- private:
-  asio::io_context io_;
-  std::shared_ptr<ServerConnection> last_;
-  bool hold_ = false;
-  Server server_;
-};
-
-/// Caller that reads only when the test says so.
-class Caller {
- public:
-  /// @param window Size of the receive buffer in bytes; 0 for the usual one.
-  explicit Caller(Site& site, int window = 0) : socket_(io_) {
-    socket_.open(asio::ip::tcp::v4());
-    if (window > 0) {
-      socket_.set_option(asio::socket_base::receive_buffer_size(window));
-    }
-    const Endpoint server = site.server().endpoint();
-    socket_.connect({asio::ip::make_address(server.address), server.port});
-  }
-
-  void Send(const std::string& bytes) {
-    std::error_code ignored;
-    asio::write(socket_, asio::buffer(bytes), ignored);
-  }
-
-  /// Reads until the connection ends. Returns the number of bytes.
-  std::size_t ReadAll() {
-    asio::read(socket_, asio::dynamic_buffer(received_), error_);
-    ended_ = true;
-    return received_.size();
-  }
-
-  /// The same while the server's event loop runs.
-  std::size_t ReadAllWhile(Site& site) {
-    std::thread reader([this] { ReadAll(); });
-    site.RunUntil([this] { return ended_.load(); });
-    reader.join();
-    return received_.size();
-  }
-
-  asio::ip::tcp::socket& socket() { return socket_; }
-  std::error_code error() const { return error_; }
-
- private:
-  asio::io_context io_;
-  asio::ip::tcp::socket socket_;
-  std::string received_;
-  std::error_code error_;
-  std::atomic<bool> ended_ = false;
-};
 
 bool ClosedAfterAnswers(const LoopbackPeer& peer, std::size_t answers) {
   return peer.ended() && !peer.reset() && Site::Answers(peer) == answers &&
@@ -470,4 +353,54 @@
   CHECK(peer->received().rfind("HTTP/1.1 200", 0) == 0);
 }
 
+TEST_CASE("requests without a complete answer are counted by their end") {
+  Site site;
+  site.Hold();
+  const auto peer = site.Connect();
+  std::string sent = kRequest;
+  UnansweredEnd end = UnansweredEnd::kPeerLeft;
+  std::function<void()> act = [&] { peer->Close(); };
+  SUBCASE("the caller leaves") {}
+  SUBCASE("aborted") {
+    end = UnansweredEnd::kAborted;
+    act = [&] { site.last().Abort(); };
+  }
+  SUBCASE("stopped") {
+    end = UnansweredEnd::kStopped;
+    act = [&] { site.server().Stop(); };
+  }
+  SUBCASE("pipelined") {
+    end = UnansweredEnd::kPipelined;
+    sent += kRequest;
+    act = [&] {
+      site.server().CloseAfterResponses();
+      site.last().Respond(ResponseHead{}, "answer");
+    };
+  }
+  SUBCASE("unread") {
+    end = UnansweredEnd::kUnread;
+    act = [&] {
+      site.last().Respond(ResponseHead{}, "answer");
+      peer->Send(kRequest);
+      site.server().Stop();
+    };
+  }
+  peer->Send(sent);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  act();
+  site.RunFor(std::chrono::milliseconds(30));
+  Server::UnansweredCounts expected{};
+  expected.at(static_cast<std::size_t>(end)) = 1;
+  CHECK(site.server().unanswered() == expected);
+}
+
+TEST_CASE("answered requests are not counted as unanswered") {
+  Site site;
+  const auto peer = site.ConnectAndAsk();
+  site.server().CloseAfterResponses();
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  site.server().Stop();
+  CHECK(site.server().unanswered() == Server::UnansweredCounts{});
+}
+
 }  // namespace rattanward::http
