Check a stream's version also before a lost path is left for a relay

What callers saw: a stream whose sole upstream of its version went silent at a lost path was still reset after 1.5 s if the entry knew another entry to relay to: an entry to relay to was reason enough to give the attempt up, but the placing then refused the stream, since no upstream of its version was left beside the silent one.

Cause: the check before giving up and the one at the placing were two pieces of code with a different order.

Change: both ask the same function for the versions (VersionsFor), before they look for an upstream or an entry to relay to. It also holds for streams that haven't begun, whose versions may have changed since they were sent.

--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -233,6 +233,8 @@
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
                 FullServices* full_services);
   Status RestrictVersions(Exchange& exchange) const;
+  Result<std::set<std::string>> VersionsFor(
+      const Exchange& exchange, const std::set<UpstreamId>& excluded) const;
   void UpdateServingVersions();
   bool RefuseIfNotAllowed(Exchange& exchange) const;
   bool RefuseIfHeldBack(Exchange& exchange,
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -131,14 +131,16 @@
       !CheckNotQuarantined(exchange.routed().fingerprint, placement.prompt)) {
     return false;
   }
+  std::set<UpstreamId> excluded = exchange.excluded();
+  excluded.insert(exchange.upstream());
+  auto versions = VersionsFor(exchange, excluded);
+  if (!versions) {
+    return false;
+  }
   if (placer_.ShouldRelay(placement.service, now)) {
     return !exchange.routed().relayed && ChoosePeer(exchange, now).has_value();
   }
-  if (exchange.stream_version()) {
-    placement.versions = {*exchange.stream_version()};
-  }
-  std::set<UpstreamId> excluded = exchange.excluded();
-  excluded.insert(exchange.upstream());
+  placement.versions = std::move(versions.value());
   return placer_.Choose(placement, excluded, now).has_value();
 }
 
--- a/src/proxy/proxy_streams.cc
+++ b/src/proxy/proxy_streams.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/proxy/proxy.h"
@@ -51,39 +52,50 @@
 }
 
 /// Lets a stream go on, or begin, only at versions at which it may.
-/// Errors: kNoUpstream if the version that began it is not known or has no
-/// upstream left.
+/// Errors: as VersionsFor().
 Status Proxy::RestrictVersions(Exchange& exchange) const {
+  auto versions = VersionsFor(exchange, exchange.excluded());
+  if (!versions) {
+    return versions.error();
+  }
+  exchange.SetVersions(std::move(versions.value()));
+  return outcome::success();
+}
+
+/// Versions of the upstreams that may get a request next; empty for any.
+/// Errors: kNoUpstream if the version that began its stream is not known or has
+/// no upstream left.
+Result<std::set<std::string>> Proxy::VersionsFor(
+    const Exchange& exchange, const std::set<UpstreamId>& excluded) const {
+  policy::PlacementRequest next;
+  next.service = exchange.placement().service;
   if (!exchange.may_go_on_elsewhere()) {
-    return outcome::success();
+    return next.versions;
   }
   const TimePoint now = MonotonicNow();
-  const ServiceName& service = exchange.placement().service;
   const bool begins =
       !exchange.stream_version() && !exchange.routed().traits.resumes_stream;
   if (begins) {
-    exchange.SetVersions(stream_versions_.MayBegin(service, now));
-    if (!placer_.HasAlternative(exchange.placement(), exchange.excluded())) {
-      exchange.SetVersions({});
-    }
-    return outcome::success();
+    next.versions = stream_versions_.MayBegin(next.service, now);
+    return placer_.HasAlternative(next, excluded) ? next.versions
+                                                  : std::set<std::string>();
   }
   const std::optional<std::string> version =
       exchange.stream_version()
           ? exchange.stream_version()
           : stream_versions_.VersionOf(
-                service, ResumedStream(exchange.routed().traits), now);
+                next.service, ResumedStream(exchange.routed().traits), now);
   if (!version) {
     return MakeError(ErrorCode::kNoUpstream,
                      "the version at which the stream began is not known");
   }
-  exchange.SetVersions({*version});
-  if (!placer_.HasAlternative(exchange.placement(), exchange.excluded())) {
+  next.versions = {*version};
+  if (!placer_.HasAlternative(next, excluded)) {
     return MakeError(ErrorCode::kNoUpstream,
                      "no upstream is left of the version at which the stream "
                      "began");
   }
-  return outcome::success();
+  return next.versions;
 }
 
 void Proxy::OnStreamStarted(const Exchange& exchange) {
--- a/tests/src/unit-lost-path.cc
+++ b/tests/src/unit-lost-path.cc
@@ -186,6 +186,17 @@
   CHECK(Receives(silent.entry, caller, "0\r\n\r\n"));
 }
 
+TEST_CASE("silence at a lost path doesn't end a stream that can't be relayed") {
+  SilentUpstream silent("id: 1\ndata: a\n\n");
+  ProxyEntry peer;
+  silent.entry.data_path->AddRelayPeers({peer.data_path->relay_endpoint()}, {});
+  const auto caller = silent.Ask("/resume/");
+  silent.CutAndWait();
+  silent.EndStream();
+  CHECK(Receives(silent.entry, caller, "served"));
+  CHECK(Receives(silent.entry, caller, "0\r\n\r\n"));
+}
+
 TEST_CASE("silence at a lost path doesn't end an answer without retry budget") {
   SilentUpstream silent("", 0);
   const auto first = silent.Ask("/safe/");
