End an entry in its declared stopping time, with a true answer for each open request

Callers saw: requests that ended without an answer when their entry was told to stop. rattanwardd waited for its open requests for up to ten minutes; a process manager kills it long before, and then all that it had read ended at once.

Cause: a class of fault, not one place: the stop had no time of its own. Nothing said what can still end, nothing was refused because of the stop, and nothing gave a final answer to what was open at the end. A request cut by the end of the process left no line in the log.

Change: the setting shutdown_limit_ms, by default 9 s, or 4 s more than shutdown_grace_ms if that is long; settings of older builds load as before. From the signal on the dispatcher begins only what the StopPlan expects to end in time. What waits and would not is refused at once as not run (2006, Retry-After), lowest tier and newest first. Before the limit each open exchange gets its final answer: not-run if nothing was sent, else the new error 2015 (502) with the verdict; a begun stream gets its error event; work at upstreams is cancelled. A claim whose call was sent is settled as may-have-run, one still pending in the ledger is released if it is granted later, and its request is never sent. Relayed requests get the same. Each gets a line, event 2016, and stopped_total counts them.

Conclusion: handing what waits to another entry was left out; the caller's next request reaches one without a further hop. A refused request of a relayed call used to be counted as not run whatever its verdict; it is counted by its verdict now.

--- a/apps/rattanwardd/main.cc
+++ b/apps/rattanwardd/main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "rattanward/entry/entry_core.h"
 #include "rattanward/entry/request_recorder.h"
 #include "rattanward/entry/upstream_front.h"
+#include "rattanward/policy/stop_plan.h"
 
 namespace rattanward {
 namespace {
@@ -27,12 +29,6 @@
 constexpr std::size_t kSpareConnections = 512;
 /// Interval at which a shutdown checks whether its present step is complete.
 constexpr auto kShutdownPollInterval = std::chrono::milliseconds(20);
-/// Longest wait of each drain step. Answers in flight are completed; the limit
-/// disconnects a caller that never reads its answer.
-constexpr auto kDrainTimeout = std::chrono::minutes(10);
-/// Longest wait until open claims are settled. Without a quorum of control VMs
-/// they can't be.
-constexpr auto kClaimFlushTimeout = std::chrono::seconds(3);
 
 /// Random id that tells the runs of this process apart.
 std::string RandomBootId() {
@@ -154,34 +150,39 @@
     return adapter::ToScrapeText(metrics_.Snapshot());
   }
 
-  /// Shutdown, step 1: fails the readiness check, but goes on serving new
-  /// requests for the grace period, so that callers can notice it.
+  /// Shutdown, step 1: fails the readiness check and refuses what would not end
+  /// in time, but goes on serving new requests for the grace period, so that
+  /// callers can notice it.
   void BeginShutdown() {
-    events_(Event{EventId::kShutdownStarted, {}});
+    const TimePoint now = entry::EntryCore::Now();
+    const policy::StopPlan plan(
+        now, {settings_.shutdown_grace, settings_.shutdown_limit});
+    events_(Event{EventId::kShutdownStarted,
+                  {{"open", std::to_string(caller_front_.open_requests())}}});
     caller_front_.FailReadiness();
-    timers_.After(settings_.shutdown_grace, [this](TimePoint) { Drain(); });
+    core_.BeginStop(plan);
+    timers_.After(plan.takes_until() - now,
+                  [this, plan](TimePoint) { Drain(plan); });
   }
 
   /// Step 2: rejects new requests and waits until the open ones are answered.
-  void Drain() {
+  void Drain(const policy::StopPlan& plan) {
     core_.RefuseNewWork();
     const auto answered = [this] { return caller_front_.open_requests() == 0; };
-    PollUntil(kDrainTimeout, answered, [this] { CloseConnections(); });
+    PollUntil(plan.answers_at(), answered, [this, plan] { EndAnswers(plan); });
   }
 
-  /// Step 3: closes each connection after its present answer. Connections stay
-  /// open until here, so that requests which arrive during the drain get the
-  /// error that they did not run.
-  void CloseConnections() {
+  /// Step 3: gives what is still open its final answer and closes each
+  /// connection after it. Connections stay open until here, so that requests
+  /// which arrive during the drain get the error that they did not run. Claims
+  /// are settled meanwhile; without a quorum of control VMs they can't be.
+  void EndAnswers(const policy::StopPlan& plan) {
+    caller_front_.CutShort();
     caller_front_.CloseAfterResponses();
-    const auto closed = [this] { return caller_front_.connections() == 0; };
-    PollUntil(kDrainTimeout, closed, [this] { WaitForOpenClaims(); });
-  }
-
-  /// Step 4: waits until the claims of ended requests are settled.
-  void WaitForOpenClaims() {
-    const auto settled = [this] { return claims_.open() == 0; };
-    PollUntil(kClaimFlushTimeout, settled, [this] { Stop(); });
+    const auto done = [this] {
+      return caller_front_.connections() == 0 && claims_.open() == 0;
+    };
+    PollUntil(plan.ends_at(), done, [this] { Stop(); });
   }
 
   void Stop() {
@@ -191,18 +192,19 @@
     core_.Stop();
   }
 
-  /// Calls on_done once is_done() gives true or the timeout has passed, without
+  /// Calls on_done once is_done() gives true or the time has come, without
   /// blocking the event loop.
-  void PollUntil(Duration timeout, const std::function<bool()>& is_done,
+  void PollUntil(TimePoint end, const std::function<bool()>& is_done,
                  const std::function<void()>& on_done) {
-    if (is_done() || timeout <= Duration(0)) {
+    const TimePoint now = entry::EntryCore::Now();
+    if (is_done() || now >= end) {
       on_done();
       return;
     }
-    timers_.After(
-        kShutdownPollInterval, [this, timeout, is_done, on_done](TimePoint) {
-          PollUntil(timeout - kShutdownPollInterval, is_done, on_done);
-        });
+    timers_.After(std::min<Duration>(kShutdownPollInterval, end - now),
+                  [this, end, is_done, on_done](TimePoint) {
+                    PollUntil(end, is_done, on_done);
+                  });
   }
 
   adapter::EntrySettings settings_;
--- a/include/rattanward/adapter/metrics.h
+++ b/include/rattanward/adapter/metrics.h
@@ -39,12 +39,16 @@
   /// Tokens made by upstreams for it that no caller got (retries, cancelled
   /// or broken answers).
   std::uint64_t wasted_tokens = 0;
+  /// The request was ended because the entry stops.
+  bool stopped = false;
 };
 
 /// @brief One request that was refused before its dispatch.
 struct RequestShed {
   RequestClassName request_class;
   ErrorCode reason = ErrorCode::kQueueFull;
+  /// Of a relayed request; none has run here.
+  Verdict verdict = Verdict::kNotRun;
 };
 
 /// @brief State of an upstream as this entry sees it.
@@ -83,6 +87,8 @@
   double first_token_p99 = 0;
   std::map<ErrorCode, std::uint64_t> shed_by_reason;
   std::map<Verdict, std::uint64_t> by_verdict;
+  /// Requests that were ended because the entry stops.
+  std::map<Verdict, std::uint64_t> stopped;
 
   /// @brief Share of requests that met the target; 1 if there were none.
   /// @note Shed and failed requests count as missed; callers who left do not
--- a/include/rattanward/adapter/settings.h
+++ b/include/rattanward/adapter/settings.h
@@ -65,6 +65,8 @@
   std::uint32_t max_open_requests = 512;
   /// From failing readiness to refusing new work.
   Duration shutdown_grace{std::chrono::seconds(5)};
+  /// From the signal to the end of the process.
+  Duration shutdown_limit{std::chrono::seconds(9)};
   policy::Profile profile = policy::Profile::kStandard;
 
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
--- a/include/rattanward/domain/error.h
+++ b/include/rattanward/domain/error.h
@@ -44,6 +44,7 @@
   kRetryBudgetSpent = 2012,
   kCallerGone = 2013,
   kNoPath = 2014,
+  kEntryStopped = 2015,
 
   kUpstreamConnect = 3001,
   kUpstreamRefused = 3002,
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -35,6 +35,7 @@
   kPromptPartQuarantined = 2013,
   kPromptPartCleared = 2014,
   kRequestRelayed = 2015,
+  kRequestStopped = 2016,
 
   kUpstreamAnnounced = 3001,
   kUpstreamDraining = 3002,
--- a/include/rattanward/entry/caller_front.h
+++ b/include/rattanward/entry/caller_front.h
@@ -46,6 +46,10 @@
   /// @brief Reports "not ready" from now on; new requests are still served.
   void FailReadiness() { ready_ = false; }
 
+  /// @brief Gives each open request its final answer now, because this entry
+  /// stops.
+  void CutShort();
+
   /// @brief Closes each connection after its current response from now on.
   void CloseAfterResponses() { server_.CloseAfterResponses(); }
 
--- a/include/rattanward/entry/entry_core.h
+++ b/include/rattanward/entry/entry_core.h
@@ -75,6 +75,9 @@
   /// @return False if the request is unknown, or if a decision on it was made
   /// but not delivered yet; the decision is then still delivered.
   bool Cancel(const RequestId& request);
+  /// @brief Drops a request that has no running attempt. Its sink gets nothing
+  /// more, not even a decision that was made already.
+  void Drop(const RequestId& request);
   /// @brief Reports the end of an attempt. A further decision follows unless
   /// the attempt completed or the caller left.
   void Finish(const policy::AttemptResult& result);
@@ -87,7 +90,12 @@
   /// kNotRun.
   Status MayStart() const;
 
-  /// @brief Refuses new requests from now on; called when a shutdown begins.
+  /// @brief Begins a planned stop: what waits and would not end in time is
+  /// refused.
+  void BeginStop(const policy::StopPlan& plan) {
+    Deliver(dispatcher_.BeginStop(plan, Now()));
+  }
+  /// @brief Refuses new requests from now on; called during a shutdown.
   void RefuseNewWork() { refusing_new_work_ = true; }
   EntryStatusView View() const;
 
--- a/include/rattanward/entry/exchange.h
+++ b/include/rattanward/entry/exchange.h
@@ -59,6 +59,10 @@
   /// @brief Stops all work for the request because the caller disconnected.
   void CallerLeft();
 
+  /// @brief Gives the caller the final answer now, because this entry stops.
+  /// What runs is cancelled.
+  void CutShort();
+
   /// @brief Resumes a paused attempt after the caller's output buffer drained.
   void CallerDrained();
 
@@ -76,6 +80,7 @@
   void RecordFirstToken();
   void DeliverResponse(const BufferedResponse& answer);
   void Conclude(bool caller_left);
+  void ConcludeCut();
   void Shed(const Error& error);
   bool MayRelay(const Error& error) const;
   void Relay();
@@ -101,6 +106,7 @@
   bool claim_pending_ = false;
   bool paused_ = false;
   bool caller_left_ = false;
+  bool cut_short_ = false;
   bool ended_ = false;
 };
 
--- a/include/rattanward/entry/relay_desk.h
+++ b/include/rattanward/entry/relay_desk.h
@@ -43,6 +43,9 @@
 
   void Relay(UnservedRequest request);
 
+  /// @brief Gives each caller the final answer now, because this entry stops.
+  void CutShort();
+
  private:
   struct Pending {
     UnservedRequest unserved;
@@ -59,6 +62,7 @@
   RelayPeers peers_;
   policy::RelayChoice choice_;
   std::unordered_set<std::shared_ptr<RelayedCall>> calls_;
+  bool stopped_ = false;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/relayed_call.h
+++ b/include/rattanward/entry/relayed_call.h
@@ -26,6 +26,9 @@
   /// The other entry broke off; the request may have run. Nothing was sent to
   /// the caller.
   kBroken,
+  /// This entry stops; the request may have run. Nothing was sent to the
+  /// caller.
+  kCutShort,
 };
 
 /// @brief A caller's request that another entry handles, whose answer is passed
@@ -44,6 +47,9 @@
 
   void Start(const http::ServerRequest& request);
 
+  /// @brief Ends the call now, because this entry stops.
+  void CutShort();
+
   bool IsMatchingResponse(const http::ResponseHead& head) const override;
   void OnHead(const http::ResponseHead& head, http::Framing framing,
               std::uint64_t length) override;
@@ -54,6 +60,7 @@
 
  private:
   void WatchCaller();
+  bool EndStreamWithError();
   void End(RelayEnd end);
 
   std::shared_ptr<http::ClientConnection> connection_;
@@ -63,6 +70,8 @@
   std::string body_;
   bool streams_ = false;
   bool unable_ = false;
+  /// The last bytes that were passed on.
+  std::string tail_;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/entry/upstream_attempt.h
+++ b/include/rattanward/entry/upstream_attempt.h
@@ -62,9 +62,9 @@
   /// @param ended Receives the result; answer() then holds the response.
   void RunServiceCall(AttemptSink ended);
 
-  /// @brief Ends the attempt because the caller disconnected. For a stream, the
-  /// work at the upstream is cancelled too.
-  void CallerLeft();
+  /// @brief Ends the attempt because the caller disconnected or this entry
+  /// stops. For a stream, the work at the upstream is cancelled too.
+  void Cancel();
 
   /// @brief Stops reading from the upstream until Resume(), while the caller
   /// reads too slowly.
--- a/include/rattanward/policy/baseline_dispatcher.h
+++ b/include/rattanward/policy/baseline_dispatcher.h
@@ -28,6 +28,7 @@
   std::vector<Decision> Finish(const AttemptResult& result, TimePoint now);
   std::vector<Decision> Cancel(const RequestId& request, TimePoint now);
   std::vector<Decision> Tick(TimePoint now);
+  std::vector<Decision> BeginStop(const StopPlan& plan, TimePoint now);
   std::size_t OpenRequests() const;
 
  private:
@@ -48,6 +49,7 @@
   Upstream* NextUpstream(const Target& target);
   void DispatchWaiting(std::vector<Decision>* out);
   void RefuseWithoutUpstream(std::vector<Decision>* out);
+  void RefuseIfStopping(std::vector<Decision>* out);
   void Start(OpenRequest* open, Upstream* upstream, std::vector<Decision>* out);
   void ReleaseUpstream(const UpstreamId& id);
 
@@ -57,6 +59,7 @@
   std::map<Target, UpstreamId> last_used_;
   std::unordered_map<RequestId, OpenRequest> open_requests_;
   std::deque<RequestId> waiting_;
+  bool stopping_ = false;
 };
 
 }  // namespace rattanward::policy
--- a/include/rattanward/policy/dispatcher.h
+++ b/include/rattanward/policy/dispatcher.h
@@ -17,6 +17,7 @@
 #include "rattanward/domain/verdict.h"
 #include "rattanward/policy/account_portions.h"
 #include "rattanward/policy/part_quarantine.h"
+#include "rattanward/policy/stop_plan.h"
 
 namespace rattanward::policy {
 
@@ -176,6 +177,11 @@
   /// time, reviews probations and starts waiting requests.
   std::vector<Decision> Tick(TimePoint now);
 
+  /// @brief Begins a planned stop: waiting requests that would not end in time
+  /// are refused, now and later (kShuttingDown, or kEntryStopped after an
+  /// attempt that may have run).
+  std::vector<Decision> BeginStop(const StopPlan& plan, TimePoint now);
+
   /// @brief Sets whether this entry has lost its path to an upstream, which
   /// then gets no request. Without any path, requests are refused at once
   /// (kNoPath), so that another entry can serve them.
--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -16,6 +16,7 @@
 #include "rattanward/policy/latency_estimator.h"
 #include "rattanward/policy/quarantine.h"
 #include "rattanward/policy/retry_budget.h"
+#include "rattanward/policy/stop_plan.h"
 #include "rattanward/policy/target.h"
 #include "rattanward/policy/upstream_table.h"
 
@@ -39,6 +40,7 @@
   std::vector<Decision> Tick(TimePoint now);
   std::vector<Decision> SetPathLost(const UpstreamId& upstream, bool lost,
                                     TimePoint now);
+  std::vector<Decision> BeginStop(const StopPlan& plan, TimePoint now);
   std::size_t OpenRequests() const { return open_requests_.size(); }
 
   /// @brief Returns the events since the last call.
@@ -116,6 +118,11 @@
              TimePoint now);
   bool AllTried(const OpenRequest& open) const;
   void ShedUnstartable(Decisions* out, TimePoint now);
+  /// Returns an error if this entry stops, and the request would not end in
+  /// time after it has waited for a slot.
+  std::optional<Error> CheckStop(const OpenRequest& open, Duration wait,
+                                 TimePoint now) const;
+  void RefuseUnfinishable(Decisions* out, TimePoint now);
   Error UnavailableError(const Target& target) const;
   void RefuseWithoutUpstream(const Target& target, Decisions* out);
 
@@ -172,6 +179,8 @@
   /// Number of running attempts by fingerprint.
   std::unordered_map<std::uint64_t, std::uint32_t> running_by_fingerprint_;
   std::optional<TimePoint> next_maintenance_;
+  /// Set once this entry stops.
+  std::optional<StopPlan> stop_plan_;
   std::vector<Event> events_;
 };
 
--- a/src/adapter/metrics.cc
+++ b/src/adapter/metrics.cc
@@ -132,6 +132,9 @@
     ClassTotals& totals = entry.totals;
     AddOutcome(request.outcome, totals);
     ++totals.by_verdict[request.verdict];
+    if (request.stopped) {
+      ++totals.stopped[request.verdict];
+    }
     totals.output_tokens += request.output_tokens;
     totals.wasted_tokens += request.wasted_tokens;
     if (request.met_target) {
@@ -150,7 +153,11 @@
     ClassTotals& totals = classes[request.request_class].totals;
     ++totals.shed;
     ++totals.shed_by_reason[request.reason];
-    ++totals.by_verdict[Verdict::kNotRun];
+    ++totals.by_verdict[request.verdict];
+    if (request.reason == ErrorCode::kShuttingDown ||
+        request.reason == ErrorCode::kEntryStopped) {
+      ++totals.stopped[request.verdict];
+    }
   });
 }
 
--- a/src/adapter/scrape_text.cc
+++ b/src/adapter/scrape_text.cc
@@ -122,23 +122,32 @@
   }
 }
 
-void WriteReasons(const MetricsSnapshot& snapshot, Writer& out) {
-  out.Begin("shed_total", "counter", "Requests refused before dispatch.");
+void WriteVerdicts(const MetricsSnapshot& snapshot,
+                   const std::map<Verdict, std::uint64_t> ClassTotals::*counts,
+                   Writer& out) {
   for (const auto& [name, totals] : snapshot.classes) {
-    for (const auto& [reason, count] : totals.shed_by_reason) {
+    for (const auto& [verdict, count] : totals.*counts) {
       out.Sample(
-          {{"class", name.str()}, {"reason", std::string(ErrorName(reason))}},
+          {{"class", name.str()}, {"verdict", std::string(ToString(verdict))}},
           count);
     }
   }
-  out.Begin("verdicts_total", "counter", "Ended requests by verdict.");
+}
+
+void WriteReasons(const MetricsSnapshot& snapshot, Writer& out) {
+  out.Begin("shed_total", "counter", "Requests refused before dispatch.");
   for (const auto& [name, totals] : snapshot.classes) {
-    for (const auto& [verdict, count] : totals.by_verdict) {
+    for (const auto& [reason, count] : totals.shed_by_reason) {
       out.Sample(
-          {{"class", name.str()}, {"verdict", std::string(ToString(verdict))}},
+          {{"class", name.str()}, {"reason", std::string(ErrorName(reason))}},
           count);
     }
   }
+  out.Begin("verdicts_total", "counter", "Ended requests by verdict.");
+  WriteVerdicts(snapshot, &ClassTotals::by_verdict, out);
+  out.Begin("stopped_total", "counter",
+            "Requests that ended because this entry stops.");
+  WriteVerdicts(snapshot, &ClassTotals::stopped, out);
 }
 
 void WriteUpstreams(const MetricsSnapshot& snapshot, Writer& out) {
--- a/src/adapter/settings.cc
+++ b/src/adapter/settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 #include <filesystem>
 #include <set>
@@ -33,6 +34,11 @@
 constexpr IntegerRange kGraceRange{0, 600'000};
 constexpr std::int64_t kDefaultOpenRequests = 512;
 constexpr std::int64_t kDefaultGraceMs = 5'000;
+constexpr IntegerRange kShutdownLimitRange{1'000, 3'600'000};
+/// Common process managers kill a process 10 s after the signal or later.
+constexpr std::int64_t kDefaultShutdownLimitMs = 9'000;
+/// Time after the grace time, at least, for requests to end.
+constexpr std::int64_t kDefaultDrainMs = 4'000;
 
 /// Reads the keys that the settings of all daemons share.
 class SettingsReader {
@@ -149,6 +155,23 @@
   return policy::Profile::kStandard;
 }
 
+/// Settings of an older release have a grace time only.
+void ReadShutdown(TomlTable& root, EntrySettings& out) {
+  const std::int64_t grace_ms =
+      root.IntegerOr("shutdown_grace_ms", kGraceRange, kDefaultGraceMs);
+  const std::int64_t limit_ms = root.IntegerOr(
+      "shutdown_limit_ms", kShutdownLimitRange,
+      std::max(kDefaultShutdownLimitMs, grace_ms + kDefaultDrainMs));
+  if (limit_ms <= grace_ms) {
+    root.Fail(
+        ErrorCode::kSettingConflict, "shutdown_limit_ms",
+        std::to_string(limit_ms),
+        "more than shutdown_grace_ms, which is " + std::to_string(grace_ms));
+  }
+  out.shutdown_grace = std::chrono::milliseconds(grace_ms);
+  out.shutdown_limit = std::chrono::milliseconds(limit_ms);
+}
+
 EntrySettings ReadEntry(TomlTable& root, SettingsReader& reader) {
   EntrySettings out;
   out.identity = reader.Identity();
@@ -166,8 +189,7 @@
   out.log_file = reader.LogFile();
   out.max_open_requests = static_cast<std::uint32_t>(root.IntegerOr(
       "max_open_requests", kOpenRequestsRange, kDefaultOpenRequests));
-  out.shutdown_grace = std::chrono::milliseconds(
-      root.IntegerOr("shutdown_grace_ms", kGraceRange, kDefaultGraceMs));
+  ReadShutdown(root, out);
   out.profile = ReadProfile(root);
   return out;
 }
--- a/src/domain/error.cc
+++ b/src/domain/error.cc
@@ -36,6 +36,7 @@
     {ErrorCode::kRetryBudgetSpent, "retry-budget-spent", 502},
     {ErrorCode::kCallerGone, "caller-gone", 499},
     {ErrorCode::kNoPath, "no-path", 503},
+    {ErrorCode::kEntryStopped, "entry-stopped", 502},
     {ErrorCode::kUpstreamConnect, "upstream-connect", 502},
     {ErrorCode::kUpstreamRefused, "upstream-refused", 502},
     {ErrorCode::kUpstreamBroken, "upstream-broken", 502},
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -35,6 +35,7 @@
       {EventId::kPromptPartQuarantined, "prompt-part-quarantined"},
       {EventId::kPromptPartCleared, "prompt-part-cleared"},
       {EventId::kRequestRelayed, "request-relayed"},
+      {EventId::kRequestStopped, "request-stopped"},
       {EventId::kUpstreamAnnounced, "upstream-announced"},
       {EventId::kUpstreamDraining, "upstream-draining"},
       {EventId::kUpstreamExpired, "upstream-expired"},
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -166,6 +166,16 @@
   core_.WatchPaths();
 }
 
+void CallerFront::CutShort() {
+  const auto open = open_exchanges_;
+  for (const auto& exchange : open) {
+    exchange->CutShort();
+  }
+  if (relays_) {
+    relays_->CutShort();
+  }
+}
+
 /// A request that another entry relayed is not relayed again.
 std::function<void()> CallerFront::MakeRelay(
     const CallerConnection& caller, const http::ServerRequest& request,
--- a/src/entry/claim_desk.cc
+++ b/src/entry/claim_desk.cc
@@ -3,6 +3,8 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "rattanward/policy/stop_error.h"
+
 namespace rattanward::entry {
 namespace {
 
@@ -59,6 +61,7 @@
       sink(MaySend{});
       return;
     }
+    decided_ = false;
     attempt_ = coordinator_.Begin(
         claim_, [self = shared_from_this(), sink = std::move(sink)](
                     const ledger::ClaimDecision& decision) {
@@ -70,6 +73,11 @@
     if (!attempt_) {
       return;
     }
+    if (!decided_) {
+      // Nothing was sent; HandleDecision() frees the claim.
+      ended_ = true;
+      return;
+    }
     const TimePoint now = EntryCore::Now();
     const ledger::StoredOutcome outcome = Outcome(verdict, answer);
     if (outcome.verdict == Verdict::kNotRun) {
@@ -82,11 +90,17 @@
 
  private:
   SendPermission HandleDecision(const ledger::ClaimDecision& decision) {
+    decided_ = true;
     SendPermission permission = ToPermission(decision);
     if (!std::holds_alternative<MaySend>(permission)) {
       attempt_.reset();
       return permission;
     }
+    if (ended_) {
+      coordinator_.holder_.ReleaseUnsent(*attempt_, EntryCore::Now());
+      attempt_.reset();
+      return policy::StopError(Verdict::kNotRun);
+    }
     sending_ = coordinator_.holder_.StartSending(*attempt_, EntryCore::Now());
     if (!sending_) {
       attempt_.reset();
@@ -116,6 +130,10 @@
   std::size_t max_stored_bytes_;
   std::optional<AttemptId> attempt_;
   bool sending_ = false;
+  /// The ledger has decided on the claim.
+  bool decided_ = false;
+  /// The request ended before that.
+  bool ended_ = false;
 };
 
 ClaimCoordinator::ClaimCoordinator(EntryCore& core,
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -3,6 +3,8 @@
 #include <asio/executor_work_guard.hpp>
 #include <utility>
 
+#include "rattanward/policy/stop_error.h"
+
 namespace rattanward::entry {
 namespace {
 
@@ -45,14 +47,14 @@
 }
 
 Status EntryCore::MayStart() const {
-  Error error;
   if (refusing_new_work_) {
-    error = MakeError(ErrorCode::kShuttingDown, "this entry is stopping");
-  } else if (const Status open = gate_.MayStart(); !open) {
-    error = open.error();
-  } else {
+    return policy::StopError(Verdict::kNotRun);
+  }
+  const Status open = gate_.MayStart();
+  if (open) {
     return outcome::success();
   }
+  Error error = open.error();
   error.verdict = Verdict::kNotRun;
   error.retry_after = kRetryAfter;
   return error;
@@ -77,6 +79,11 @@
   return true;
 }
 
+void EntryCore::Drop(const RequestId& request) {
+  open_.erase(request);
+  Deliver(dispatcher_.Cancel(request, Now()));
+}
+
 void EntryCore::Finish(const policy::AttemptResult& result) {
   if (result.end == policy::AttemptEnd::kCompleted ||
       result.end == policy::AttemptEnd::kCallerLeft) {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "rattanward/policy/stop_error.h"
+
 namespace rattanward::entry {
 namespace {
 
@@ -45,12 +47,29 @@
   }
   const auto self = shared_from_this();
   if (attempt_) {
-    attempt_->CallerLeft();
+    attempt_->Cancel();
   } else if (core_.Cancel(plan_.info.id)) {
     Conclude(true);
   }
 }
 
+void Exchange::CutShort() {
+  if (ended_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  cut_short_ = true;
+  if (attempt_) {
+    attempt_->Cancel();
+  } else if (claim_pending_) {
+    AbandonAttempt(AttemptEnd::kCallerLeft,
+                   policy::StopError(Verdict::kNotRun));
+  } else {
+    core_.Drop(plan_.info.id);
+    ConcludeCut();
+  }
+}
+
 void Exchange::CallerDrained() {
   if (paused_ && attempt_) {
     paused_ = false;
@@ -95,6 +114,9 @@
 
 void Exchange::HandlePermission(const SendPermission& permission) {
   claim_pending_ = false;
+  if (ended_) {
+    return;
+  }
   if (const auto* answer = std::get_if<BufferedResponse>(&permission)) {
     stored_response_ = *answer;
     AbandonAttempt(
@@ -229,7 +251,9 @@
                     result.end == AttemptEnd::kCallerLeft;
   const auto self = shared_from_this();
   core_.Finish(result);
-  if (last) {
+  if (last && cut_short_) {
+    ConcludeCut();
+  } else if (last) {
     Conclude(caller_left_);
   }
 }
@@ -259,6 +283,17 @@
   NotifyEnd();
 }
 
+/// Ends an exchange that was cut short.
+void Exchange::ConcludeCut() {
+  if (caller_left_) {
+    Conclude(true);
+  } else if (attempted_) {
+    Fail(policy::StopError(summary_.verdict));
+  } else {
+    Shed(policy::StopError(Verdict::kNotRun));
+  }
+}
+
 /// Whether this entry has no path for a request that surely has not run. A
 /// request whose claim was taken is left out: the other entry would find the
 /// claim until its release is committed.
--- a/src/entry/relay_desk.cc
+++ b/src/entry/relay_desk.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/policy/stop_error.h"
 
 namespace rattanward::entry {
 namespace {
@@ -40,7 +41,19 @@
   TryNext(std::make_shared<Pending>(Pending{std::move(request), {}}));
 }
 
+void RelayDesk::CutShort() {
+  stopped_ = true;
+  const auto calls = calls_;
+  for (const auto& call : calls) {
+    call->CutShort();
+  }
+}
+
 void RelayDesk::TryNext(const std::shared_ptr<Pending>& pending) {
+  if (stopped_) {
+    Fail(*pending, policy::StopError(Verdict::kNotRun));
+    return;
+  }
   const TimePoint now = MonotonicNow();
   choice_.AddPeers(peers_.nearby, peers_.remote, now);
   const UnservedRequest& unserved = pending->unserved;
@@ -77,6 +90,9 @@
                                "the entry that it was relayed to broke off",
                                Verdict::kMayHaveRun));
       return;
+    case RelayEnd::kCutShort:
+      Fail(*pending, policy::StopError(Verdict::kMayHaveRun));
+      return;
     case RelayEnd::kUnreached:
       choice_.RecordUnreachable(peer, now);
       break;
--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -1,16 +1,19 @@
 #include "rattanward/entry/relayed_call.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 #include "rattanward/domain/error.h"
 #include "rattanward/entry/http_answers.h"
+#include "rattanward/policy/stop_error.h"
 
 namespace rattanward::entry {
 namespace {
 
 constexpr Duration kConnectTimeout{std::chrono::milliseconds(300)};
 constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
+constexpr std::string_view kEventEnd = "\n\n";
 
 /// Whether another entry may serve a request that one refused with this code.
 bool AnotherEntryMayServe(const http::ResponseHead& head) {
@@ -85,6 +88,8 @@
 void RelayedCall::OnBody(std::string_view piece) {
   if (streams_) {
     caller_->Write(piece);
+    tail_ += piece;
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), kEventEnd.size()));
   } else {
     body_ += piece;
   }
@@ -125,6 +130,32 @@
   }
 }
 
+void RelayedCall::CutShort() {
+  const auto self = shared_from_this();
+  if (!streams_) {
+    End(RelayEnd::kCutShort);
+    return;
+  }
+  if (!EndStreamWithError()) {
+    caller_->Abort();
+  }
+  End(RelayEnd::kAnswered);
+}
+
+/// Ends an event stream with an error event, as a stream of this entry ends.
+/// That isn't possible within an event.
+bool RelayedCall::EndStreamWithError() {
+  const std::string* type = head_.fields.Find("Content-Type");
+  const bool between_events = tail_.empty() || tail_ == kEventEnd;
+  if (type == nullptr || *type != "text/event-stream" || !between_events) {
+    return false;
+  }
+  caller_->Write("data: " + ErrorToJson(policy::StopError(Verdict::kRan)) +
+                 std::string(kEventEnd));
+  caller_->FinishBody();
+  return true;
+}
+
 void RelayedCall::End(RelayEnd end) {
   const auto self = shared_from_this();
   connection_->Close();
--- a/src/entry/request_recorder.cc
+++ b/src/entry/request_recorder.cc
@@ -21,6 +21,19 @@
   event.fields.push_back({"verdict", std::string(ToString(error.verdict))});
 }
 
+bool IsStop(const Error& error) {
+  return error.code == ErrorCode::kShuttingDown ||
+         error.code == ErrorCode::kEntryStopped;
+}
+
+EventId ShedEvent(const Error& error) {
+  if (IsStop(error)) {
+    return EventId::kRequestStopped;
+  }
+  return error.code == ErrorCode::kQuarantined ? EventId::kRequestQuarantined
+                                               : EventId::kRequestShed;
+}
+
 EventId EndEvent(Outcome outcome) {
   switch (outcome) {
     case Outcome::kAnswered:
@@ -45,11 +58,9 @@
 
 void RequestRecorder::Shed(const policy::RequestInfo& request,
                            const Error& error) const {
-  metrics_.Count(adapter::RequestShed{request.request_class, error.code});
-  Event event = Describe(error.code == ErrorCode::kQuarantined
-                             ? EventId::kRequestQuarantined
-                             : EventId::kRequestShed,
-                         request);
+  metrics_.Count(
+      adapter::RequestShed{request.request_class, error.code, error.verdict});
+  Event event = Describe(ShedEvent(error), request);
   AddError(event, error);
   events_(event);
 }
@@ -92,8 +103,12 @@
     finished.met_target = summary.outcome == Outcome::kAnswered &&
                           *finished.first_token <= target;
   }
+  finished.stopped =
+      summary.outcome == Outcome::kFailed && IsStop(summary.error);
   metrics_.Count(finished);
-  Event event = Describe(EndEvent(summary.outcome), request);
+  Event event = Describe(
+      finished.stopped ? EventId::kRequestStopped : EndEvent(summary.outcome),
+      request);
   if (summary.outcome == Outcome::kFailed) {
     AddError(event, summary.error);
   } else {
--- a/src/entry/upstream_attempt.cc
+++ b/src/entry/upstream_attempt.cc
@@ -95,7 +95,7 @@
                   &UpstreamAttempt::ServiceCallEnded));
 }
 
-void UpstreamAttempt::CallerLeft() {
+void UpstreamAttempt::Cancel() {
   if (ended_) {
     return;
   }
@@ -108,7 +108,7 @@
     CancelUpstreamWork();
   }
   End(AttemptEnd::kCallerLeft, ErrorCode::kCallerGone, Verdict::kMayHaveRun,
-      "the caller disconnected");
+      "the attempt was cancelled");
 }
 
 void UpstreamAttempt::Pause() {
--- a/src/policy/baseline_dispatcher.cc
+++ b/src/policy/baseline_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "rattanward/domain/result.h"
+#include "rattanward/policy/stop_error.h"
 
 namespace rattanward::policy {
 namespace {
@@ -71,6 +72,7 @@
   waiting_.push_back(request.id);
   std::vector<Decision> out;
   DispatchWaiting(&out);
+  RefuseIfStopping(&out);
   return out;
 }
 
@@ -102,6 +104,15 @@
   }
   DispatchWaiting(&out);
   RefuseWithoutUpstream(&out);
+  RefuseIfStopping(&out);
+  return out;
+}
+
+std::vector<Decision> BaselineDispatcher::BeginStop(const StopPlan& /*plan*/,
+                                                    TimePoint /*now*/) {
+  stopping_ = true;
+  std::vector<Decision> out;
+  RefuseIfStopping(&out);
   return out;
 }
 
@@ -189,6 +200,17 @@
   waiting_.swap(remaining);
 }
 
+/// Refuses all that wait, since this profile has no estimate of run times.
+void BaselineDispatcher::RefuseIfStopping(std::vector<Decision>* out) {
+  if (!stopping_) {
+    return;
+  }
+  for (const RequestId& id : std::exchange(waiting_, {})) {
+    open_requests_.erase(id);
+    out->push_back(Refuse{id, StopError(Verdict::kNotRun)});
+  }
+}
+
 void BaselineDispatcher::Start(OpenRequest* open, Upstream* upstream,
                                std::vector<Decision>* out) {
   const Announcement& a = upstream->announcement;
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -85,6 +85,11 @@
   return impl_->Call([&](auto& d) { return d.Tick(now); });
 }
 
+std::vector<Decision> Dispatcher::BeginStop(const StopPlan& plan,
+                                            TimePoint now) {
+  return impl_->Call([&](auto& d) { return d.BeginStop(plan, now); });
+}
+
 std::size_t Dispatcher::OpenRequests() const {
   return impl_->Call([](const auto& d) { return d.OpenRequests(); });
 }
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -99,6 +99,7 @@
   }
   Decisions out;
   ShedUnstartable(&out, now);
+  RefuseUnfinishable(&out, now);
   for (const Target& target : queue_.Targets()) {
     DispatchWaiting(target, &out, now);
     RefuseWithoutUpstream(target, &out);
@@ -206,6 +207,9 @@
   if (IsQuarantined(open.info)) {
     return QuarantinedError();
   }
+  if (auto error = CheckStop(open, Duration(0), now)) {
+    return error;
+  }
   if (auto error = CheckHeldBack(open, now)) {
     return error;
   }
@@ -274,7 +278,8 @@
     if (auto error = CheckStartable(open_requests_.at(queued.id), now)) {
       queue_.Remove(queued.id);
       const bool keeps_time = error->code == ErrorCode::kQuarantined ||
-                              error->code == ErrorCode::kNoUpstream;
+                              error->code == ErrorCode::kNoUpstream ||
+                              stop_plan_.has_value();
       if (!keeps_time) {
         error->retry_after = RetryAfterBacklog(ExpectedSlotWait(
             queued.target, open_requests_.at(queued.id).declared, now));
--- a/src/policy/standard_dispatcher_admit.cc
+++ b/src/policy/standard_dispatcher_admit.cc
@@ -116,6 +116,11 @@
     RefuseOpen(id, *error, out);
     return false;
   }
+  if (const auto error = CheckStop(open, wait, now)) {
+    queue_.Remove(id);
+    RefuseOpen(id, *error, out);
+    return false;
+  }
   if (occupancy_freed) {
     return true;
   }
--- a/tests/src/fuzz-dispatcher.cc
+++ b/tests/src/fuzz-dispatcher.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -74,6 +75,20 @@
     }
   }
 
+  void BeginStop() {
+    stop_ = StopPlan(now_, {std::chrono::seconds(1), std::chrono::seconds(8)});
+    ApplyDecisions(dispatcher_.BeginStop(*stop_, now_));
+  }
+
+  // At the time of the final answers, no request may be waiting.
+  void CheckNothingWaitsAtStop() {
+    now_ = std::max(now_, stop_->answers_at());
+    ApplyDecisions(dispatcher_.Tick(now_));
+    for (const auto& [id, request] : open_) {
+      RC_ASSERT(!request.upstream.empty());
+    }
+  }
+
   // Completes all running requests and advances the time until no request is
   // open; fails if some remain.
   void RunToCompletion() {
@@ -205,6 +220,7 @@
     RC_ASSERT(start.attempt == request.attempts + 1);
     RC_ASSERT(start.attempt <= config_.limits.max_attempts);
     RC_ASSERT(!request.answer_begun);
+    RC_ASSERT(!stop_ || now_ < stop_->answers_at());
     if (!request.info.idempotent) {
       RC_ASSERT(request.verdict == Verdict::kNotRun);
     }
@@ -223,6 +239,11 @@
     const TrackedRequest refused = it->second;
     RC_ASSERT(refused.upstream.empty());
     RC_ASSERT(refuse.error.verdict >= refused.verdict);
+    if (refuse.error.code == ErrorCode::kShuttingDown) {
+      RC_ASSERT(stop_.has_value());
+      RC_ASSERT(refuse.error.verdict == Verdict::kNotRun);
+      RC_ASSERT(refuse.error.retry_after.has_value());
+    }
     open_.erase(it);
     for (const auto& [id, other] : open_) {
       if (!other.upstream.empty() || other.tier <= refused.tier) {
@@ -260,6 +281,7 @@
   TimePoint now_;
   std::map<std::string, Announcement> upstreams_;
   std::map<std::string, TrackedRequest> open_;
+  std::optional<StopPlan> stop_;
   std::uint64_t sequence_ = 0;
   int next_id_ = 0;
 };
@@ -279,4 +301,21 @@
                   }));
 }
 
+TEST_CASE("dispatcher: at a stop nothing begins late, waits or is misnamed") {
+  CHECK(rc::check("a stop keeps the dispatcher's invariants",
+                  [](const std::vector<Command>& before,
+                     const std::vector<Command>& after) {
+                    DispatcherHarness harness;
+                    for (const Command& command : before) {
+                      harness.Run(command);
+                    }
+                    harness.BeginStop();
+                    for (const Command& command : after) {
+                      harness.Run(command);
+                    }
+                    harness.CheckNothingWaitsAtStop();
+                    harness.RunToCompletion();
+                  }));
+}
+
 }  // namespace rattanward::policy
--- a/tests/src/unit-entry-relay.cc
+++ b/tests/src/unit-entry-relay.cc
@@ -92,6 +92,38 @@
   }
 }
 
+TEST_CASE("a relayed request that a stop cuts gets a true answer") {
+  asio::io_context io;
+  TwoEntries entries(RefusingEndpoint(io),
+                     [](LoopbackPeer&, const std::string&) {});
+  const auto caller = entries.cut.Caller();
+  caller->Send(Completion());
+  REQUIRE(entries.RunUntil(
+      [&] { return entries.reaching.upstream.requests().size() == 1; }));
+  entries.cut.front.CutShort();
+  CHECK(entries.RunUntil([&] { return !caller->received().empty(); }));
+  CHECK(Contains(caller->received(), "HTTP/1.1 502"));
+  CHECK(Contains(caller->received(), "X-Rattanward-Verdict: may-have-run"));
+  CHECK(entries.cut.front.open_requests() == 0);
+}
+
+TEST_CASE("a relayed stream that a stop cuts ends with an error event") {
+  asio::io_context io;
+  TwoEntries entries(RefusingEndpoint(io), [](LoopbackPeer& connection,
+                                              const std::string& request) {
+    const std::string whole = StreamResponse(RequestIdIn(request));
+    connection.Send(whole.substr(0, whole.find("id: 2")));
+  });
+  const auto caller = entries.cut.Caller();
+  caller->Send(Completion());
+  REQUIRE(
+      entries.RunUntil([&] { return Contains(caller->received(), "data:"); }));
+  entries.cut.front.CutShort();
+  CHECK(entries.RunUntil(
+      [&] { return Contains(caller->received(), "entry-stopped"); }));
+  CHECK(Contains(caller->received(), "data: {\"error\":"));
+}
+
 TEST_CASE("without another entry, a request without a path is refused") {
   asio::io_context io;
   TwoEntries entries(RefusingEndpoint(io), RespondWell, false);
--- a/tests/src/unit-settings.cc
+++ b/tests/src/unit-settings.cc
@@ -162,6 +162,18 @@
   CHECK(value.profile == policy::Profile::kStandard);
 }
 
+TEST_CASE("settings without a limit of the shutdown have time to drain") {
+  const auto limit = [](const std::string& lines) {
+    const auto settings = ParseEntrySettings(lines + kEntry, "f.toml");
+    REQUIRE_MESSAGE(settings.has_value(), settings.error().message);
+    return settings.value().shutdown_limit;
+  };
+  CHECK(limit("") == std::chrono::seconds(9));
+  CHECK(limit("shutdown_grace_ms = 300\n") == std::chrono::seconds(9));
+  CHECK(limit("shutdown_grace_ms = 20000\n") == std::chrono::seconds(24));
+  CHECK(limit("shutdown_limit_ms = 28000\n") == std::chrono::seconds(28));
+}
+
 TEST_CASE("each mistake in entry settings is named, and no secret is shown") {
   CheckMistakes(kEntry,
                 {{"127.0.0.1:7003", "localhost:7003", ErrorCode::kSettingRange,
@@ -179,7 +191,9 @@
                  {"process", "profile = \"fast\"\nprocess",
                   ErrorCode::kSettingRange, "f.toml:1: profile: saw \"fast\""},
                  {"process", "max_open_requests = 0\nprocess",
-                  ErrorCode::kSettingRange, "max_open_requests"}},
+                  ErrorCode::kSettingRange, "max_open_requests"},
+                 {"process", "shutdown_limit_ms = 5000\nprocess",
+                  ErrorCode::kSettingConflict, "shutdown_limit_ms"}},
                 ParseEntrySettings);
 }
 
--- a/tests/src/unit-upstream-attempt.cc
+++ b/tests/src/unit-upstream-attempt.cc
@@ -304,7 +304,7 @@
   policy::AttemptResult result;
   attempt->RunStream(
       [&](const auto&) {
-        attempt->CallerLeft();
+        attempt->Cancel();
         return true;
       },
       [&](const auto& ended) { result = ended; });
@@ -331,7 +331,7 @@
   attempt->RunServiceCall([&](const auto&) { ended = true; });
   RunUntil(io, [&] { return leaving; });
   CHECK_FALSE(ended);
-  attempt->CallerLeft();
+  attempt->Cancel();
 }
 
 TEST_CASE("a refusal with Retry-After asks for back-off") {
