Cancel the calls that a stopping control process has forwarded to the leader

Operators saw: a follower that was told to stop went on for as long as a change that it had forwarded to the leader waited there, up to 90 s; a process manager kills it first, and the call ends as broken.

Cause: the RPC server cancels what is in progress 200 ms after the stop, but waits for its handlers, and a handler that forwards a call waited for its own client, which nothing cancelled.

Change: the forwarded call is a child of the call that it serves, so that it is cancelled with it.

Conclusion: a stopping leader doesn't hand its leadership over; consensus has no message for that, and the others elect a leader after their election timeout of 0.5 s.

--- a/include/rattanward/rpc/operator_client.h
+++ b/include/rattanward/rpc/operator_client.h
@@ -9,6 +9,10 @@
 #include "rattanward/domain/result.h"
 #include "rattanward/domain/time.h"
 
+namespace grpc {
+class ServerContext;
+}  // namespace grpc
+
 namespace rattanward::rpc {
 
 /// @brief Client of the operator RPC of one control VM. Hides gRPC from its
@@ -50,7 +54,9 @@
 
   /// @brief Marks later calls as forwarded by a follower. The receiver does not
   /// forward them again, which prevents forwarding loops.
-  void set_forwarded() { forwarded_ = true; }
+  /// @param call The call that is forwarded. If it is cancelled, as at the end
+  /// of the follower, so are later calls of this client.
+  void set_forwarded(const grpc::ServerContext& call) { forwarded_ = &call; }
 
   /// @brief Streams the events of this control VM. Blocks until `on_event`
   /// returns false or the stream ends.
@@ -60,7 +66,8 @@
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
-  bool forwarded_ = false;
+  /// Null if calls aren't forwarded ones.
+  const grpc::ServerContext* forwarded_ = nullptr;
 };
 
 }  // namespace rattanward::rpc
--- a/src/rpc/operator_client.cc
+++ b/src/rpc/operator_client.cc
@@ -48,18 +48,22 @@
         timeout_(timeout) {}
 
   template <class Reply, class Method, class Request>
-  Result<Reply> Call(Method method, const Request& request, bool forwarded) {
+  Result<Reply> Call(Method method, const Request& request,
+                     const grpc::ServerContext* forwarded) {
     const auto deadline = std::chrono::system_clock::now() + timeout_;
     if (!WaitUntilConnected()) {
       return MakeError(ErrorCode::kDisconnected,
                        "could not connect to the control VM");
     }
-    grpc::ClientContext context;
-    SetCallMetadata(context, forwarded);
-    context.set_deadline(deadline);
+    const auto context =
+        forwarded == nullptr
+            ? std::make_unique<grpc::ClientContext>()
+            : grpc::ClientContext::FromServerContext(*forwarded);
+    SetCallMetadata(*context, forwarded != nullptr);
+    context->set_deadline(deadline);
     Reply reply;
     const grpc::Status status =
-        (stub_.get()->*method)(&context, request, &reply);
+        (stub_.get()->*method)(context.get(), request, &reply);
     if (!status.ok()) {
       return ToError(status);
     }
--- a/src/rpc/operator_server.cc
+++ b/src/rpc/operator_server.cc
@@ -156,7 +156,7 @@
         MetadataValue(context, kForwardedKey).empty();
     if (should_forward) {
       OperatorClient leader(outcome.leader(), token_, kForwardTimeout);
-      leader.set_forwarded();
+      leader.set_forwarded(context);
       const auto leader_reply = leader.Call(request);
       if (leader_reply) {
         reply = leader_reply.value();
