--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -52,7 +52,7 @@
   }
   const Status open = gate_.MayStart();
   if (open) {
-    return open;
+    return outcome::success();
   }
   Error error = open.error();
   error.verdict = Verdict::kNotRun;
