Control VMs connect to the members that a hello names

What callers saw: LOST. After a control VM had been replaced by one at a new address, and two other control VMs then lost their disks, no leader was elected any more: the acknowledged configuration could not be read.

Cause: a new control VM connects to its seeds only, and a hello was neither passed on nor used to learn the other members. If the leader was none of the three seeds, it never heard of the new VM. The new VM never became a voter, and the VM that it replaced stayed one of the five, so that three of five voters were gone after two further losses. The same happens to the fifth VM of a first start whose leader changes early. Class: a change that depends on one process (the leader) waits for news that reaches only whom the sender happens to know.

Change: the receiver of a hello, or of the answer to one, connects to the members in it.

Why tests missed it: fuzz-members gives every leader every hello.

Conclusion: shown as one way to break the third part of LOST on real processes; whether it is what was reported can't be told without logs.

--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -34,7 +34,8 @@
   /// first hello on its own.
   void SendHellos();
 
-  /// @brief Records a hello that arrived as a request or as an answer.
+  /// @brief Records a hello that arrived as a request or as an answer, and
+  /// connects to its sender and to the members that the sender knows.
   void RecordHello(const protocol::VoterHello& hello);
 
   /// @brief Sends a one-way message. It is dropped if the voter is not
@@ -65,6 +66,7 @@
 
  private:
   void SendHello(adapter::PeerClient& client, const std::string& body);
+  void ConnectToMembersOf(const protocol::VoterHello& hello);
 
   asio::io_context& io_;
   adapter::TransportOptions options_;
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -69,6 +69,19 @@
   hellos_[hello.peer_endpoint] = hello;
   hello_times_[hello.peer_endpoint] = adapter::MonotonicNow();
   ConnectTo(hello.peer_endpoint);
+  ConnectToMembersOf(hello);
+}
+
+/// A control VM at a new address knows only its seeds, and the leader need not
+/// be one of them.
+void VoterDirectory::ConnectToMembersOf(const protocol::VoterHello& hello) {
+  const auto membership = consensus::DecodeMembership(hello.membership);
+  if (!membership) {
+    return;
+  }
+  for (const consensus::Member& member : membership.value().members) {
+    ConnectTo(member.endpoint);
+  }
 }
 
 void VoterDirectory::Send(const VoterId& voter,
