A start syncs what a killed process may have left in the cache only

What callers saw: LOST, or nothing served after a final fault. A control process was killed between two operations on its files and started again; then the power was lost. Either its folder did not open any more ("the log file log-2 is missing", 5001), which costs a third disk where two are lost at once, or an entry was gone that it had acknowledged.

(1) An entry written but not synced before the kill: a follower that restarts within the same term answers the next heartbeat that it holds the entry, without any write of its own, and the leader counts it towards the commit. Class: state read back after a crash of the process is treated as if the machine had crashed.

Change: a start syncs the folder before it removes anything, and the log before the node gets it. The format of the files is unchanged.

Why tests missed it: the fake disk knew losses of power only, not a kill whose cache outlives it, and unit-storage looked at one crash at a time.

Conclusion: shown on files whose losses are played; not tried on a disk whose power is cut.

--- a/src/adapter/file_log_storage.cc
+++ b/src/adapter/file_log_storage.cc
@@ -166,7 +166,10 @@
   return WriteGeneration(Snapshot(), {});
 }
 
+/// What a process wrote before it was killed may be in the cache only. It is
+/// synced before anything follows from it, the names before others are removed.
 Status FileLogStorage::Load() {
+  BOOST_OUTCOME_TRY(SyncFolder(folder_));
   BOOST_OUTCOME_TRY(file, ReadFile(folder_ + "/" + kSnapshotName));
   BOOST_OUTCOME_TRY(records, ScanRecords(file, kSnapshotSeed));
   if (records.payloads.size() != 1 || records.valid_bytes != file.size()) {
@@ -220,9 +223,8 @@
     if (ftruncate(log_.value(), static_cast<off_t>(log_bytes_)) != 0) {
       return MakeError(ErrorCode::kStorageFailed, "the torn tail stays");
     }
-    BOOST_OUTCOME_TRY(SyncFile(log_));
   }
-  return outcome::success();
+  return SyncFile(log_);
 }
 
 Status FileLogStorage::Save(const Output& output) {
--- a/tests/fakes/consensus_cluster.h
+++ b/tests/fakes/consensus_cluster.h
@@ -23,23 +23,25 @@
 enum class CrashPoint { kNow, kBeforeSync, kBeforeSend };
 
 /// @brief Cluster of VMs with one node each in a simulated network and time.
+/// @tparam Disk Storage of a VM's log: MemoryDisk, or FileDisk for real files.
 /// @note The state machine state is a hash over all applied entries, so nodes
 /// with equal states have applied the same entries.
-class ConsensusCluster {
+template <class Disk>
+class ClusterOn {
  public:
   /// Resolution of simulated time.
   static constexpr Duration kTimeStep{std::chrono::milliseconds(10)};
 
-  ConsensusCluster(std::size_t size, std::uint64_t seed)
+  ClusterOn(std::size_t size, std::uint64_t seed)
       : seed_(seed), network_(seed) {
     consensus::Membership members;
     for (Slot slot = 0; slot < size; ++slot) {
-      members.members.push_back(
-          {NewId(slot), EndpointOf(slot), consensus::MemberRole::kVoter});
+      vms_.emplace_back(NewDisk(slot));
+      members.members.push_back({vms_[slot].disk.id(), EndpointOf(slot),
+                                 consensus::MemberRole::kVoter});
     }
     for (Slot slot = 0; slot < size; ++slot) {
-      vms_.emplace_back(MemoryDisk(members.members[slot].id,
-                                   consensus::InitialState(members)));
+      vms_[slot].disk.Initialize(consensus::InitialState(members));
       Start(slot);
     }
   }
@@ -57,7 +59,13 @@
   void Start(Slot slot) {
     Vm& vm = vms_[slot];
     if (!vm.node) {
-      consensus::PersistedState state = vm.disk.TakeState();
+      Result<consensus::PersistedState> opened = vm.disk.Open();
+      if (!opened) {
+        oracle_.Require(false,
+                        "a disk does not open: " + opened.error().message);
+        return;
+      }
+      consensus::PersistedState state = std::move(opened.value());
       vm.applied = state.snapshot.last.index;
       vm.state = state.snapshot.state;
       vm.node.emplace(vm.disk.id(), Options(), std::move(state), vm.clock);
@@ -74,6 +82,12 @@
     }
   }
 
+  /// @brief Kills the process of a VM after some more operations on its files,
+  /// which stay as they are. Needs a FileDisk.
+  void KillAfter(Slot slot, int operations) {
+    vms_[slot].disk.KillAfter(operations);
+  }
+
   /// @brief Stops a VM from processing; its clock and inbox continue.
   void Freeze(Slot slot) { vms_[slot].frozen = true; }
 
@@ -97,7 +111,7 @@
     }
     const VoterId lost = vms_[slot].disk.id();
     Crash(slot, CrashPoint::kNow);
-    vms_[slot].disk = MemoryDisk(NewId(slot), {});
+    vms_[slot].disk = NewDisk(slot);
     vms_[slot].crash.reset();
     repair_ = consensus::Repair{lost, vms_[slot].disk.id(), EndpointOf(slot)};
     Start(slot);
@@ -107,7 +121,7 @@
   /// the lost voter once the VM is started.
   void WipeDisk(Slot slot) {
     Crash(slot, CrashPoint::kNow);
-    vms_[slot].disk = MemoryDisk(NewId(slot), {});
+    vms_[slot].disk = NewDisk(slot);
     vms_[slot].crash.reset();
   }
 
@@ -120,7 +134,7 @@
   /// @brief Adds a VM at a new endpoint with an empty disk, and starts it.
   Slot Add() {
     const Slot slot = size();
-    vms_.emplace_back(MemoryDisk(NewId(slot), {}));
+    vms_.emplace_back(NewDisk(slot));
     vms_.back().clock = now_;
     if (keeper_options_) {
       vms_.back().keeper.emplace(*keeper_options_);
@@ -241,9 +255,9 @@
 
  private:
   struct Vm {
-    explicit Vm(MemoryDisk initial_disk) : disk(std::move(initial_disk)) {}
+    explicit Vm(Disk initial_disk) : disk(std::move(initial_disk)) {}
 
-    MemoryDisk disk;
+    Disk disk;
     std::optional<consensus::Node> node;
     std::vector<std::string> inbox;
     bool frozen = false;
@@ -273,10 +287,12 @@
     return {"10.0.0.1", static_cast<std::uint16_t>(slot)};
   }
 
-  VoterId NewId(Slot slot) {
-    VoterId id("disk-" + std::to_string(++disk_count_));
-    slots_[id] = slot;
-    return id;
+  Disk NewDisk(Slot slot) {
+    ++disk_count_;
+    VoterId id("disk-" + std::to_string(disk_count_));
+    auto disk = Disk(std::move(id), seed_ + disk_count_);
+    slots_[disk.id()] = slot;
+    return disk;
   }
 
   template <class Fn>
@@ -312,7 +328,11 @@
       Crash(slot, CrashPoint::kNow);
       return;
     }
-    vm.disk.Sync();
+    if (!vm.disk.Sync()) {
+      vm.node.reset();
+      vm.disk.Kill();
+      return;
+    }
     if (crash == CrashPoint::kBeforeSend) {
       Crash(slot, CrashPoint::kNow);
       return;
@@ -427,4 +447,6 @@
   std::optional<consensus::Repair> repair_;
 };
 
+using ConsensusCluster = ClusterOn<MemoryDisk>;
+
 }  // namespace rattanward::fakes
--- a/tests/fakes/memory_disk.h
+++ b/tests/fakes/memory_disk.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <string>
+#include <cstdint>
+#include <tuple>
 #include <utility>
 
 #include "rattanward/consensus/node.h"
@@ -11,11 +12,17 @@
 /// @brief In-memory log storage that loses unsynced writes in a crash.
 class MemoryDisk {
  public:
-  MemoryDisk(VoterId id, consensus::PersistedState state)
-      : id_(std::move(id)), synced_(std::move(state)), written_(synced_) {}
+  explicit MemoryDisk(VoterId id, std::uint64_t /*seed*/ = 0)
+      : id_(std::move(id)) {}
 
   const VoterId& id() const { return id_; }
+  /// @brief Writes the initial state of a new log.
+  void Initialize(consensus::PersistedState state) {
+    synced_ = std::move(state);
+    written_ = synced_;
+  }
   consensus::PersistedState TakeState() { return synced_; }
+  Result<consensus::PersistedState> Open() { return synced_; }
 
   /// @brief Applies an output to the stored state without syncing.
   void Write(const consensus::Output& output) {
@@ -40,13 +47,17 @@
       }
     }
   }
-  void Sync() { synced_ = written_; }
+  bool Sync() {
+    synced_ = written_;
+    return true;
+  }
+  void Kill() {}
   /// @brief Discards all writes since the last sync.
   void Crash() { written_ = synced_; }
 
   Status Save(const consensus::Output& output) {
     Write(output);
-    Sync();
+    std::ignore = Sync();
     return outcome::success();
   }
 
