A record whose sync failed is cut from the log again

What callers saw: nothing so far; found while looking for the causes of LOST. After an error of fdatasync the control process ends and starts again. Linux reports such an error once and may drop the bytes, but still shows them to readers: the next start would read the record, its sync would succeed, and the voter would acknowledge an entry that is not on its disk.

Cause: the record of a failed sync stayed in the log file. Class: a failed sync that is followed by one that succeeds for other reasons.

Change: the record is cut off before the error is returned. Nothing of it has been acknowledged, so a record that reached the disk after all may also come back.

Evidence: unit-storage-crash failed before: "CHECK( 2 == 1 )"; it passes now, as do unit-storage and unit-replica.

Conclusion: mended for the log.

--- a/include/rattanward/adapter/file_log_storage.h
+++ b/include/rattanward/adapter/file_log_storage.h
@@ -59,6 +59,7 @@
   Status Load();
   Status LoadLog(const std::vector<std::string>& names);
   Status Append(const consensus::Output& output);
+  void CutRecord() const;
   Status Switch(const consensus::Output& output);
   Result<std::vector<consensus::Entry>> EntriesAfter(
       const consensus::Output& output) const;
--- a/src/adapter/file_log_storage.cc
+++ b/src/adapter/file_log_storage.cc
@@ -7,6 +7,7 @@
 #include <boost/outcome/try.hpp>
 #include <exception>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "rattanward/adapter/record.h"
@@ -246,9 +247,19 @@
       EncodeRecord(Pack(Batch{hard_state_, output.entries}),
                    RecordSeed(id_.str(), generation_), log_bytes_);
   BOOST_OUTCOME_TRY(WriteAll(log_, record));
-  BOOST_OUTCOME_TRY(SyncFile(log_));
-  log_bytes_ += record.size();
-  return outcome::success();
+  Status synced = SyncFile(log_);
+  if (synced) {
+    log_bytes_ += record.size();
+  } else {
+    CutRecord();
+  }
+  return synced;
+}
+
+/// After a failed sync the system may drop the bytes and still show them to the
+/// next start, whose own sync would then succeed.
+void FileLogStorage::CutRecord() const {
+  std::ignore = ftruncate(log_.value(), static_cast<off_t>(log_bytes_));
 }
 
 Status FileLogStorage::Switch(const Output& output) {
--- a/tests/src/unit-storage-crash.cc
+++ b/tests/src/unit-storage-crash.cc
@@ -89,4 +89,16 @@
   CheckRestartHolds(Compact(2));
 }
 
+TEST_CASE(
+    "an entry whose sync failed is not taken for synced after a restart") {
+  Home home;
+  {
+    FileLogStorage storage = home.Open().value();
+    REQUIRE(storage.Save(Write(1)));
+    home.disk.FailNextSync();
+    CHECK(storage.Save(Write(2)).error().code == ErrorCode::kStorageFailed);
+  }
+  CHECK(LastIndex(home.Open().value()) == 1);
+}
+
 }  // namespace rattanward::adapter
