Define the replaced socket functions in their test program

Change: accept(), recv() and send() of unit-http-socket-errors stand in its source file; the same functions, the same cases.

--- a/tests/src/unit-http-socket-errors.cc
+++ b/tests/src/unit-http-socket-errors.cc
@@ -1,4 +1,6 @@
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -141,3 +143,36 @@
 }
 
 }  // namespace rattanward::http
+
+extern "C" {
+
+/// An aborted connection has left the queue; other errors leave it there.
+int accept(int socket, sockaddr* address, socklen_t* length) {
+  rattanward::fakes::SocketErrors& errors =
+      rattanward::fakes::NextSocketErrors();
+  ++errors.accept_calls;
+  if (!errors.accept.empty() && errors.accept.front() == ECONNABORTED) {
+    ::close(::accept4(socket, address, length, 0));
+  }
+  if (rattanward::fakes::TakeError(&errors.accept)) {
+    return -1;
+  }
+  return ::accept4(socket, address, length, 0);
+}
+
+ssize_t recv(int socket, void* bytes, size_t size, int flags) {
+  if (rattanward::fakes::TakeError(
+          &rattanward::fakes::NextSocketErrors().read)) {
+    return -1;
+  }
+  return ::recvfrom(socket, bytes, size, flags, nullptr, nullptr);
+}
+
+ssize_t send(int socket, const void* bytes, size_t size, int flags) {
+  if (rattanward::fakes::TakeError(
+          &rattanward::fakes::NextSocketErrors().write)) {
+    return -1;
+  }
+  return ::sendto(socket, bytes, size, flags, nullptr, 0);
+}
+}
