Count no planned exit against the requests it cuts, and let them back

Cause: any upstream that could not be reached after a lost connection counted as crashed by the requests it ran, also one that had announced its exit, and three such exits stood for good. The class: evidence was taken without what explains it (the announced exit, often heard of after the cut) and without what refutes it (whole answers).

Change: control and entries hold a union of witnesses less those cleared. - A start that drained, said in its answers that it leaves, or deregistered is no evidence. Heard of late, each process clears its witnesses from the directory, without a message. An instance replaced at its address has announced nothing. - A whole answer clears the witnesses of its request, and is told (a new last field of EntryReport and CrashesTold, which older builds ignore). One within the last minute clears the first suspicion. - The way back: after 30 s one entry, by its place among them, sends the request once; after 10 min once more; after 24 h it is forgotten. A crash in a trial is a further witness, so that all entries count trials alike. - A full memory drops the oldest witness of a request that isn't quarantined; before, a further fingerprint cleared all.

Open: an answer that ends with its connection clears nothing, so that such requests come back after 24 h only. A request that is asked at times and is on three upstreams that crash at once is still quarantined, until its trial.

--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -35,6 +35,8 @@
   kPromptPartQuarantined = 2013,
   kPromptPartCleared = 2014,
   kRequestRelayed = 2015,
+  kRequestCleared = 2016,
+  kRequestTried = 2017,
 
   kUpstreamAnnounced = 3001,
   kUpstreamDraining = 3002,
--- a/include/rattanward/membership/crash_news.h
+++ b/include/rattanward/membership/crash_news.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
-#include <set>
 #include <vector>
 
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/crash_witnesses.h"
 #include "rattanward/policy/part_quarantine.h"
 #include "rattanward/protocol/routing_messages.h"
 
@@ -15,14 +14,18 @@
 /// @note Pure: no I/O, and the time is a parameter.
 class CrashNews {
  public:
-  /// Number of witnesses kept. The oldest is dropped for a further one.
-  static constexpr std::size_t kMaxWitnesses = 4096;
+  static constexpr std::size_t kMaxWitnesses = CrashWitnesses::kMaxWitnesses;
 
   /// @brief Records what an entry or another control VM reports.
   /// @return The part of it that was not known, to be passed on.
   protocol::CrashesTold Record(const protocol::CrashesTold& reported,
                                TimePoint now);
 
+  /// @brief An upstream announced its exit, which clears those it cuts.
+  void RecordPlannedExit(const InstanceStart& upstream) {
+    witnesses_.RecordPlannedExit(upstream);
+  }
+
   /// @brief What is known against the parts of some suspicions.
   protocol::CrashesTold KnownAgainst(
       const std::vector<policy::PartSuspicion>& suspicions) const;
@@ -31,7 +34,7 @@
   protocol::CrashesTold All() const;
 
   /// @brief All suspicions against parts of prompts.
-  protocol::CrashesTold Suspicions() const { return {{}, parts_.All()}; }
+  protocol::CrashesTold Suspicions() const { return {{}, parts_.All(), {}}; }
 
   /// @brief Forgets what is older than its retention.
   void Expire(TimePoint now) { parts_.Expire(now); }
@@ -41,11 +44,7 @@
   std::size_t quarantined_parts() const { return parts_.quarantined(); }
 
  private:
-  bool AddWitness(const protocol::CrashWitness& witness);
-
-  std::set<protocol::CrashWitness> witnesses_;
-  /// The same, oldest first.
-  std::deque<protocol::CrashWitness> witness_order_;
+  CrashWitnesses witnesses_;
   policy::PartQuarantine parts_;
 };
 
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -46,6 +46,8 @@
   std::vector<membership::InstanceStart> leaving;
   /// Limits that upstreams told this entry lately.
   std::vector<UpstreamLimit> limits;
+  /// Witnesses that other evidence has cleared; see CrashMemory.
+  std::vector<CrashWitness> cleared;
 
   friend bool operator==(const EntryReport&, const EntryReport&) = default;
 };
@@ -121,6 +123,8 @@
 struct CrashesTold {
   std::vector<CrashWitness> witnesses;
   std::vector<policy::PartSuspicion> suspicions;
+  /// Witnesses that other evidence has cleared.
+  std::vector<CrashWitness> cleared;
 
   friend bool operator==(const CrashesTold&, const CrashesTold&) = default;
 };
@@ -142,7 +146,7 @@
   static auto Tie(auto& m) {
     return std::tie(m.process, m.failure_domain, m.incarnation, m.sequence,
                     m.routing, m.push_heeded, m.peer_endpoint, m.witnesses,
-                    m.suspicions, m.leaving, m.limits);
+                    m.suspicions, m.leaving, m.limits, m.cleared);
   }
 };
 
@@ -214,7 +218,9 @@
 
 template <>
 struct FieldsOf<CrashesTold> {
-  static auto Tie(auto& m) { return std::tie(m.witnesses, m.suspicions); }
+  static auto Tie(auto& m) {
+    return std::tie(m.witnesses, m.suspicions, m.cleared);
+  }
 };
 
 }  // namespace rattanward::protocol
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "rattanward/adapter/message_transport.h"
+#include "rattanward/domain/bounded_set.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/instance_directory.h"
@@ -67,6 +68,10 @@
   /// @brief Includes a crash in subsequent reports; duplicates are ignored.
   void AddWitness(const protocol::CrashWitness& witness);
 
+  /// @brief Includes cleared witnesses in subsequent reports in place of the
+  /// crashes.
+  void AddCleared(const std::vector<protocol::CrashWitness>& cleared);
+
   /// @brief Includes suspicions in subsequent reports until a control VM has
   /// told them, or stronger ones, to this entry.
   void AddSuspicions(const std::vector<policy::PartSuspicion>& suspicions);
@@ -86,6 +91,10 @@
   void Stop();
 
  private:
+  /// Maximum number of crashes kept, and of cleared ones; every report includes
+  /// all of them.
+  static constexpr std::size_t kMaxWitnesses = 64;
+
   struct Control {
     std::unique_ptr<adapter::PeerClient> client;
     std::uint64_t push_heeded = 0;
@@ -101,7 +110,8 @@
   protocol::EntryReport self_;
   ControlLinkHooks hooks_;
   std::map<Endpoint, Control> controls_;
-  std::vector<protocol::CrashWitness> witnesses_;
+  BoundedSet<protocol::CrashWitness> witnesses_{kMaxWitnesses};
+  BoundedSet<protocol::CrashWitness> cleared_{kMaxWitnesses};
   /// With the time until which they are reported.
   std::vector<std::pair<TimePoint, membership::InstanceStart>> leaving_;
   /// By upstream, with the time until which they are reported.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -53,6 +53,8 @@
 struct ProxyHooks {
   /// A request was running at an upstream that appears to have crashed.
   std::function<void(const protocol::CrashWitness&)> witness;
+  /// Other evidence has cleared witnesses.
+  std::function<void(const std::vector<protocol::CrashWitness>&)> cleared;
   /// What is known against parts of prompts has changed at this entry.
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// An upstream told this entry that it is leaving.
@@ -86,6 +88,9 @@
   /// @brief Records upstream crashes witnessed by entries.
   void RecordCrashes(const std::vector<protocol::CrashWitness>& witnesses);
 
+  /// @brief Records that other entries have cleared witnesses.
+  void RecordCleared(const std::vector<protocol::CrashWitness>& cleared);
+
   /// @brief Merges what control knows against parts of prompts.
   void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
 
@@ -261,6 +266,9 @@
   void ConfirmCrash(const CrashEvidence& evidence, int questions_left);
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
+  void RecordPlannedExits(const std::vector<membership::InstanceStart>& exits);
+  bool MayTryQuarantined(std::uint64_t fingerprint) const;
+  void ApplyQuarantineChanges();
   void LogPartChange(const policy::PartSuspicion& before);
 
   asio::io_context& io_;
@@ -282,6 +290,8 @@
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<const RoutingTable> table_;
   membership::CrashMemory crashes_;
+  policy::RoomShare room_share_;
+  TimePoint room_share_confirmed_at_;
   policy::PartQuarantine part_quarantine_;
   policy::StreamVersions stream_versions_;
   TimePoint confirmed_at_;
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "rattanward/membership/planned_exits.h"
 #include "rattanward/membership/relay_choice.h"
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/protocol/message_fields.h"
@@ -219,6 +220,10 @@
   if (changes.empty()) {
     return;
   }
+  for (const membership::InstanceStart& upstream :
+       membership::PlannedExits(changes, directory_)) {
+    crash_news_.RecordPlannedExit(upstream);
+  }
   ++push_number_;
   const std::string body =
       protocol::Encode(protocol::InstancePush{push_number_, changes});
--- a/src/control/routing_hub_signals.cc
+++ b/src/control/routing_hub_signals.cc
@@ -79,8 +79,8 @@
 /// The reporting entry gets an answer for each of its suspicions.
 void RoutingHub::ForwardCrashes(const protocol::EntryReport& report,
                                 const adapter::ReplyHandle& reply) {
-  const protocol::CrashesTold news =
-      crash_news_.Record({report.witnesses, report.suspicions}, MonotonicNow());
+  const protocol::CrashesTold news = crash_news_.Record(
+      {report.witnesses, report.suspicions, report.cleared}, MonotonicNow());
   PushToEntries(news);
   SendToControls(news);
   if (news.suspicions.size() < report.suspicions.size()) {
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -35,6 +35,8 @@
       {EventId::kPromptPartQuarantined, "prompt-part-quarantined"},
       {EventId::kPromptPartCleared, "prompt-part-cleared"},
       {EventId::kRequestRelayed, "request-relayed"},
+      {EventId::kRequestCleared, "request-cleared"},
+      {EventId::kRequestTried, "request-tried"},
       {EventId::kUpstreamAnnounced, "upstream-announced"},
       {EventId::kUpstreamDraining, "upstream-draining"},
       {EventId::kUpstreamExpired, "upstream-expired"},
--- a/src/membership/crash_news.cc
+++ b/src/membership/crash_news.cc
@@ -5,14 +5,20 @@
 namespace rattanward::membership {
 
 bool IsEmpty(const protocol::CrashesTold& told) {
-  return told.witnesses.empty() && told.suspicions.empty();
+  return told.witnesses.empty() && told.suspicions.empty() &&
+         told.cleared.empty();
 }
 
 protocol::CrashesTold CrashNews::Record(const protocol::CrashesTold& reported,
                                         TimePoint now) {
   protocol::CrashesTold news;
+  for (const protocol::CrashWitness& witness : reported.cleared) {
+    if (witnesses_.Clear(witness)) {
+      news.cleared.push_back(witness);
+    }
+  }
   for (const protocol::CrashWitness& witness : reported.witnesses) {
-    if (AddWitness(witness)) {
+    if (witnesses_.Add(witness)) {
       news.witnesses.push_back(witness);
     }
   }
@@ -34,23 +40,11 @@
   for (const policy::PartSuspicion& suspicion : suspicions) {
     parts.push_back(suspicion.part);
   }
-  return {{}, parts_.KnownAgainst(parts)};
+  return {{}, parts_.KnownAgainst(parts), {}};
 }
 
 protocol::CrashesTold CrashNews::All() const {
-  return {{witness_order_.begin(), witness_order_.end()}, parts_.All()};
-}
-
-bool CrashNews::AddWitness(const protocol::CrashWitness& witness) {
-  if (!witnesses_.insert(witness).second) {
-    return false;
-  }
-  witness_order_.push_back(witness);
-  if (witness_order_.size() > kMaxWitnesses) {
-    witnesses_.erase(witness_order_.front());
-    witness_order_.pop_front();
-  }
-  return true;
+  return {witnesses_.All(), parts_.All(), witnesses_.Cleared()};
 }
 
 }  // namespace rattanward::membership
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -12,8 +12,6 @@
 
 constexpr Duration kReportTimeout{std::chrono::milliseconds(1200)};
 constexpr std::size_t kMaxControlVms = 32;
-/// Maximum number of crashes kept; every report includes all of them.
-constexpr std::size_t kMaxWitnesses = 64;
 /// Time for which reports name what an upstream told in an answer. Control VMs
 /// that were cut off for longer learn of it from each other.
 constexpr Duration kSignalReportTime{std::chrono::seconds(10)};
@@ -54,13 +52,14 @@
 }
 
 void ControlLink::AddWitness(const protocol::CrashWitness& witness) {
-  if (std::find(witnesses_.begin(), witnesses_.end(), witness) !=
-      witnesses_.end()) {
-    return;
-  }
-  witnesses_.push_back(witness);
-  if (witnesses_.size() > kMaxWitnesses) {
-    witnesses_.erase(witnesses_.begin());
+  witnesses_.Insert(witness);
+}
+
+void ControlLink::AddCleared(
+    const std::vector<protocol::CrashWitness>& cleared) {
+  for (const protocol::CrashWitness& witness : cleared) {
+    witnesses_.Erase(witness);
+    cleared_.Insert(witness);
   }
 }
 
@@ -107,7 +106,10 @@
   ++self_.sequence;
   protocol::EntryReport report = self_;
   report.push_heeded = control.push_heeded;
-  report.witnesses = witnesses_;
+  report.witnesses = {witnesses_.oldest_first().begin(),
+                      witnesses_.oldest_first().end()};
+  report.cleared = {cleared_.oldest_first().begin(),
+                    cleared_.oldest_first().end()};
   for (const auto& [part, suspicion] : unconfirmed_suspicions_) {
     if (report.suspicions.size() == kMaxSuspicionsPerReport) {
       break;
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -69,6 +69,10 @@
                 link_.AddWitness(witness);
                 link_.SendReports();
               },
+              [this](const std::vector<protocol::CrashWitness>& cleared) {
+                link_.AddCleared(cleared);
+                link_.SendReports();
+              },
               [this](const std::vector<policy::PartSuspicion>& suspicions) {
                 link_.AddSuspicions(suspicions);
               },
@@ -104,6 +108,7 @@
         proxy_.UpdateInstances(records);
       };
   hooks.crashes = [this](const protocol::CrashesTold& told) {
+    proxy_.RecordCleared(told.cleared);
     proxy_.RecordCrashes(told.witnesses);
     proxy_.MergeSuspicions(told.suspicions);
   };
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "rattanward/membership/planned_exits.h"
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/policy/retry_advice.h"
 #include "rattanward/policy/tier_gate.h"
@@ -101,6 +102,7 @@
   for (const membership::InstanceRecord& record : records) {
     directory_.Merge(record, now);
   }
+  RecordPlannedExits(membership::PlannedExits(records, directory_));
   ApplyDirectoryChanges();
 }
 
@@ -321,6 +323,12 @@
 
 policy::PlacementCharge Proxy::OnSent(const Exchange& exchange) {
   meter_.RecordQueueTime(MonotonicNow() - exchange.routed().request.arrived);
+  if (!exchange.relay_peer() &&
+      crashes_.IsQuarantined(exchange.routed().fingerprint)) {
+    crashes_.RecordTrial(exchange.routed().fingerprint, MonotonicNow());
+    Log(EventId::kRequestTried, exchange,
+        {{"fingerprint", std::to_string(exchange.routed().fingerprint)}});
+  }
   const policy::PlacementCharge charge = placer_.RecordSend(
       exchange.upstream(), exchange.placement(), MonotonicNow());
   if (placer_.has_urgent_load()) {
@@ -407,6 +415,7 @@
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
          ScrapeLine("prompt_parts_quarantined",
                     part_quarantine_.quarantined()) +
+         ScrapeLine("requests_quarantined", crashes_.quarantined()) +
          ScrapeLine("ready", Ready() ? 1 : 0);
 }
 
@@ -420,6 +429,8 @@
   ProbePaths(now);
   AbandonSilent(now);
   part_quarantine_.Expire(now);
+  crashes_.Expire(now);
+  ApplyQuarantineChanges();
   stream_versions_.Expire(now);
   placer_.AgeLimitShares(now);
   for (const UpstreamId& id : directory_.Forget(now - kGoneUpstreamRetention)) {
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -32,7 +32,7 @@
 Status Proxy::CheckNotQuarantined(
     std::uint64_t fingerprint,
     const std::vector<policy::PromptPart>& prompt) const {
-  if (crashes_.ReachedCrashLimit(fingerprint)) {
+  if (crashes_.IsQuarantined(fingerprint) && !MayTryQuarantined(fingerprint)) {
     return QuarantineError("request is quarantined: it crashed upstreams");
   }
   const std::optional<std::uint64_t> part =
@@ -45,6 +45,12 @@
   return outcome::success();
 }
 
+bool Proxy::MayTryQuarantined(std::uint64_t fingerprint) const {
+  const TimePoint now = MonotonicNow();
+  return now - room_share_confirmed_at_ < policy::kLimitShareLease &&
+         crashes_.MayTry(fingerprint, room_share_, now);
+}
+
 /// Requests that wait when their quarantine becomes known are refused at once.
 void Proxy::RefuseQuarantined() {
   const auto exchanges = exchanges_;
@@ -61,7 +67,8 @@
 }
 
 /// A lost connection doesn't prove that the upstream crashed. A new connection
-/// shows whether its process is still there.
+/// shows whether its process is still there. An upstream that announced its
+/// exit cuts what it still runs.
 void Proxy::OnConnectionLost(const Exchange& exchange) {
   if (directory_.Find(exchange.upstream()) == nullptr) {
     return;
@@ -75,6 +82,9 @@
 
 void Proxy::ProbeAfterLoss(const CrashEvidence& evidence) {
   const protocol::CrashWitness& witness = evidence.witness;
+  if (crashes_.IsPlannedExit({witness.upstream, witness.born})) {
+    return;
+  }
   const membership::InstanceRecord* record = directory_.Find(witness.upstream);
   if (record == nullptr || record->stamp.born != witness.born) {
     RecordCrash(evidence);
@@ -149,7 +159,10 @@
 }
 
 void Proxy::RecordCrash(const CrashEvidence& evidence) {
-  RecordCrashes({evidence.witness});
+  if (crashes_.IsPlannedExit(
+          {evidence.witness.upstream, evidence.witness.born})) {
+    return;
+  }
   std::vector<std::uint64_t> parts;
   parts.reserve(evidence.known_at_send.size());
   for (const policy::PartSuspicion& known : evidence.known_at_send) {
@@ -163,17 +176,47 @@
     LogPartChange(suspicion);
   }
   hooks_.witness(evidence.witness);
+  RecordCrashes({evidence.witness});
 }
 
 void Proxy::RecordCrashes(
     const std::vector<protocol::CrashWitness>& witnesses) {
   for (const protocol::CrashWitness& witness : witnesses) {
-    if (crashes_.RecordCrash(witness)) {
-      hooks_.events({EventId::kRequestQuarantined,
-                     {{"fingerprint", std::to_string(witness.fingerprint)},
-                      {"last_upstream", witness.upstream.str()}}});
-      RefuseQuarantined();
-    }
+    crashes_.RecordCrash(witness, MonotonicNow());
+  }
+  ApplyQuarantineChanges();
+}
+
+void Proxy::RecordCleared(const std::vector<protocol::CrashWitness>& cleared) {
+  for (const protocol::CrashWitness& witness : cleared) {
+    crashes_.RecordCleared(witness, MonotonicNow());
+  }
+  ApplyQuarantineChanges();
+}
+
+void Proxy::RecordPlannedExits(
+    const std::vector<membership::InstanceStart>& exits) {
+  for (const membership::InstanceStart& upstream : exits) {
+    crashes_.RecordPlannedExit(upstream, MonotonicNow());
+  }
+  ApplyQuarantineChanges();
+}
+
+/// Tells and logs what has changed, and refuses those that wait in vain.
+void Proxy::ApplyQuarantineChanges() {
+  const auto cleared = crashes_.TakeCleared();
+  if (!cleared.empty()) {
+    hooks_.cleared(cleared);
+  }
+  bool any_quarantined = false;
+  for (const membership::QuarantineChange& change : crashes_.TakeChanges()) {
+    any_quarantined = any_quarantined || change.quarantined;
+    hooks_.events({change.quarantined ? EventId::kRequestQuarantined
+                                      : EventId::kRequestCleared,
+                   {{"fingerprint", std::to_string(change.fingerprint)}}});
+  }
+  if (any_quarantined) {
+    RefuseQuarantined();
   }
 }
 
@@ -184,6 +227,8 @@
 }
 
 void Proxy::OnWholeAnswer(const Exchange& exchange) {
+  crashes_.RecordAnswer(exchange.routed().fingerprint, MonotonicNow());
+  ApplyQuarantineChanges();
   const std::vector<std::uint64_t> parts =
       policy::SharedParts(exchange.placement().prompt);
   const std::vector<policy::PartSuspicion> before =
--- a/src/proxy/proxy_signals.cc
+++ b/src/proxy/proxy_signals.cc
@@ -19,6 +19,7 @@
   }
   hooks_.events({EventId::kUpstreamLeaving, {{"upstream", upstream.id.str()}}});
   ApplyDirectoryChanges();
+  RecordPlannedExits({upstream});
   hooks_.leaving(upstream);
 }
 
@@ -51,6 +52,8 @@
 void Proxy::SetRoomShare(const policy::RoomShare& share,
                          TimePoint confirmed_at) {
   placer_.SetRoomShare(share, confirmed_at, MonotonicNow());
+  room_share_ = share;
+  room_share_confirmed_at_ = confirmed_at;
 }
 
 void Proxy::SetLimitShares(const std::vector<policy::LimitShare>& shares,
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -67,6 +67,7 @@
     hooks.witness = [this](const protocol::CrashWitness& witness) {
       witnesses.push_back(witness);
     };
+    hooks.cleared = [](const std::vector<protocol::CrashWitness>&) {};
     hooks.suspicions =
         [this](const std::vector<policy::PartSuspicion>& changed) {
           suspicions.insert(suspicions.end(), changed.begin(), changed.end());
--- a/tests/src/unit-membership.cc
+++ b/tests/src/unit-membership.cc
@@ -196,7 +196,7 @@
   CHECK(news.Record(told, TimePoint()) == told);
   CHECK(IsEmpty(news.Record(told, TimePoint())));
   // An entry that knows less is told what is known.
-  CHECK(IsEmpty(news.Record({{}, {{66, 0, 1}}}, TimePoint())));
+  CHECK(IsEmpty(news.Record({{}, {{66, 0, 1}}, {}}, TimePoint())));
   CHECK(news.KnownAgainst({{66, 0, 1}}).suspicions == told.suspicions);
   protocol::CrashesTold many;
   for (std::uint64_t i = 0; i < CrashNews::kMaxWitnesses; ++i) {
@@ -208,4 +208,34 @@
   CHECK(news.All().witnesses == many.witnesses);
 }
 
+TEST_CASE("a cleared witness, or one of a planned exit, is told to no entry") {
+  CrashNews news;
+  const protocol::CrashWitness cleared{1, UpstreamId("u"), 1};
+  const protocol::CrashWitness cut{1, UpstreamId("v"), 1};
+  news.Record({{cleared, cut}, {}, {}}, TimePoint());
+  const protocol::CrashesTold told{{}, {}, {cleared}};
+  CHECK(news.Record(told, TimePoint()) == told);
+  CHECK(IsEmpty(news.Record(told, TimePoint())));
+  news.RecordPlannedExit({UpstreamId("v"), 1});
+  CHECK(IsEmpty(news.Record({{cleared, cut}, {}, {}}, TimePoint())));
+  CHECK(news.witnesses() == 0);
+}
+
+TEST_CASE("crash news of a build without cleared witnesses is read") {
+  struct {
+    std::vector<protocol::CrashWitness> witnesses{{1, UpstreamId("u"), 1}};
+    std::vector<policy::PartSuspicion> suspicions;
+  } older;
+  msgpack::sbuffer buffer;
+  protocol::detail::Packer packer(buffer);
+  packer.pack_array(2);
+  protocol::detail::PackValue(packer, older.witnesses);
+  protocol::detail::PackValue(packer, older.suspicions);
+  const auto read =
+      protocol::Decode<protocol::CrashesTold>({buffer.data(), buffer.size()});
+  REQUIRE(read);
+  CHECK(read.value().witnesses == older.witnesses);
+  CHECK(read.value().cleared.empty());
+}
+
 }  // namespace rattanward::membership
