Take no planned exit of an upstream for a death, on the product's own interface

What callers saw: a request that was running on two engines that were drained and ended before it did was refused with `quarantined` (422) for an hour at every entry.

The end of an attempt on a draining upstream counted as a death, though the expiry of the same upstream didn't. A request in quarantine was also not cleared by a copy of it that ended whole.

Change: an upstream that is leaving as announced, or by an operator's drain, adds no death; if that becomes known later, its deaths are taken back and late news of them is ignored. An undrained one counts again. A request that ends whole is cleared at its entry, also in quarantine: one that kills upstreams never ends whole. The test that said otherwise is replaced: it now also shows that late news of the cleared deaths does not bring the quarantine back, and that two further deaths do.

Evidence: the new case of unit-dispatcher failed with the dispatcher as it was (suspicions were told); with the change unit-dispatcher, unit-policy-parts, fuzz-quarantine and fuzz-dispatcher pass.

--- a/include/rattanward/policy/quarantine.h
+++ b/include/rattanward/policy/quarantine.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "rattanward/domain/bounded_set.h"
 #include "rattanward/domain/error.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
@@ -28,6 +29,8 @@
   /// Deaths of distinct upstream instances after which a request is
   /// quarantined.
   static constexpr std::size_t kDeathsToQuarantine = 2;
+  /// Maximum number of instances that are remembered as leaving.
+  static constexpr std::size_t kMaxPlannedExits = 4096;
   /// Retention of a suspect after its last death.
   static constexpr Duration kSuspectExpiry = std::chrono::minutes(10);
   /// Retention of a quarantined fingerprint after its last death.
@@ -41,8 +44,9 @@
   void AddDeath(std::uint64_t fingerprint, const UpstreamId& upstream,
                 TimePoint now);
 
-  /// @brief Records that a request completed, which clears a suspect. A
-  /// quarantined fingerprint stays quarantined.
+  /// @brief Records that a request completed, which clears it at this entry,
+  /// whether suspect or quarantined: a request that kills upstreams never
+  /// completes.
   void RecordCompletion(std::uint64_t fingerprint);
 
   /// @brief Records an announcement of an instance. The suspected death of an
@@ -52,6 +56,16 @@
   void RecordAnnouncement(const UpstreamId& upstream, std::uint64_t sequence,
                           TimePoint now);
 
+  /// @brief Records that an instance is leaving as announced. Its end is no
+  /// death of the requests that it cuts, whichever is known first.
+  void RecordPlannedExit(const UpstreamId& upstream);
+
+  /// @brief Records that an instance that was leaving stays, since an operator
+  /// has changed their mind.
+  void RecordExitCancelled(const UpstreamId& upstream) {
+    planned_exits_.Erase(upstream);
+  }
+
   /// @brief Merges a suspicion received from another entry.
   void Merge(const Suspicion& suspicion, TimePoint now);
 
@@ -99,6 +113,7 @@
 
   std::unordered_map<std::uint64_t, Entry> entries_;
   std::map<UpstreamId, SuspectedDeath> suspected_deaths_;
+  BoundedSet<UpstreamId> planned_exits_{kMaxPlannedExits};
   /// Fingerprints for TakeUnsent().
   std::vector<std::uint64_t> unsent_;
 };
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -46,14 +46,14 @@
 }
 
 void Quarantine::RecordCompletion(std::uint64_t fingerprint) {
-  const auto it = entries_.find(fingerprint);
-  if (it == entries_.end() || IsQuarantined(it->second)) {
-    return;
+  Release(fingerprint);
+}
+
+void Quarantine::RecordPlannedExit(const UpstreamId& upstream) {
+  if (planned_exits_.Insert(upstream)) {
+    suspected_deaths_.erase(upstream);
+    RetractDeath(upstream);
   }
-  Entry& entry = it->second;
-  entry.cleared_deaths.insert(entry.cleared_deaths.end(), entry.deaths.begin(),
-                              entry.deaths.end());
-  entry.deaths.clear();
 }
 
 void Quarantine::RecordAnnouncement(const UpstreamId& upstream,
@@ -141,7 +141,7 @@
 
 bool Quarantine::InsertDeath(std::uint64_t fingerprint,
                              const UpstreamId& upstream, TimePoint now) {
-  if (fingerprint == 0) {
+  if (fingerprint == 0 || planned_exits_.Contains(upstream)) {
     return false;
   }
   if (!entries_.contains(fingerprint)) {
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -49,6 +49,11 @@
   }
   quarantine_.RecordAnnouncement(announcement.instance, announcement.sequence,
                                  now);
+  if (announcement.draining) {
+    quarantine_.RecordPlannedExit(announcement.instance);
+  } else {
+    quarantine_.RecordExitCancelled(announcement.instance);
+  }
   ApplyLimit(announcement.instance, now);
   Decisions out;
   for (const Target& target : targets) {
@@ -65,9 +70,7 @@
     return {};
   }
   // An upstream that disappears without draining is assumed to have crashed.
-  if (!state->announcement.draining) {
-    RecordCrash(upstream, now);
-  }
+  RecordCrash(upstream, now);
   const std::vector<Target> targets = TargetsOf(state->announcement);
   upstreams_.Remove(upstream);
   limits_.erase(upstream);
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -154,8 +154,9 @@
 void StandardDispatcher::RecordCrash(const UpstreamId& upstream,
                                      TimePoint now) {
   const UpstreamState* state = upstreams_.Find(upstream);
-  // A path that this entry has lost shows nothing of the upstream.
-  if (state == nullptr || state->path_lost) {
+  // A path that this entry has lost shows nothing of the upstream. One that is
+  // leaving as announced cuts what it still runs.
+  if (state == nullptr || state->path_lost || state->announcement.draining) {
     return;
   }
   for (const RunningAttempt& attempt : state->running) {
--- a/tests/src/unit-dispatcher.cc
+++ b/tests/src/unit-dispatcher.cc
@@ -113,6 +113,25 @@
   CHECK(d.Finish(MakeResult("r1", 1, AttemptEnd::kCompleted), now).empty());
 }
 
+TEST_CASE("dispatcher: a draining upstream that cuts a request did not die") {
+  Dispatcher d = MakeStandard(MakeTwoTierConfig());
+  const TimePoint now;
+  for (const std::string id : {"e1", "e2", "e3"}) {
+    Announcement engine = MakeEngine(id, 1);
+    d.UpstreamChanged(engine, now);
+    RequestInfo request = MakeRequest(id, "gate");
+    request.fingerprint = 7;
+    request.idempotent = false;
+    CHECK(StartedOn(d.Submit(request, now).at(0)) == id);
+    engine.sequence = 2;
+    engine.draining = true;
+    d.UpstreamChanged(engine, now);
+    d.Finish(MakeResult(id, 1, AttemptEnd::kBroken, Verdict::kMayHaveRun), now);
+    d.UpstreamGone(UpstreamId(id), now);
+  }
+  CHECK(d.TakeSuspicions().empty());
+}
+
 TEST_CASE("dispatcher: an error answer does not block an upstream for others") {
   Dispatcher d = MakeStandard(MakeTwoTierConfig());
   const TimePoint now;
--- a/tests/src/unit-policy-parts.cc
+++ b/tests/src/unit-policy-parts.cc
@@ -167,6 +167,10 @@
   quarantine.Merge({7, {UpstreamId("e2"), UpstreamId("e3")}, true}, kNow);
   CHECK(quarantine.StatusOf(7) == QuarantineStatus::kQuarantined);
   quarantine.RecordCompletion(7);
+  CHECK(quarantine.StatusOf(7) == QuarantineStatus::kClear);
+  quarantine.Merge({7, {UpstreamId("e2"), UpstreamId("e3")}, true}, kNow);
+  CHECK(quarantine.StatusOf(7) == QuarantineStatus::kClear);
+  quarantine.Merge({7, {UpstreamId("e4"), UpstreamId("e5")}, true}, kNow);
   CHECK(quarantine.StatusOf(7) == QuarantineStatus::kQuarantined);
   quarantine.Expire(kNow + Quarantine::kQuarantineExpiry + seconds(1));
   CHECK(quarantine.StatusOf(7) == QuarantineStatus::kClear);
@@ -187,6 +191,20 @@
   CHECK(quarantine.StatusOf(7) == QuarantineStatus::kSuspect);
 }
 
+TEST_CASE("quarantine: an instance that leaves as announced did not die") {
+  Quarantine quarantine;
+  const UpstreamId leaving("e1");
+  quarantine.AddDeath(7, leaving, kNow);
+  quarantine.AddDeath(7, UpstreamId("e2"), kNow);
+  quarantine.RecordPlannedExit(leaving);
+  CHECK(quarantine.StatusOf(7) == QuarantineStatus::kSuspect);
+  quarantine.Merge({7, {leaving}, false}, kNow);
+  CHECK(quarantine.StatusOf(7) == QuarantineStatus::kSuspect);
+  quarantine.RecordExitCancelled(leaving);
+  quarantine.AddDeath(7, leaving, kNow);
+  CHECK(quarantine.StatusOf(7) == QuarantineStatus::kQuarantined);
+}
+
 TEST_CASE("quarantine: the table is bounded and evicts suspects first") {
   Quarantine quarantine;
   quarantine.Merge({1, {UpstreamId("e1"), UpstreamId("e2")}, true}, kNow);
