Take back what a planned exit raised against parts of prompts

A part of a prompt was raised by one crash if the entry heard of an upstream's leaving only after the cut, and nothing took that back but a whole answer.

Change: an entry remembers, for its last 256 crashes, what each raised. When the exit of that start becomes known, it raises the part to one clearance more and one crash less, unless the part has changed since. A pair can only grow, so that all processes take it over, also older builds.

Open: the way back of a part is as before: after 5 min every entry may try it, so that the trials aren't bounded as those of whole requests are.

--- a/include/rattanward/policy/part_quarantine.h
+++ b/include/rattanward/policy/part_quarantine.h
@@ -75,6 +75,13 @@
   std::vector<PartSuspicion> RecordSuccess(
       const std::vector<std::uint64_t>& parts, TimePoint now);
 
+  /// @brief Takes back what a crash has raised, since the upstream had
+  /// announced its exit. A part that has changed since then is left as it is.
+  /// @param raised Result of RecordCrash().
+  /// @return The suspicions that changed.
+  std::vector<PartSuspicion> TakeBack(const std::vector<PartSuspicion>& raised,
+                                      TimePoint now);
+
   /// @brief Merges a suspicion received from another process.
   /// @return The suspicion that this process now has, if it differs from the
   /// received one.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -215,6 +216,16 @@
     std::vector<policy::PartSuspicion> known_at_send;
   };
 
+  /// What the crash of a start has raised against parts, to be taken back if
+  /// its exit was announced.
+  struct RaisedParts {
+    membership::InstanceStart upstream;
+    std::vector<policy::PartSuspicion> parts;
+  };
+
+  /// Number of crashes that can be taken back.
+  static constexpr std::size_t kMaxRaised = 256;
+
   /// Time within which a probe of a path must succeed.
   static constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 
@@ -268,6 +279,9 @@
   void RecordCrash(const CrashEvidence& evidence);
   void RecordPlannedExits(const std::vector<membership::InstanceStart>& exits);
   bool MayTryQuarantined(std::uint64_t fingerprint) const;
+  void RaiseParts(const CrashEvidence& evidence);
+  void TakeBackParts(const membership::InstanceStart& upstream);
+  void LogPartChanges(const std::vector<policy::PartSuspicion>& before);
   void ApplyQuarantineChanges();
   void LogPartChange(const policy::PartSuspicion& before);
 
@@ -293,6 +307,7 @@
   policy::RoomShare room_share_;
   TimePoint room_share_confirmed_at_;
   policy::PartQuarantine part_quarantine_;
+  std::deque<RaisedParts> raised_parts_;
   policy::StreamVersions stream_versions_;
   TimePoint confirmed_at_;
   TimePoint started_at_;
--- a/src/policy/part_quarantine.cc
+++ b/src/policy/part_quarantine.cc
@@ -114,6 +114,22 @@
   return changed;
 }
 
+/// A smaller pair would be replaced by the one told before, so that the part
+/// counts as cleared once more.
+std::vector<PartSuspicion> PartQuarantine::TakeBack(
+    const std::vector<PartSuspicion>& raised, TimePoint now) {
+  std::vector<PartSuspicion> changed;
+  for (const PartSuspicion& suspicion : raised) {
+    const bool unchanged = Current(suspicion.part) == suspicion;
+    if (unchanged && suspicion.crashes > 0 &&
+        Raise({suspicion.part, suspicion.clearances + 1, suspicion.crashes - 1},
+              now)) {
+      changed.push_back(Current(suspicion.part));
+    }
+  }
+  return changed;
+}
+
 std::optional<PartSuspicion> PartQuarantine::Merge(
     const PartSuspicion& received, TimePoint now) {
   Raise(received, now);
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -163,6 +163,12 @@
           {evidence.witness.upstream, evidence.witness.born})) {
     return;
   }
+  RaiseParts(evidence);
+  hooks_.witness(evidence.witness);
+  RecordCrashes({evidence.witness});
+}
+
+void Proxy::RaiseParts(const CrashEvidence& evidence) {
   std::vector<std::uint64_t> parts;
   parts.reserve(evidence.known_at_send.size());
   for (const policy::PartSuspicion& known : evidence.known_at_send) {
@@ -170,13 +176,28 @@
   }
   const std::vector<policy::PartSuspicion> before =
       part_quarantine_.KnownAgainst(parts);
-  hooks_.suspicions(
-      part_quarantine_.RecordCrash(evidence.known_at_send, MonotonicNow()));
-  for (const policy::PartSuspicion& suspicion : before) {
-    LogPartChange(suspicion);
+  const std::vector<policy::PartSuspicion> raised =
+      part_quarantine_.RecordCrash(evidence.known_at_send, MonotonicNow());
+  hooks_.suspicions(raised);
+  LogPartChanges(before);
+  if (!raised.empty()) {
+    const protocol::CrashWitness& witness = evidence.witness;
+    raised_parts_.push_back({{witness.upstream, witness.born}, raised});
   }
-  hooks_.witness(evidence.witness);
-  RecordCrashes({evidence.witness});
+  if (raised_parts_.size() > kMaxRaised) {
+    raised_parts_.pop_front();
+  }
+}
+
+void Proxy::TakeBackParts(const membership::InstanceStart& upstream) {
+  std::erase_if(raised_parts_, [&](const RaisedParts& raised) {
+    if (raised.upstream != upstream) {
+      return false;
+    }
+    hooks_.suspicions(part_quarantine_.TakeBack(raised.parts, MonotonicNow()));
+    LogPartChanges(raised.parts);
+    return true;
+  });
 }
 
 void Proxy::RecordCrashes(
@@ -198,6 +219,7 @@
     const std::vector<membership::InstanceStart>& exits) {
   for (const membership::InstanceStart& upstream : exits) {
     crashes_.RecordPlannedExit(upstream, MonotonicNow());
+    TakeBackParts(upstream);
   }
   ApplyQuarantineChanges();
 }
@@ -234,9 +256,7 @@
   const std::vector<policy::PartSuspicion> before =
       part_quarantine_.KnownAgainst(parts);
   hooks_.suspicions(part_quarantine_.RecordSuccess(parts, MonotonicNow()));
-  for (const policy::PartSuspicion& suspicion : before) {
-    LogPartChange(suspicion);
-  }
+  LogPartChanges(before);
 }
 
 void Proxy::MergeSuspicions(
@@ -254,6 +274,12 @@
   hooks_.suspicions(newer);
 }
 
+void Proxy::LogPartChanges(const std::vector<policy::PartSuspicion>& before) {
+  for (const policy::PartSuspicion& suspicion : before) {
+    LogPartChange(suspicion);
+  }
+}
+
 /// Logs whether a part has become quarantined, or is no longer.
 void Proxy::LogPartChange(const policy::PartSuspicion& before) {
   const policy::PartSuspicion after =
--- a/tests/src/unit-request-quarantine.cc
+++ b/tests/src/unit-request-quarantine.cc
@@ -114,11 +114,13 @@
   }
   for (std::uint64_t number = 1; number <= kLeaving; ++number) {
     const auto caller = entry.ConnectCaller();
-    caller->Send(MakeRequest("/once/", std::to_string(number), "asked often"));
+    caller->Send(
+        MakeRequest("/once/", std::to_string(number), "asked often", "66 67"));
     REQUIRE(Receives(entry, caller, "HTTP/1.1 502"));
     entry.RunUntil([&] { return false; }, std::chrono::milliseconds(100));
   }
   CHECK(entry.witnesses.empty());
+  CHECK(entry.suspicions.empty());
   entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
     peer.Send(MakeResponse("5", "ok"));
   });
@@ -127,4 +129,25 @@
   CHECK(Receives(entry, caller, "HTTP/1.1 200"));
 }
 
+TEST_CASE(
+    "an exit that becomes known late takes back what it raised of parts") {
+  ProxyEntry entry;
+  entry.AddUpstream([&entry](LoopbackPeer& peer, const std::string&) {
+    entry.upstreams[0]->Stop();
+    peer.Close(true);
+  });
+  const Endpoint endpoint = entry.upstreams[0]->endpoint();
+  const auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest("/once/", "1", "body", "66 67"));
+  REQUIRE(entry.RunUntil([&] { return !entry.witnesses.empty(); }));
+  REQUIRE(entry.suspicions == std::vector<policy::PartSuspicion>{{66, 0, 1}});
+  membership::InstanceRecord record = Record("u1", 1, InstanceState::kDraining);
+  record.stamp.sequence = 2;
+  record.endpoint = endpoint;
+  entry.data_path->UpdateInstances({record});
+  CHECK(entry.suspicions.back() == policy::PartSuspicion{66, 1, 0});
+  entry.data_path->UpdateInstances({record});
+  CHECK(entry.suspicions.size() == 2);
+}
+
 }  // namespace rattanward::proxy
