--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -36,6 +36,8 @@
   kPromptPartCleared = 2014,
   kRequestRelayed = 2015,
   kRequestStopped = 2016,
+  kRequestCleared = 2017,
+  kRequestTried = 2018,
 
   kUpstreamAnnounced = 3001,
   kUpstreamDraining = 3002,
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,6 +56,8 @@
 struct ProxyHooks {
   /// A request was running at an upstream that appears to have crashed.
   std::function<void(const protocol::CrashWitness&)> witness;
+  /// Other evidence has cleared witnesses.
+  std::function<void(const std::vector<protocol::CrashWitness>&)> cleared;
   /// What is known against parts of prompts has changed at this entry.
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// An upstream told this entry that it is leaving.
@@ -88,6 +91,9 @@
   /// @brief Records upstream crashes witnessed by entries.
   void RecordCrashes(const std::vector<protocol::CrashWitness>& witnesses);
 
+  /// @brief Records that other entries have cleared witnesses.
+  void RecordCleared(const std::vector<protocol::CrashWitness>& cleared);
+
   /// @brief Merges what control knows against parts of prompts.
   void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
 
@@ -217,6 +223,16 @@
     std::vector<policy::PartSuspicion> known_at_send;
   };
 
+  /// What the crash of a start has raised against parts, to be taken back if
+  /// its exit was announced.
+  struct RaisedParts {
+    membership::InstanceStart upstream;
+    std::vector<policy::PartSuspicion> parts;
+  };
+
+  /// Number of crashes that can be taken back.
+  static constexpr std::size_t kMaxRaised = 256;
+
   /// Time within which a probe of a path must succeed.
   static constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 
@@ -277,6 +293,12 @@
   void ConfirmCrash(const CrashEvidence& evidence, int questions_left);
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
+  void RecordPlannedExits(const std::vector<membership::InstanceStart>& exits);
+  bool MayTryQuarantined(std::uint64_t fingerprint) const;
+  void RaiseParts(const CrashEvidence& evidence);
+  void TakeBackParts(const membership::InstanceStart& upstream);
+  void LogPartChanges(const std::vector<policy::PartSuspicion>& before);
+  void ApplyQuarantineChanges();
   void LogPartChange(const policy::PartSuspicion& before);
 
   asio::io_context& io_;
@@ -298,7 +320,10 @@
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<const RoutingTable> table_;
   membership::CrashMemory crashes_;
+  policy::RoomShare room_share_;
+  TimePoint room_share_confirmed_at_;
   policy::PartQuarantine part_quarantine_;
+  std::deque<RaisedParts> raised_parts_;
   policy::StreamVersions stream_versions_;
   TimePoint confirmed_at_;
   TimePoint started_at_;
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -36,6 +36,8 @@
       {EventId::kPromptPartCleared, "prompt-part-cleared"},
       {EventId::kRequestRelayed, "request-relayed"},
       {EventId::kRequestStopped, "request-stopped"},
+      {EventId::kRequestCleared, "request-cleared"},
+      {EventId::kRequestTried, "request-tried"},
       {EventId::kUpstreamAnnounced, "upstream-announced"},
       {EventId::kUpstreamDraining, "upstream-draining"},
       {EventId::kUpstreamExpired, "upstream-expired"},
