A beat no longer makes an old report of an upstream newer

Cause: a record had one stamp for two facts. Control VMs pass on an unchanged heartbeat as a beat, which says nothing of the state; the receiver put its sequence on the record that it had. A daemon that had missed "draining" in a cut so stamped its "ready" newer than the "draining" of all others, and since the beat ended the silence that it had marked, it pushed this record to all entries.

Change: a record keeps apart the sequence of its newest report (state, service, endpoint, slots, version) and that of its newest sign of life. Beats raise only the second, which alone decides silence; of two records of one start the newer report wins, whichever was heard last. `beats_ahead`, the difference, is a new last field of the record on the wire: older builds ignore it and go on as before, and what they send counts as reported with its stamp.

A report that a beat has overtaken is now heeded, too; it was taken for stale.

--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -45,12 +45,20 @@
   bool leaving = false;
   /// What the instance named as its limit in its answers to callers' entries.
   NamedLimit limit;
+  /// By how much the sequence of the stamp exceeds that of the newest report of
+  /// the instance that is known here; beats raise only the former.
+  std::uint64_t beats_ahead = 0;
 
   friend bool operator==(const InstanceRecord&,
                          const InstanceRecord&) = default;
 };
 
-/// @brief A heartbeat of an upstream instance: a newer stamp, without changes.
+/// @brief Sequence of the report that a record's state, service, endpoint and
+/// the like are from.
+std::uint64_t ReportSequence(const InstanceRecord& record);
+
+/// @brief A sign of life of an upstream instance. It does not say what the
+/// instance reported, and so does not make what is known of it any newer.
 struct InstanceBeat {
   UpstreamId id;
   InstanceStamp stamp;
@@ -68,9 +76,10 @@
 
 /// @brief Directory of the upstream instances. Records may arrive late,
 /// repeatedly, out of order and over several paths.
-/// @note Pure: no I/O, and the time is a parameter. The record with the newest
-/// stamp of an id wins, and with equal stamps the one whose state is more
-/// advanced. An address belongs to the instance that started last.
+/// @note Pure: no I/O, and the time is a parameter. The newest start of an id
+/// wins, and within a start the newest report, or the one whose state is more
+/// advanced. The newest sign of life decides apart from that whether the
+/// instance is silent. An address belongs to the instance that started last.
 class InstanceDirectory {
  public:
   /// @brief Effect of merging a record.
@@ -148,6 +157,8 @@
   };
 
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
+  Change AddRecord(const InstanceRecord& record, TimePoint now);
+  bool IsEarlierAtItsAddress(const InstanceRecord& record) const;
   InstanceRecord WithSignals(InstanceRecord record) const;
   void ApplySignals(const UpstreamId& id);
   bool IsKnownStart(const UpstreamId& id, std::uint64_t born) const;
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -193,7 +193,8 @@
 struct FieldsOf<membership::InstanceRecord> {
   static auto Tie(auto& m) {
     return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
-                    m.version, m.slots, m.state, m.silent, m.leaving, m.limit);
+                    m.version, m.slots, m.state, m.silent, m.leaving, m.limit,
+                    m.beats_ahead);
   }
 };
 
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -14,15 +14,50 @@
 /// dropped.
 constexpr std::size_t kMaxStartsWithSignals = 4096;
 
-/// Whether two records differ in the sequence at most.
+/// Whether two records differ in the sequences at most.
 bool SameContent(const InstanceRecord& a, const InstanceRecord& b) {
   InstanceRecord copy = a;
   copy.stamp.sequence = b.stamp.sequence;
+  copy.beats_ahead = b.beats_ahead;
   return copy == b;
 }
 
+bool IsNewerReport(const InstanceRecord& record, const InstanceRecord& known) {
+  const std::uint64_t sequence = ReportSequence(record);
+  const std::uint64_t known_sequence = ReportSequence(known);
+  return sequence > known_sequence ||
+         (sequence == known_sequence && record.state > known.state);
+}
+
+bool IsSilent(const InstanceRecord& a, const InstanceRecord& b) {
+  if (a.stamp == b.stamp) {
+    return a.silent || b.silent;
+  }
+  return a.stamp > b.stamp ? a.silent : b.silent;
+}
+
+/// Combines what is known of one start: its newest report and its newest sign
+/// of life. A deregistration is final for its start, even if newer records
+/// arrived before it.
+InstanceRecord Combine(const InstanceRecord& a, const InstanceRecord& b) {
+  InstanceRecord combined = IsNewerReport(a, b) ? a : b;
+  const std::uint64_t report = ReportSequence(combined);
+  if (a.state == InstanceState::kGone || b.state == InstanceState::kGone) {
+    combined.state = InstanceState::kGone;
+  }
+  combined.silent = IsSilent(a, b);
+  combined.stamp = std::max(a.stamp, b.stamp);
+  combined.beats_ahead = combined.stamp.sequence - report;
+  return combined;
+}
+
 }  // namespace
 
+std::uint64_t ReportSequence(const InstanceRecord& record) {
+  return record.stamp.sequence -
+         std::min(record.beats_ahead, record.stamp.sequence);
+}
+
 InstanceDirectory::Change InstanceDirectory::Merge(
     const InstanceRecord& received, TimePoint now) {
   const bool newly_leaving =
@@ -123,49 +158,54 @@
   return record;
 }
 
+/// Whether a later start has taken over the record's address.
+bool InstanceDirectory::IsEarlierAtItsAddress(
+    const InstanceRecord& record) const {
+  const auto newest = newest_born_by_address_.find(record.endpoint);
+  return newest != newest_born_by_address_.end() &&
+         record.stamp.born < newest->second;
+}
+
+/// Adds the first record of an id. That of an earlier process at its address is
+/// kept so that its older records are recognized as stale.
+InstanceDirectory::Change InstanceDirectory::AddRecord(
+    const InstanceRecord& record, TimePoint now) {
+  Instance& added = instances_[record.id];
+  added = Instance{record, now};
+  if (IsEarlierAtItsAddress(record)) {
+    added.record.state = InstanceState::kGone;
+  }
+  changed_.push_back(record.id);
+  return Change::kChanged;
+}
+
 InstanceDirectory::Change InstanceDirectory::MergeRecord(
     const InstanceRecord& record, TimePoint now) {
   RecordAddressOwner(record);
   const auto found = instances_.find(record.id);
   if (found == instances_.end()) {
-    Instance& added = instances_[record.id];
-    added = Instance{record, now};
-    if (record.stamp.born < newest_born_by_address_[record.endpoint]) {
-      // An earlier process at this address. The record is kept so that its
-      // older records are recognized as stale.
-      added.record.state = InstanceState::kGone;
-    }
-    changed_.push_back(record.id);
-    return Change::kChanged;
+    return AddRecord(record, now);
   }
   Instance& instance = found->second;
-  const InstanceRecord& known = instance.record;
-  if (record.stamp.born == known.stamp.born &&
-      known.state == InstanceState::kGone) {
+  const InstanceRecord known = instance.record;
+  const bool same_start = record.stamp.born == known.stamp.born;
+  if (record.stamp.born < known.stamp.born ||
+      (same_start && known.state == InstanceState::kGone)) {
     return Change::kStale;
   }
-  if (record.stamp < known.stamp) {
-    // A deregistration is final for its start, even if newer records arrived
-    // before it.
-    const bool deregisters = record.stamp.born == known.stamp.born &&
-                             record.state == InstanceState::kGone;
-    if (!deregisters) {
-      return Change::kStale;
-    }
+  InstanceRecord merged = same_start ? Combine(record, known) : record;
+  if (IsEarlierAtItsAddress(merged)) {
+    merged.state = InstanceState::kGone;
   }
-  if (record.stamp == known.stamp && record.state <= known.state &&
-      (record.silent == known.silent || !record.silent)) {
+  if (merged == known) {
     return Change::kStale;
   }
-  const bool news = !SameContent(known, record);
-  instance.record = record;
-  if (record.stamp.born < newest_born_by_address_[record.endpoint]) {
-    instance.record.state = InstanceState::kGone;
-  }
-  if (!record.silent) {
+  instance.record = merged;
+  const bool heard = record.stamp > known.stamp && !record.silent;
+  if (heard || merged.state == InstanceState::kGone) {
     instance.last_heard = now;
   }
-  if (!news) {
+  if (SameContent(known, merged)) {
     return Change::kRefreshed;
   }
   changed_.push_back(record.id);
@@ -175,10 +215,12 @@
 InstanceDirectory::Change InstanceDirectory::ApplyBeat(const InstanceBeat& beat,
                                                        TimePoint now) {
   const InstanceRecord* known = Find(beat.id);
-  if (known == nullptr || known->stamp.born != beat.stamp.born) {
+  if (known == nullptr || known->stamp.born != beat.stamp.born ||
+      beat.stamp <= known->stamp) {
     return Change::kStale;
   }
   InstanceRecord record = *known;
+  record.beats_ahead = beat.stamp.sequence - ReportSequence(*known);
   record.stamp = beat.stamp;
   record.silent = false;
   return Merge(record, now);
