What left survives a restart of all processes

Cause: what left was remembered in the memory of the control daemons and entries alone; a daemon that has just started takes any heartbeat as a registration.

Change: each control VM keeps the records of upstreams that are leaving or gone in a file of its data folder, reads it before the first message, and acknowledges a departure when entries and file have it, at the latest after 500 ms as before.

Control VMs now tell each other the whole directory when a connection opens, and not only with the next periodic message, 4 s later at most.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -4,12 +4,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/control/control_daemon.h"
+#include "rattanward/control/departure_store.h"
 #include "rattanward/control/limit_shares.h"
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
@@ -33,13 +35,17 @@
   Duration entry_timeout{std::chrono::milliseconds(1500)};
   /// With fewer voters, new routes are rejected for a grace period.
   std::size_t wanted_voters = 3;
+  /// Folder in which it is kept which upstreams left; if empty, that is lost
+  /// with the process.
+  std::string data_folder;
 };
 
 /// @brief Distributes the routes and the directory of upstreams. Runs at every
 /// control VM.
 /// @note Routes are stored in the replicated log. The directory is soft state:
 /// it is pushed to the entries and the other control VMs and rebuilt from
-/// heartbeats. Control thread only.
+/// heartbeats. Only which upstreams left is kept on the disk. Control thread
+/// only.
 class RoutingHub : public ControlExtension {
  public:
   using Done = std::function<void(Status)>;
@@ -67,7 +73,8 @@
   /// @brief Handles a registration or heartbeat of an upstream.
   /// @param done Called at once if the upstream is ready. Otherwise the
   /// upstream is leaving, and it is called when the connected entries have
-  /// acknowledged that, at the latest after leave_ack_timeout.
+  /// acknowledged that and it is on the disk, at the latest after
+  /// leave_ack_timeout.
   void Register(const membership::InstanceRecord& record, Done done);
 
   /// @brief Handles the deregistration of an upstream.
@@ -104,6 +111,8 @@
     TimePoint deadline;
     std::function<bool(const Entry&)> acknowledged;
     Done done;
+    /// Departures that must be on the disk.
+    std::uint64_t departures = 0;
   };
 
   void HandleReport(const adapter::InboundMessage& message,
@@ -133,7 +142,11 @@
   void WaitForEntries(Duration timeout,
                       std::function<bool(const Entry&)> acknowledged,
                       Done done);
+  void WaitForDeparture(Done done);
   void CheckWaiters();
+  void LoadDepartures();
+  void CountDepartures(const std::vector<membership::InstanceRecord>& changes);
+  void SaveDepartures(TimePoint now);
   void Tick(TimePoint now);
   void AfterCommit(ConfigVersion version, const Done& done);
   bool HasEnoughVoters(TimePoint now);
@@ -149,6 +162,11 @@
   membership::CrashNews crash_news_;
   LimitShares limit_shares_;
   RoutingTexts routing_texts_;
+  std::optional<DepartureStore> departure_store_;
+  /// Counts the changes of upstreams that left, and those on the disk.
+  std::uint64_t departures_ = 0;
+  std::uint64_t departures_saved_ = 0;
+  TimePoint next_departure_save_;
   std::uint64_t push_number_ = 0;
   TimePoint next_full_push_;
   TimePoint next_maintenance_;
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -60,6 +60,16 @@
   /// @brief Sends a one-way message to every connected control VM.
   void SendToAll(protocol::MessageKind kind, const std::string& body);
 
+  /// @brief Sends a one-way message to the control VM at an endpoint. It is
+  /// dropped if that is not connected.
+  void SendTo(const Endpoint& endpoint, protocol::MessageKind kind,
+              std::string body);
+
+  /// @brief Sets what is called with the endpoint of each new connection.
+  void OnConnected(std::function<void(const Endpoint&)> handler) {
+    on_connected_ = std::move(handler);
+  }
+
   /// @brief Closes every connection.
   void Stop();
 
@@ -70,6 +80,7 @@
   adapter::TransportOptions options_;
   Endpoint self_;
   std::function<protocol::VoterHello()> hello_;
+  std::function<void(const Endpoint&)> on_connected_;
   std::map<Endpoint, std::unique_ptr<adapter::PeerClient>> clients_;
   std::map<Endpoint, protocol::VoterHello> hellos_;
   std::map<Endpoint, TimePoint> hello_times_;
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -148,6 +148,10 @@
   /// @brief All records, including those of instances that are gone.
   std::vector<InstanceRecord> All() const;
 
+  /// @brief The records of instances that are leaving or gone.
+  /// @param most If there are more, those heard from last are returned.
+  std::vector<InstanceRecord> Departed(std::size_t most) const;
+
   std::size_t size() const { return instances_.size(); }
 
  private:
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -45,12 +45,23 @@
 RoutingHub::RoutingHub(ControlDaemon& daemon, RoutingHubOptions options,
                        port::EventSink events)
     : daemon_(daemon),
-      options_(options),
+      options_(std::move(options)),
       events_(std::move(events)),
-      started_at_(MonotonicNow()) {}
+      started_at_(MonotonicNow()) {
+  if (!options_.data_folder.empty()) {
+    departure_store_.emplace(options_.data_folder);
+  }
+}
 
 void RoutingHub::Start() {
   daemon_.SetExtension(this);
+  LoadDepartures();
+  daemon_.voters().OnConnected([this](const Endpoint& endpoint) {
+    // What was told while the connection was down is lost.
+    daemon_.voters().SendTo(
+        endpoint, protocol::MessageKind::kInstancePush,
+        protocol::Encode(protocol::InstancePush{0, directory_.All()}));
+  });
   daemon_.timers().Every(kTickPeriod, [this](TimePoint now) { Tick(now); });
 }
 
@@ -219,6 +230,7 @@
   if (changes.empty()) {
     return;
   }
+  CountDepartures(changes);
   ++push_number_;
   const std::string body =
       protocol::Encode(protocol::InstancePush{push_number_, changes});
@@ -282,12 +294,7 @@
     done(outcome::success());
     return;
   }
-  WaitForEntries(
-      options_.leave_ack_timeout,
-      [number = push_number_](const Entry& entry) {
-        return entry.push_heeded >= number;
-      },
-      std::move(done));
+  WaitForDeparture(std::move(done));
 }
 
 void RoutingHub::Deregister(const UpstreamId& id,
@@ -297,12 +304,7 @@
     PushDirectoryChanges();
     SendRecordsToControls({*record});
   }
-  WaitForEntries(
-      options_.leave_ack_timeout,
-      [number = push_number_](const Entry& entry) {
-        return entry.push_heeded >= number;
-      },
-      std::move(done));
+  WaitForDeparture(std::move(done));
 }
 
 bool RoutingHub::HasEnoughVoters(TimePoint now) {
@@ -393,7 +395,7 @@
                                 std::function<bool(const Entry&)> acknowledged,
                                 Done done) {
   waiters_.push_back(
-      {MonotonicNow() + timeout, std::move(acknowledged), std::move(done)});
+      {MonotonicNow() + timeout, std::move(acknowledged), std::move(done), 0});
   CheckWaiters();
 }
 
@@ -403,6 +405,7 @@
   std::vector<Done> ready;
   std::erase_if(waiters_, [&](Waiter& waiter) {
     const bool acknowledged =
+        waiter.departures <= departures_saved_ &&
         std::all_of(entries_.begin(), entries_.end(), [&](const auto& item) {
           const Entry& entry = item.second;
           return entry.last_report_at < silent || !entry.handle.connected() ||
@@ -447,6 +450,7 @@
                                protocol::Encode(protocol::InstanceBeats{
                                    std::exchange(pending_beats_, {})}));
   }
+  SaveDepartures(now);
   CheckWaiters();
   PushRouting();
   if (now >= next_maintenance_) {
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -30,6 +30,9 @@
       io_, options_, endpoint, adapter::PeerClient::PushHandler(),
       [this, endpoint](const ProcessId&) {
         SendHello(*clients_[endpoint], protocol::Encode(hello_()));
+        if (on_connected_) {
+          on_connected_(endpoint);
+        }
       });
   client->Start();
   clients_[endpoint] = std::move(client);
@@ -81,13 +84,7 @@
     return;
   }
   ConnectTo(*to);
-  const auto client = clients_.find(*to);
-  if (client != clients_.end()) {
-    protocol::Envelope envelope;
-    envelope.kind = kind;
-    envelope.body = std::move(body);
-    client->second->Send(std::move(envelope));
-  }
+  SendTo(*to, kind, std::move(body));
 }
 
 const protocol::VoterHello* VoterDirectory::Find(const VoterId& voter) const {
@@ -120,6 +117,17 @@
   }
 }
 
+void VoterDirectory::SendTo(const Endpoint& endpoint,
+                            protocol::MessageKind kind, std::string body) {
+  const auto client = clients_.find(endpoint);
+  if (client != clients_.end()) {
+    protocol::Envelope envelope;
+    envelope.kind = kind;
+    envelope.body = std::move(body);
+    client->second->Send(std::move(envelope));
+  }
+}
+
 void VoterDirectory::Stop() {
   for (const auto& [endpoint, client] : clients_) {
     client->Stop();
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -330,6 +330,27 @@
   return records;
 }
 
+std::vector<InstanceRecord> InstanceDirectory::Departed(
+    std::size_t most) const {
+  std::vector<const Instance*> departed;
+  for (const auto& [id, instance] : instances_) {
+    if (instance.record.state != InstanceState::kReady) {
+      departed.push_back(&instance);
+    }
+  }
+  std::stable_sort(departed.begin(), departed.end(),
+                   [](const Instance* a, const Instance* b) {
+                     return a->last_heard > b->last_heard;
+                   });
+  departed.resize(std::min(departed.size(), most));
+  std::vector<InstanceRecord> records;
+  records.reserve(departed.size());
+  for (const Instance* instance : departed) {
+    records.push_back(instance->record);
+  }
+  return records;
+}
+
 std::vector<InstanceRecord> InstanceDirectory::All() const {
   std::vector<InstanceRecord> records;
   records.reserve(instances_.size());
