Control logs what its data folder holds at a start

What operators saw: after a fault the log of a control VM did not tell a lost disk from a lost configuration. A new id in an emptied folder left no line, and only the leader that took a declaration logged its commit.

Cause: no event for it.

A follower's config-committed was not checked by a test.

--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -96,6 +96,7 @@
   void ConnectToMembers();
   void TryBootstrap();
   void LogConfigCommit();
+  void LogStorage();
   void ReconcileMembership();
   void Fail(const Error& error);
 
@@ -111,6 +112,7 @@
   MemberKeeper member_keeper_;
   ControlExtension* extension_ = nullptr;
   ConfigVersion logged_config_;
+  ConfigVersion logged_routes_;
   std::optional<Error> failure_;
   std::atomic<bool> stopped_{false};
 };
--- a/include/rattanward/control/replica.h
+++ b/include/rattanward/control/replica.h
@@ -97,6 +97,7 @@
   const consensus::Node& node() const { return *node_; }
   const ledger::StateMachine& ledger() const { return ledger_; }
   const VoterId& id() const { return storage_.id(); }
+  const adapter::FileLogStorage& storage() const { return storage_; }
   consensus::LogIndex applied() const { return applied_; }
 
  private:
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -69,6 +69,7 @@
   kDamagedRecordFound = 5003,
   kStorageRefused = 5004,
   kStorageResumed = 5005,
+  kStorageOpened = 5006,
 
   kPeerConnected = 6001,
   kPeerSilent = 6002,
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -84,6 +84,7 @@
 }
 
 Status ControlDaemon::Start() {
+  LogStorage();
   Status listening = listener_.Listen(settings_.peer_listen);
   if (!listening) {
     return listening;
@@ -221,6 +222,27 @@
     events_({EventId::kConfigCommitted,
              {{"version", std::to_string(newest.value)}}});
   }
+  const ConfigVersion routes = replica_.ledger().routing().version;
+  if (routes != logged_routes_) {
+    logged_routes_ = routes;
+    events_({EventId::kConfigCommitted,
+             {{"routes", std::to_string(routes.value)}}});
+  }
+}
+
+/// Tells a lost disk from a lost configuration.
+void ControlDaemon::LogStorage() {
+  const consensus::Node& node = replica_.node();
+  logged_routes_ = replica_.ledger().routing().version;
+  events_({EventId::kStorageOpened,
+           {{"voter", replica_.id().str()},
+            {"new", replica_.storage().created() ? "1" : "0"},
+            {"blank", replica_.blank() ? "1" : "0"},
+            {"term", std::to_string(node.term())},
+            {"last_index", std::to_string(node.last_index())},
+            {"snapshot_index", std::to_string(node.snapshot_index())},
+            {"routes", std::to_string(logged_routes_.value)},
+            {"cut_bytes", std::to_string(replica_.storage().cut_bytes())}}});
 }
 
 void ControlDaemon::ReconcileMembership() {
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -356,8 +356,6 @@
 }
 
 void RoutingHub::AfterCommit(ConfigVersion version, const Done& done) {
-  events_(
-      {EventId::kConfigCommitted, {{"routes", std::to_string(version.value)}}});
   PushRouting();
   WaitForEntries(
       options_.routing_ack_timeout,
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -66,6 +66,7 @@
       {EventId::kDamagedRecordFound, "damaged-record-found"},
       {EventId::kStorageRefused, "storage-refused"},
       {EventId::kStorageResumed, "storage-resumed"},
+      {EventId::kStorageOpened, "storage-opened"},
       {EventId::kPeerConnected, "peer-connected"},
       {EventId::kPeerSilent, "peer-silent"},
       {EventId::kPeerRefused, "peer-refused"},
--- a/tests/src/unit-control-members.cc
+++ b/tests/src/unit-control-members.cc
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,20 @@
         [this](const auto& daemon) { return daemon.get() != Leader(); });
   }
 
+  /// The fields of the last event of this kind, as "name=value" each.
+  std::set<std::string> LastLogged(EventId id) const {
+    std::set<std::string> fields;
+    for (const Event& event : events_) {
+      if (event.id == id) {
+        fields.clear();
+        for (const EventField& field : event.fields) {
+          fields.insert(field.name + '=' + field.value);
+        }
+      }
+    }
+    return fields;
+  }
+
   template <class Done>
   bool RunUntil(Done done) {
     const auto end =
@@ -78,7 +93,7 @@
     daemons_.push_back(std::make_unique<ControlDaemon>(
         io_, settings, "secret",
         adapter::FileLogStorage::Open(folders_.back()->path() + "/log").value(),
-        [](const Event&) {}));
+        [this](const Event& event) { events_.push_back(event); }));
     REQUIRE(daemons_.back()->Start());
     return *daemons_.back();
   }
@@ -86,6 +101,7 @@
   asio::io_context io_;
   std::vector<std::unique_ptr<fakes::TemporaryFolder>> folders_;
   std::vector<std::unique_ptr<ControlDaemon>> daemons_;
+  std::vector<Event> events_;
 };
 
 }  // namespace
@@ -103,4 +119,16 @@
   }));
 }
 
+TEST_CASE("a start on an empty folder is logged with the new voter's id") {
+  ControlGroup group;
+  REQUIRE(group.RunUntil([&] { return group.Leader() != nullptr; }));
+  const ControlDaemon& added =
+      group.AddWithSeeds({group.Leader()->settings().peer_listen});
+  const auto logged = group.LastLogged(EventId::kStorageOpened);
+  CHECK(logged.count("voter=" + added.replica().id().str()) == 1);
+  CHECK(logged.count("new=1") == 1);
+  CHECK(logged.count("blank=1") == 1);
+  CHECK(logged.count("last_index=0") == 1);
+}
+
 }  // namespace rattanward::control
