--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -73,6 +73,7 @@
   kStorageRefused = 5004,
   kStorageResumed = 5005,
   kDeparturesNotKept = 5006,
+  kStorageOpened = 5007,
 
   kPeerConnected = 6001,
   kPeerSilent = 6002,
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -70,6 +70,7 @@
       {EventId::kStorageRefused, "storage-refused"},
       {EventId::kStorageResumed, "storage-resumed"},
       {EventId::kDeparturesNotKept, "departures-not-kept"},
+      {EventId::kStorageOpened, "storage-opened"},
       {EventId::kPeerConnected, "peer-connected"},
       {EventId::kPeerSilent, "peer-silent"},
       {EventId::kPeerRefused, "peer-refused"},
