--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -35,6 +35,9 @@
   kPromptPartQuarantined = 2013,
   kPromptPartCleared = 2014,
   kRequestRelayed = 2015,
+  kRequestStopped = 2016,
+  kRequestCleared = 2017,
+  kRequestTried = 2018,
 
   kUpstreamAnnounced = 3001,
   kUpstreamDraining = 3002,
@@ -69,6 +72,8 @@
   kDamagedRecordFound = 5003,
   kStorageRefused = 5004,
   kStorageResumed = 5005,
+  kDeparturesNotKept = 5006,
+  kStorageOpened = 5007,
 
   kPeerConnected = 6001,
   kPeerSilent = 6002,
--- a/include/rattanward/entry/relay_desk.h
+++ b/include/rattanward/entry/relay_desk.h
@@ -43,6 +43,9 @@
 
   void Relay(UnservedRequest request);
 
+  /// @brief Gives each caller the final answer now, because this entry stops.
+  void CutShort();
+
  private:
   struct Pending {
     UnservedRequest unserved;
@@ -52,6 +55,7 @@
   void TryNext(const std::shared_ptr<Pending>& pending);
   void OnEnd(const std::shared_ptr<Pending>& pending, const Endpoint& peer,
              RelayEnd end);
+  void RecordBroken(const Pending& pending);
   void Fail(const Pending& pending, const Error& error);
 
   asio::io_context& io_;
@@ -59,6 +63,7 @@
   RelayPeers peers_;
   policy::RelayChoice choice_;
   std::unordered_set<std::shared_ptr<RelayedCall>> calls_;
+  bool stopped_ = false;
 };
 
 }  // namespace rattanward::entry
--- a/include/rattanward/http/detail/socket_io.h
+++ b/include/rattanward/http/detail/socket_io.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/error.hpp>
@@ -35,6 +38,12 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+/// @brief Whether the operation may simply be tried again.
+inline bool IsTemporary(const asio::error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again ||
+         error == asio::error::interrupted;
+}
+
 /// @brief Reads available bytes into a thread-local buffer.
 /// @note All connections share this buffer, so that thousands of idle
 /// connections need no buffers of their own.
@@ -42,7 +51,7 @@
   thread_local std::array<char, kReadBytes> buffer;
   asio::error_code error;
   const std::size_t count = socket.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block || error == asio::error::try_again) {
+  if (IsTemporary(error)) {
     return {};
   }
   if (error) {
@@ -60,10 +69,21 @@
   asio::error_code error;
   const std::size_t count =
       socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-  if (error == asio::error::would_block || error == asio::error::try_again) {
+  if (IsTemporary(error)) {
     return {};
   }
   return {count, static_cast<bool>(error)};
 }
 
+/// @brief Number of written bytes that the peer has not acknowledged.
+/// @note 0 if the system can't tell.
+inline std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+  int count = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): ioctl() has no other.
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &count) != 0 || count < 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(count);
+}
+
 }  // namespace rattanward::http::detail
--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -22,6 +24,8 @@
 
   /// @brief Resource limits over all connections.
   struct Options {
+    /// A request on one of the next few connections is refused; further
+    /// connections are closed.
     std::size_t max_connections = 1024;
     /// Total bytes of the request bodies being received or still referenced.
     std::size_t max_body_bytes = 16U << 20U;
@@ -41,9 +45,24 @@
 
   /// @brief Closes each connection after its current response, and idle ones
   /// immediately.
-  /// @note Also applies to connections accepted later.
+  /// @note Connections accepted later are closed after their first response.
   void CloseAfterResponses();
 
+  /// @brief Accepts the connections in the listen queue, and no further ones.
+  void StopListening();
+
+  /// @brief Accepts the connections that already wait, stops accepting, and
+  /// closes each connection as CloseAfterResponses() does.
+  /// @param limit Maximum time until on_finished is called.
+  /// @param on_finished Called once, in a later event-loop step, when the peers
+  /// have received all responses and no connection is left, or at the limit.
+  /// Not called after Stop().
+  void Finish(Duration limit, std::function<void()> on_finished);
+
+  /// @brief Responds with an error to each request in progress.
+  /// @note Only for servers whose responses are sent at once, not in pieces.
+  void EndBusy(const Error& error);
+
   /// @brief Stops accepting and aborts every connection.
   void Stop();
 
@@ -58,8 +77,17 @@
   void OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  ServerRequest request) override;
   Response OnRejected(const Error& error) override;
+  void OnUnanswered(UnansweredEnd end) override {
+    ++unanswered_.at(static_cast<std::size_t>(end));
+  }
   void OnClosed(ServerConnection& connection) override;
 
+  /// @brief Number of requests that ended without a complete response since the
+  /// start, by how their connections ended.
+  using UnansweredCounts =
+      std::array<std::uint64_t, kUnansweredEndNames.size()>;
+  const UnansweredCounts& unanswered() const { return unanswered_; }
+
   /// @brief Called for each rejected message or connection; may be empty.
   std::function<void(const Error&)> on_rejected;
 
@@ -68,16 +96,33 @@
   std::function<Response(const Error&)> make_error_response;
 
  private:
+  enum class AcceptResult : std::uint8_t {
+    kAccepted,
+    kNoneWaiting,
+    kNoResources,
+    /// The connection has failed before it was accepted.
+    kFailed,
+  };
+
   void Accept();
+  void AcceptWaiting();
+  AcceptResult AcceptOne();
+  void AcceptQueued();
+  void StopAccepting();
+  void EndFinish();
+  void EndFinishAfter(Duration time);
   void ScheduleAcceptRetry();
   void AddConnection(asio::ip::tcp::socket socket);
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
+  asio::steady_timer finish_timer_;
+  std::function<void()> on_finished_;
   Options options_;
   RequestHandler handler_;
   ServerLimits limits_;
+  UnansweredCounts unanswered_{};
   std::shared_ptr<BodyBudget> body_budget_;
   Endpoint bound_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -145,13 +145,17 @@
   /// silent for longer than one in order.
   bool MayAbandonSilent(TimePoint now) const;
 
-  /// @brief The path to the upstream of a request that may be sent again is
-  /// lost.
-  void OnPathLost();
+  /// @brief Gives up an attempt whose path is lost. The request waits again.
+  /// @note The owner has taken the retry, and knows that the next attempt may
+  /// begin: an attempt is not given up for nothing.
+  void LeaveLostPath();
 
   /// @brief Ends a waiting request with an error response.
   void Refuse(const Error& error);
 
+  /// @brief Ends an open request because this entry stops now.
+  void EndForStop(Error error);
+
   const RoutedRequest& routed() const { return request_; }
   const policy::PlacementRequest& placement() const { return placement_; }
   /// @brief Restricts the request to upstreams with these versions; empty for
@@ -188,6 +192,14 @@
   /// sent.
   TimePoint last_byte_at() const { return last_byte_at_; }
   TimePoint deadline() const { return deadline_; }
+  /// @brief When the last attempt was sent.
+  TimePoint sent_at() const { return sent_at_; }
+  /// @brief Whether any upstream may have started to run the request.
+  bool may_have_run() const { return may_have_run_; }
+  /// @brief Whether the caller has got the first event of a stream.
+  bool stream_started() const { return stream_started_; }
+  /// @brief Whether the answer of the upstream states success.
+  bool succeeded() const { return http::IsSuccess(response_.status); }
   /// @brief Arrival time of the first event, or the current time if there is
   /// none. For a response that isn't a stream, valid when it completes.
   TimePoint answered_at() const;
@@ -236,6 +248,8 @@
   void FinishRelay();
   void HandleRelayFailure(http::ClientFailure failure);
   void HandleConnectionLoss(const std::string& reason);
+  void RecordConnectionLoss(const std::string& reason);
+  bool MayGoOn() const;
   void Requeue();
   void Fail(Error error);
   void Release();
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,8 @@
 #include "rattanward/policy/relay_choice.h"
 #include "rattanward/policy/request_queue.h"
 #include "rattanward/policy/retry_allowance.h"
+#include "rattanward/policy/run_time_estimator.h"
+#include "rattanward/policy/stop_plan.h"
 #include "rattanward/policy/upstream_paths.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
@@ -53,6 +56,8 @@
 struct ProxyHooks {
   /// A request was running at an upstream that appears to have crashed.
   std::function<void(const protocol::CrashWitness&)> witness;
+  /// Other evidence has cleared witnesses.
+  std::function<void(const std::vector<protocol::CrashWitness>&)> cleared;
   /// What is known against parts of prompts has changed at this entry.
   std::function<void(const std::vector<policy::PartSuspicion>&)> suspicions;
   /// An upstream told this entry that it is leaving.
@@ -86,6 +91,9 @@
   /// @brief Records upstream crashes witnessed by entries.
   void RecordCrashes(const std::vector<protocol::CrashWitness>& witnesses);
 
+  /// @brief Records that other entries have cleared witnesses.
+  void RecordCleared(const std::vector<protocol::CrashWitness>& cleared);
+
   /// @brief Merges what control knows against parts of prompts.
   void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
 
@@ -144,10 +152,15 @@
   bool Ready() const;
 
   /// @brief Reports not ready from now on, and closes each connection after its
-  /// next response.
-  void BeginShutdown();
+  /// next response. Requests that can't end in time are refused.
+  void BeginShutdown(const policy::StopPlan& plan);
   /// @brief Closes idle connections and refuses new requests on the others.
   void CloseIdle();
+  /// @brief Takes the connections in the listen queues, and no further ones.
+  void StopListening();
+  /// @brief Passes on the answers that have arrived, and then gives every open
+  /// request its final answer.
+  void EndOpen();
   bool idle() const { return exchanges_.empty(); }
 
   ConfigVersion routing_version() const;
@@ -210,6 +223,16 @@
     std::vector<policy::PartSuspicion> known_at_send;
   };
 
+  /// What the crash of a start has raised against parts, to be taken back if
+  /// its exit was announced.
+  struct RaisedParts {
+    membership::InstanceStart upstream;
+    std::vector<policy::PartSuspicion> parts;
+  };
+
+  /// Number of crashes that can be taken back.
+  static constexpr std::size_t kMaxRaised = 256;
+
   /// Time within which a probe of a path must succeed.
   static constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 
@@ -224,6 +247,11 @@
       const std::shared_ptr<http::ServerConnection>& caller,
       const RequestTraits& traits, http::ServerRequest request,
       const std::optional<RelayedRequest>& relayed);
+  bool MayEndInTime(const Exchange& exchange) const;
+  Error StopError(const std::string& reason, Duration remaining) const;
+  bool RefuseIfTooLate(Exchange& exchange) const;
+  void RefuseTooLate();
+  void EndOpenAfter(int rounds);
   Status MayTakeRelayed(const RelayedRequest& relayed) const;
   Duration RetryAdviceFor(const Error& error,
                           const RequestTraits& traits) const;
@@ -233,6 +261,8 @@
   bool TryPlace(const std::shared_ptr<Exchange>& exchange,
                 FullServices* full_services);
   Status RestrictVersions(Exchange& exchange) const;
+  Result<std::set<std::string>> VersionsFor(
+      const Exchange& exchange, const std::set<UpstreamId>& excluded) const;
   void UpdateServingVersions();
   bool RefuseIfNotAllowed(Exchange& exchange) const;
   bool RefuseIfHeldBack(Exchange& exchange,
@@ -248,6 +278,7 @@
   void AnswerReachQuestion(const std::shared_ptr<http::ServerConnection>& peer,
                            const membership::InstanceStart& upstream);
   bool TryRelay(const std::shared_ptr<Exchange>& exchange);
+  std::optional<Endpoint> ChoosePeer(const Exchange& exchange, TimePoint now);
   void ReleasePeer(const Endpoint& peer,
                    std::shared_ptr<http::ClientConnection> connection);
   void ProbePaths(TimePoint now);
@@ -257,10 +288,17 @@
   void MarkPathReached(const UpstreamId& id);
   void MarkPathLost(const UpstreamId& id);
   void AbandonSilent(TimePoint now);
+  bool MaySendOn(const Exchange& exchange, TimePoint now);
   bool HasLostMost() const;
   void ConfirmCrash(const CrashEvidence& evidence, int questions_left);
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
+  void RecordPlannedExits(const std::vector<membership::InstanceStart>& exits);
+  bool MayTryQuarantined(std::uint64_t fingerprint) const;
+  void RaiseParts(const CrashEvidence& evidence);
+  void TakeBackParts(const membership::InstanceStart& upstream);
+  void LogPartChanges(const std::vector<policy::PartSuspicion>& before);
+  void ApplyQuarantineChanges();
   void LogPartChange(const policy::PartSuspicion& before);
 
   asio::io_context& io_;
@@ -282,7 +320,10 @@
   std::set<std::shared_ptr<Exchange>> exchanges_;
   std::shared_ptr<const RoutingTable> table_;
   membership::CrashMemory crashes_;
+  policy::RoomShare room_share_;
+  TimePoint room_share_confirmed_at_;
   policy::PartQuarantine part_quarantine_;
+  std::deque<RaisedParts> raised_parts_;
   policy::StreamVersions stream_versions_;
   TimePoint confirmed_at_;
   TimePoint started_at_;
@@ -290,8 +331,11 @@
   std::size_t entries_ = 1;
   ProxyMeter meter_;
   bool ever_confirmed_ = false;
-  bool stopping_ = false;
+  policy::RunTimeEstimator run_times_;
+  /// Set when a planned stop began.
+  std::optional<policy::StopPlan> stop_plan_;
   bool refusing_ = false;
+  bool ending_ = false;
   bool drain_scheduled_ = false;
 };
 
--- a/src/adapter/file_log_storage.cc
+++ b/src/adapter/file_log_storage.cc
@@ -7,6 +7,7 @@
 #include <boost/outcome/try.hpp>
 #include <exception>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "rattanward/adapter/record.h"
@@ -166,7 +167,10 @@
   return WriteGeneration(Snapshot(), {});
 }
 
+/// What a process wrote before it was killed may be in the cache only. It is
+/// synced before anything follows from it, the names before others are removed.
 Status FileLogStorage::Load() {
+  BOOST_OUTCOME_TRY(SyncFolder(folder_));
   BOOST_OUTCOME_TRY(file, ReadFile(folder_ + "/" + kSnapshotName));
   BOOST_OUTCOME_TRY(records, ScanRecords(file, kSnapshotSeed));
   if (records.payloads.size() != 1 || records.valid_bytes != file.size()) {
@@ -220,9 +224,8 @@
     if (ftruncate(log_.value(), static_cast<off_t>(log_bytes_)) != 0) {
       return MakeError(ErrorCode::kStorageFailed, "the torn tail stays");
     }
-    BOOST_OUTCOME_TRY(SyncFile(log_));
   }
-  return outcome::success();
+  return SyncFile(log_);
 }
 
 Status FileLogStorage::Save(const Output& output) {
@@ -244,9 +247,19 @@
       EncodeRecord(Pack(Batch{hard_state_, output.entries}),
                    RecordSeed(id_.str(), generation_), log_bytes_);
   BOOST_OUTCOME_TRY(WriteAll(log_, record));
-  BOOST_OUTCOME_TRY(SyncFile(log_));
-  log_bytes_ += record.size();
-  return outcome::success();
+  Status synced = SyncFile(log_);
+  if (synced) {
+    log_bytes_ += record.size();
+  } else {
+    CutRecord();
+  }
+  return synced;
+}
+
+/// After a failed sync the system may drop the bytes and still show them to the
+/// next start, whose own sync would then succeed.
+void FileLogStorage::CutRecord() const {
+  std::ignore = ftruncate(log_.value(), static_cast<off_t>(log_bytes_));
 }
 
 Status FileLogStorage::Switch(const Output& output) {
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -30,6 +30,9 @@
       io_, options_, endpoint, adapter::PeerClient::PushHandler(),
       [this, endpoint](const ProcessId&) {
         SendHello(*clients_[endpoint], protocol::Encode(hello_()));
+        if (on_connected_) {
+          on_connected_(endpoint);
+        }
       });
   client->Start();
   clients_[endpoint] = std::move(client);
@@ -69,6 +72,19 @@
   hellos_[hello.peer_endpoint] = hello;
   hello_times_[hello.peer_endpoint] = adapter::MonotonicNow();
   ConnectTo(hello.peer_endpoint);
+  ConnectToMembersOf(hello);
+}
+
+/// A control VM at a new address knows only its seeds, and the leader need not
+/// be one of them.
+void VoterDirectory::ConnectToMembersOf(const protocol::VoterHello& hello) {
+  const auto membership = consensus::DecodeMembership(hello.membership);
+  if (!membership) {
+    return;
+  }
+  for (const consensus::Member& member : membership.value().members) {
+    ConnectTo(member.endpoint);
+  }
 }
 
 void VoterDirectory::Send(const VoterId& voter,
@@ -81,13 +97,7 @@
     return;
   }
   ConnectTo(*to);
-  const auto client = clients_.find(*to);
-  if (client != clients_.end()) {
-    protocol::Envelope envelope;
-    envelope.kind = kind;
-    envelope.body = std::move(body);
-    client->second->Send(std::move(envelope));
-  }
+  SendTo(*to, kind, std::move(body));
 }
 
 const protocol::VoterHello* VoterDirectory::Find(const VoterId& voter) const {
@@ -120,6 +130,17 @@
   }
 }
 
+void VoterDirectory::SendTo(const Endpoint& endpoint,
+                            protocol::MessageKind kind, std::string body) {
+  const auto client = clients_.find(endpoint);
+  if (client != clients_.end()) {
+    protocol::Envelope envelope;
+    envelope.kind = kind;
+    envelope.body = std::move(body);
+    client->second->Send(std::move(envelope));
+  }
+}
+
 void VoterDirectory::Stop() {
   for (const auto& [endpoint, client] : clients_) {
     client->Stop();
--- a/src/entry/relay_desk.cc
+++ b/src/entry/relay_desk.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/policy/stop_error.h"
 
 namespace rattanward::entry {
 namespace {
@@ -27,6 +28,12 @@
   return error;
 }
 
+Error BrokenError() {
+  return MakeError(ErrorCode::kUpstreamBroken,
+                   "the entry that it was relayed to broke off",
+                   Verdict::kMayHaveRun);
+}
+
 }  // namespace
 
 RelayDesk::RelayDesk(asio::io_context& io, const RequestRecorder& recorder,
@@ -40,7 +47,19 @@
   TryNext(std::make_shared<Pending>(Pending{std::move(request), {}}));
 }
 
+void RelayDesk::CutShort() {
+  stopped_ = true;
+  const auto calls = calls_;
+  for (const auto& call : calls) {
+    call->CutShort();
+  }
+}
+
 void RelayDesk::TryNext(const std::shared_ptr<Pending>& pending) {
+  if (stopped_) {
+    Fail(*pending, policy::StopError(Verdict::kNotRun));
+    return;
+  }
   const TimePoint now = MonotonicNow();
   choice_.AddPeers(peers_.nearby, peers_.remote, now);
   const UnservedRequest& unserved = pending->unserved;
@@ -73,9 +92,18 @@
     case RelayEnd::kAnswered:
       return;
     case RelayEnd::kBroken:
-      Fail(*pending, MakeError(ErrorCode::kUpstreamBroken,
-                               "the entry that it was relayed to broke off",
-                               Verdict::kMayHaveRun));
+      RecordBroken(*pending);
+      CallerAnswer(pending->unserved.caller, pending->unserved.common_fields)
+          .Fail(BrokenError());
+      return;
+    case RelayEnd::kCut:
+      RecordBroken(*pending);
+      return;
+    case RelayEnd::kStopped:
+      Fail(*pending, policy::StopError(Verdict::kMayHaveRun));
+      return;
+    case RelayEnd::kCutShort:
+      Fail(*pending, policy::StopError(Verdict::kMayHaveRun));
       return;
     case RelayEnd::kUnreached:
       choice_.RecordUnreachable(peer, now);
@@ -88,6 +116,14 @@
   TryNext(pending);
 }
 
+void RelayDesk::RecordBroken(const Pending& pending) {
+  RequestSummary summary;
+  summary.outcome = adapter::Outcome::kFailed;
+  summary.error = BrokenError();
+  summary.verdict = summary.error.verdict;
+  recorder_.Ended(pending.unserved.info, summary, Duration(0));
+}
+
 void RelayDesk::Fail(const Pending& pending, const Error& error) {
   recorder_.Shed(pending.unserved.info, error);
   CallerAnswer(pending.unserved.caller, pending.unserved.common_fields)
--- a/src/policy/standard_dispatcher.cc
+++ b/src/policy/standard_dispatcher.cc
@@ -49,6 +49,11 @@
   }
   quarantine_.RecordAnnouncement(announcement.instance, announcement.sequence,
                                  now);
+  if (announcement.draining) {
+    quarantine_.RecordPlannedExit(announcement.instance);
+  } else {
+    quarantine_.RecordExitCancelled(announcement.instance);
+  }
   ApplyLimit(announcement.instance, now);
   Decisions out;
   for (const Target& target : targets) {
@@ -65,9 +70,7 @@
     return {};
   }
   // An upstream that disappears without draining is assumed to have crashed.
-  if (!state->announcement.draining) {
-    RecordCrash(upstream, now);
-  }
+  RecordCrash(upstream, now);
   const std::vector<Target> targets = TargetsOf(state->announcement);
   upstreams_.Remove(upstream);
   limits_.erase(upstream);
@@ -99,6 +102,7 @@
   }
   Decisions out;
   ShedUnstartable(&out, now);
+  RefuseUnfinishable(&out, now);
   for (const Target& target : queue_.Targets()) {
     DispatchWaiting(target, &out, now);
     RefuseWithoutUpstream(target, &out);
@@ -206,6 +210,9 @@
   if (IsQuarantined(open.info)) {
     return QuarantinedError();
   }
+  if (auto error = CheckStop(open, Duration(0), now)) {
+    return error;
+  }
   if (auto error = CheckHeldBack(open, now)) {
     return error;
   }
@@ -274,7 +281,8 @@
     if (auto error = CheckStartable(open_requests_.at(queued.id), now)) {
       queue_.Remove(queued.id);
       const bool keeps_time = error->code == ErrorCode::kQuarantined ||
-                              error->code == ErrorCode::kNoUpstream;
+                              error->code == ErrorCode::kNoUpstream ||
+                              stop_plan_.has_value();
       if (!keeps_time) {
         error->retry_after = RetryAfterBacklog(ExpectedSlotWait(
             queued.target, open_requests_.at(queued.id).declared, now));
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -133,10 +133,11 @@
 }
 
 void Exchange::HandleRejection() {
-  if (response_traits_.backoff_for) {
-    // Neither a failure of the upstream nor an attempt of the request.
+  if (response_traits_.backoff_for || stream_started_) {
+    // Not an attempt of the request.
     --attempts_;
-  } else {
+  }
+  if (!response_traits_.backoff_for) {
     owner_.OnOutcome(*this, false);
     owner_.OnRejected(*this);
   }
@@ -190,6 +191,23 @@
     HandleRelayFailure(ClientFailure::kTruncated);
     return;
   }
+  RecordConnectionLoss(reason);
+  if (MayGoOn() && owner_.TryTakeRetry(*this)) {
+    Requeue();
+    return;
+  }
+  Fail(MakeError(ErrorCode::kUpstreamBroken, reason, Verdict::kMayHaveRun));
+}
+
+/// Whether the route allows another attempt, also of a stream that has begun.
+bool Exchange::MayGoOn() const {
+  // A stream can be resumed only if its events have ids.
+  const bool can_resume = !stream_started_ || !splitter_.last_id().empty();
+  return is_retryable() && can_resume &&
+         attempts_ < request_.route->max_attempts;
+}
+
+void Exchange::RecordConnectionLoss(const std::string& reason) {
   may_have_run_ = true;
   owner_.OnOutcome(*this, false);
   owner_.OnConnectionLost(*this);
@@ -207,16 +225,6 @@
   excluded_.insert(upstream_);
   Release();
   splitter_.DiscardPartialEvent();
-  const Error error =
-      MakeError(ErrorCode::kUpstreamBroken, reason, Verdict::kMayHaveRun);
-  // A stream can be resumed only if its events have ids.
-  const bool can_resume = !stream_started_ || !splitter_.last_id().empty();
-  if (is_retryable() && can_resume &&
-      attempts_ < request_.route->max_attempts && owner_.TryTakeRetry(*this)) {
-    Requeue();
-    return;
-  }
-  Fail(error);
 }
 
 void Exchange::Requeue() {
@@ -238,6 +246,7 @@
     return;
   }
   const auto self = shared_from_this();
+  const bool for_stop = error.code == ErrorCode::kShuttingDown;
   Release();
   if (stream_started_) {
     request_.caller->Flush();
@@ -249,13 +258,16 @@
     if (may_have_run_ && StatusImpliesNotRun(HttpStatus(error.code))) {
       error.code = ErrorCode::kUpstreamBroken;
       error.verdict = Verdict::kMayHaveRun;
+      error.retry_after.reset();
     }
     if (StatusImpliesNotRun(HttpStatus(error.code)) && !error.retry_after) {
       error.retry_after = owner_.RetryAfter(*this);
     }
     RespondRefusal(*request_.caller, error, request_.relayed.has_value());
   }
-  End(may_have_run_ ? EventId::kRequestFailed : EventId::kRequestShed,
+  const EventId ended =
+      may_have_run_ ? EventId::kRequestFailed : EventId::kRequestShed;
+  End(for_stop ? EventId::kRequestStopped : ended,
       {{"error", std::string(ErrorName(error.code))},
        {"reason", error.message},
        {"status", std::to_string(HttpStatus(error.code))},
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "rattanward/membership/planned_exits.h"
 #include "rattanward/policy/rendezvous.h"
 #include "rattanward/policy/retry_advice.h"
 #include "rattanward/policy/tier_gate.h"
@@ -28,6 +29,16 @@
 /// can be recognised as outdated.
 constexpr Duration kGoneUpstreamRetention{std::chrono::seconds(120)};
 
+std::string UnansweredText(const http::Server& server) {
+  std::string text;
+  for (std::size_t i = 0; i < http::kUnansweredEndNames.size(); ++i) {
+    const std::string name(http::kUnansweredEndNames.at(i));
+    text += ScrapeLine("requests_unanswered_" + name + "_total",
+                       server.unanswered().at(i));
+  }
+  return text;
+}
+
 }  // namespace
 
 Proxy::Proxy(asio::io_context& io, ProxyOptions options, const Dialect& dialect,
@@ -101,6 +112,7 @@
   for (const membership::InstanceRecord& record : records) {
     directory_.Merge(record, now);
   }
+  RecordPlannedExits(membership::PlannedExits(records, directory_));
   ApplyDirectoryChanges();
 }
 
@@ -154,7 +166,7 @@
   const bool has_upstreams =
       directory_.size() > 0 ||
       MonotonicNow() - started_at_ > kFirstUpstreamTimeout;
-  return !stopping_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
+  return !stop_plan_ && table_ && has_upstreams && ConfirmedWithin(kReadyLease);
 }
 
 void Proxy::SetEntries(std::size_t entries) {
@@ -186,14 +198,6 @@
   return load;
 }
 
-void Proxy::BeginShutdown() { stopping_ = true; }
-
-void Proxy::CloseIdle() {
-  refusing_ = true;
-  server_.CloseAfterResponses();
-  relay_server_.CloseAfterResponses();
-}
-
 ConfigVersion Proxy::routing_version() const {
   return table_ ? table_->version() : ConfigVersion{};
 }
@@ -273,8 +277,15 @@
 
 /// Refuses a request that may no longer be sent to any upstream.
 bool Proxy::RefuseIfNotAllowed(Exchange& exchange) const {
+  if (RefuseIfTooLate(exchange)) {
+    return true;
+  }
   Status allowed = CheckNotQuarantined(exchange.routed().fingerprint,
                                        exchange.placement().prompt);
+  if (allowed && !table_->FindService(exchange.placement().service)) {
+    allowed = MakeError(ErrorCode::kNoUpstream,
+                        "the routes in force no longer have its service");
+  }
   if (allowed) {
     allowed = RestrictVersions(exchange);
   }
@@ -314,6 +325,9 @@
 }
 
 bool Proxy::TryTakeRetry(const Exchange& exchange) {
+  if (!MayEndInTime(exchange)) {
+    return false;
+  }
   const ServiceName& service = exchange.placement().service;
   return allowances_.try_emplace(service, options_.retries)
       .first->second.TryTake(entries_, MonotonicNow());
@@ -321,6 +335,12 @@
 
 policy::PlacementCharge Proxy::OnSent(const Exchange& exchange) {
   meter_.RecordQueueTime(MonotonicNow() - exchange.routed().request.arrived);
+  if (!exchange.relay_peer() &&
+      crashes_.IsQuarantined(exchange.routed().fingerprint)) {
+    crashes_.RecordTrial(exchange.routed().fingerprint, MonotonicNow());
+    Log(EventId::kRequestTried, exchange,
+        {{"fingerprint", std::to_string(exchange.routed().fingerprint)}});
+  }
   const policy::PlacementCharge charge = placer_.RecordSend(
       exchange.upstream(), exchange.placement(), MonotonicNow());
   if (placer_.has_urgent_load()) {
@@ -378,6 +398,15 @@
     meter_.RecordResponseTime(
         exchange.routed().route->kind,
         exchange.answered_at() - exchange.routed().request.arrived);
+    if (exchange.succeeded()) {
+      run_times_.Record(exchange.routed().route->name,
+                        exchange.placement().service,
+                        exchange.placement().max_output_tokens,
+                        MonotonicNow() - exchange.sent_at(), MonotonicNow());
+    }
+  }
+  if (id == EventId::kRequestStopped) {
+    meter_.RecordStopped(exchange.may_have_run(), exchange.stream_started());
   }
   fields.insert(fields.begin(),
                 {{"request", exchange.routed().traits.attempt.str()},
@@ -387,7 +416,7 @@
 }
 
 std::string Proxy::ScrapeText() const {
-  return meter_.ScrapeText() +
+  return meter_.ScrapeText() + UnansweredText(server_) +
          ScrapeLine("upstream_connections_opened_total", pool_.opened()) +
          ScrapeLine("upstream_connections", pool_.open()) +
          ScrapeLine("caller_connections", server_.connections()) +
@@ -407,6 +436,7 @@
          ScrapeLine("prompt_parts_suspected", part_quarantine_.size()) +
          ScrapeLine("prompt_parts_quarantined",
                     part_quarantine_.quarantined()) +
+         ScrapeLine("requests_quarantined", crashes_.quarantined()) +
          ScrapeLine("ready", Ready() ? 1 : 0);
 }
 
@@ -419,7 +449,10 @@
   relay_pool_.CloseExpired(now);
   ProbePaths(now);
   AbandonSilent(now);
+  RefuseTooLate();
   part_quarantine_.Expire(now);
+  crashes_.Expire(now);
+  ApplyQuarantineChanges();
   stream_versions_.Expire(now);
   placer_.AgeLimitShares(now);
   for (const UpstreamId& id : directory_.Forget(now - kGoneUpstreamRetention)) {
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -49,17 +49,28 @@
   return declaration;
 }
 
+/// @brief A planned stop that begins now, with final answers after nine tenths
+/// of the grace time.
+inline policy::StopPlan MakeStopPlan(Duration grace = std::chrono::seconds(8)) {
+  policy::StopTimes times;
+  times.notice = grace / 3;
+  times.grace = grace;
+  times.answer_margin = grace / 10;
+  return {adapter::MonotonicNow(), times};
+}
+
 /// @brief An entry's data path on loopback, with upstreams whose responses the
 /// test defines.
 class ProxyEntry {
  public:
-  explicit ProxyEntry(Duration key_lease = std::chrono::seconds(4)) {
+  explicit ProxyEntry(Duration key_lease = std::chrono::seconds(4),
+                      double fixed_retries = 100) {
     proxy::ProxyOptions options;
     options.process = ProcessId("entry");
     options.failure_domain = FailureDomain("d");
     options.listen = {"127.0.0.1", 0};
     options.relay_listen = {"127.0.0.1", 0};
-    options.retries.fixed_retries = 100;
+    options.retries.fixed_retries = fixed_retries;
     options.max_body_bytes = 2U << 20U;
     options.max_connections = 5000;
     options.key_lease = key_lease;
@@ -67,6 +78,7 @@
     hooks.witness = [this](const protocol::CrashWitness& witness) {
       witnesses.push_back(witness);
     };
+    hooks.cleared = [](const std::vector<protocol::CrashWitness>&) {};
     hooks.suspicions =
         [this](const std::vector<policy::PartSuspicion>& changed) {
           suspicions.insert(suspicions.end(), changed.begin(), changed.end());
--- a/tests/src/unit-entry-relay.cc
+++ b/tests/src/unit-entry-relay.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -92,6 +93,38 @@
   }
 }
 
+TEST_CASE("a relayed request that a stop cuts gets a true answer") {
+  asio::io_context io;
+  TwoEntries entries(RefusingEndpoint(io),
+                     [](LoopbackPeer&, const std::string&) {});
+  const auto caller = entries.cut.Caller();
+  caller->Send(Completion());
+  REQUIRE(entries.RunUntil(
+      [&] { return entries.reaching.upstream.requests().size() == 1; }));
+  entries.cut.front.CutShort();
+  CHECK(entries.RunUntil([&] { return !caller->received().empty(); }));
+  CHECK(Contains(caller->received(), "HTTP/1.1 502"));
+  CHECK(Contains(caller->received(), "X-Rattanward-Verdict: may-have-run"));
+  CHECK(entries.cut.front.open_requests() == 0);
+}
+
+TEST_CASE("a relayed stream that a stop cuts ends with an error event") {
+  asio::io_context io;
+  TwoEntries entries(RefusingEndpoint(io), [](LoopbackPeer& connection,
+                                              const std::string& request) {
+    const std::string whole = StreamResponse(RequestIdIn(request));
+    connection.Send(whole.substr(0, whole.find("id: 2")));
+  });
+  const auto caller = entries.cut.Caller();
+  caller->Send(Completion());
+  REQUIRE(
+      entries.RunUntil([&] { return Contains(caller->received(), "data:"); }));
+  entries.cut.front.CutShort();
+  CHECK(entries.RunUntil(
+      [&] { return Contains(caller->received(), "entry-stopped"); }));
+  CHECK(Contains(caller->received(), "data: {\"error\":"));
+}
+
 TEST_CASE("without another entry, a request without a path is refused") {
   asio::io_context io;
   TwoEntries entries(RefusingEndpoint(io), RespondWell, false);
@@ -161,4 +194,43 @@
   CHECK(entries.reaching.guard->permission_requests == 1);
 }
 
+TEST_CASE("a relayed answer that breaks off is logged as failed, once") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      http::EncodeChunk("data: a\n\n");
+  for (const std::string& begun : {head, std::string()}) {
+    CAPTURE(begun);
+    asio::io_context io;
+    LoopbackUpstream peer(io,
+                          [&](LoopbackPeer& connection, const std::string&) {
+                            connection.Send(begun);
+                            if (begun.empty()) {
+                              connection.Close(true);
+                            }
+                          });
+    CallerEntry cut([](LoopbackPeer&, const std::string&) {},
+                    RefusingEndpoint(io), RelayPeers{{peer.endpoint()}, {}});
+    const auto caller = cut.Caller();
+    caller->Send(Completion());
+    const auto run_until = [&](const std::string& text) {
+      return cut.RunUntil([&] {
+        io.poll();
+        return caller->ended() || Contains(caller->received(), text);
+      });
+    };
+    if (!begun.empty()) {
+      REQUIRE(run_until("data: a"));
+      peer.connections()[0]->Close(true);
+    }
+    CHECK(run_until("\"error\""));
+    CHECK(std::count_if(cut.request_events.begin(), cut.request_events.end(),
+                        [](const Event& event) {
+                          return event.id == EventId::kRequestFailed;
+                        }) == 1);
+    CHECK(std::none_of(
+        cut.request_events.begin(), cut.request_events.end(),
+        [](const Event& event) { return event.id == EventId::kRequestShed; }));
+  }
+}
+
 }  // namespace rattanward::entry
