Answer a request that waits behind the last answer of a stopping entry

Cause: the head announced the close by the wish to close alone. Class: a decision that doesn't look at what has arrived.

Change: a close that the server wishes is announced only if nothing waits behind the current request, in the buffer or in the socket. Server::Finish, which no program called, is gone; its cases test StopListening and CloseAfterResponses, but for its own time limit, which has no counterpart.

Conclusion: every request that a stopping entry reads gets an answer.

--- a/include/rattanward/http/server.h
+++ b/include/rattanward/http/server.h
@@ -51,14 +51,6 @@
   /// @brief Accepts the connections in the listen queue, and no further ones.
   void StopListening();
 
-  /// @brief Accepts the connections that already wait, stops accepting, and
-  /// closes each connection as CloseAfterResponses() does.
-  /// @param limit Maximum time until on_finished is called.
-  /// @param on_finished Called once, in a later event-loop step, when the peers
-  /// have received all responses and no connection is left, or at the limit.
-  /// Not called after Stop().
-  void Finish(Duration limit, std::function<void()> on_finished);
-
   /// @brief Responds with an error to each request in progress.
   /// @note Only for servers whose responses are sent at once, not in pieces.
   void EndBusy(const Error& error);
@@ -109,16 +101,12 @@
   AcceptResult AcceptOne();
   void AcceptQueued();
   void StopAccepting();
-  void EndFinish();
-  void EndFinishAfter(Duration time);
   void ScheduleAcceptRetry();
   void AddConnection(asio::ip::tcp::socket socket);
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
-  asio::steady_timer finish_timer_;
-  std::function<void()> on_finished_;
   Options options_;
   RequestHandler handler_;
   ServerLimits limits_;
--- a/include/rattanward/http/server_connection.h
+++ b/include/rattanward/http/server_connection.h
@@ -161,7 +161,7 @@
   void Reject(const Error& error);
   void EndResponse();
   void AddConnectionField(ResponseHead* head);
-  bool WillClose() const;
+  bool HasPipelinedInput();
   void TrySend();
   void OnOutputSent();
   void SetResetOnClose(bool reset);
@@ -210,7 +210,8 @@
   bool reading_ = false;
   bool writing_ = false;
   bool timer_armed_ = false;
-  bool keep_alive_ = true;
+  /// Another request can't follow on the connection.
+  bool must_close_ = false;
   bool close_requested_ = false;
   /// The head of the last response told that the connection will close. A peer
   /// sends no further request after that, and one that was pipelined is unread.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -42,7 +42,6 @@
     : io_(io),
       acceptor_(io),
       retry_timer_(io),
-      finish_timer_(io),
       options_(options),
       handler_(std::move(handler)),
       body_budget_(
@@ -166,16 +165,6 @@
   }
 }
 
-void Server::Finish(Duration limit, std::function<void()> on_finished) {
-  StopListening();
-  on_finished_ = std::move(on_finished);
-  EndFinishAfter(limit);
-  CloseAfterResponses();
-  if (connections_.empty()) {
-    EndFinishAfter(Duration(0));
-  }
-}
-
 /// A closed acceptor resets the connections that wait in its queue.
 void Server::AcceptQueued() {
   for (int i = 0; i < kMaxQueuedConnections && !stopped_; ++i) {
@@ -187,22 +176,6 @@
   }
 }
 
-void Server::EndFinishAfter(Duration time) {
-  finish_timer_.expires_after(time);
-  finish_timer_.async_wait([this](const asio::error_code& e) {
-    if (!e) {
-      EndFinish();
-    }
-  });
-}
-
-void Server::EndFinish() {
-  finish_timer_.cancel();
-  if (const auto on_finished = std::exchange(on_finished_, nullptr)) {
-    on_finished();
-  }
-}
-
 void Server::EndBusy(const Error& error) {
   std::vector<std::shared_ptr<ServerConnection>> busy;
   for (const auto& [key, connection] : connections_) {
@@ -224,8 +197,6 @@
 
 void Server::Stop() {
   StopAccepting();
-  finish_timer_.cancel();
-  on_finished_ = nullptr;
   for (const auto& [key, connection] : std::exchange(connections_, {})) {
     connection->Abort(UnansweredEnd::kStopped);
   }
@@ -257,9 +228,6 @@
 
 void Server::OnClosed(ServerConnection& connection) {
   connections_.erase(&connection);
-  if (on_finished_ && connections_.empty()) {
-    EndFinishAfter(Duration(0));
-  }
 }
 
 void RespondError(ServerConnection& connection, const Error& error,
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -140,7 +140,7 @@
   state_ = State::kBusy;
   message_started_ = false;
   first_request_awaited_ = false;
-  keep_alive_ = parser_.keep_alive();
+  must_close_ = !parser_.keep_alive();
   is_http10_ = parser_.head().version < 11;
   head_request_ = parser_.head().method == "HEAD";
   ServerRequest request;
@@ -161,19 +161,24 @@
   Response response = handler_.OnRejected(error);
   state_ = State::kBusy;
   message_started_ = false;
-  close_requested_ = true;
+  must_close_ = true;
   input_.clear();
   ReleaseBodyBudget();
   parser_ = RequestParser(limits_.parser);
   Respond(std::move(response.head), response.body);
 }
 
-bool ServerConnection::WillClose() const {
-  return !keep_alive_ || close_requested_;
+/// Whether the peer has sent more behind the current request, which is answered
+/// before the connection closes.
+bool ServerConnection::HasPipelinedInput() {
+  if (input_.empty()) {
+    input_.append(detail::ReadSome(socket_).bytes);
+  }
+  return !input_.empty();
 }
 
 void ServerConnection::AddConnectionField(ResponseHead* head) {
-  close_announced_ = WillClose();
+  close_announced_ = must_close_ || (close_requested_ && !HasPipelinedInput());
   if (close_announced_) {
     head->fields.Set("Connection", "close");
   } else if (is_http10_) {
@@ -205,7 +210,7 @@
   } else if (chunked_) {
     head.fields.Set("Transfer-Encoding", "chunked");
   } else {
-    close_requested_ = true;
+    must_close_ = true;
     SetResetOnClose(true);
   }
   AddConnectionField(&head);
--- a/src/http/server_connection_end.cc
+++ b/src/http/server_connection_end.cc
@@ -243,7 +243,7 @@
                   "request not received completely within the timeout"));
     state_ = State::kBusy;
     message_started_ = false;
-    close_requested_ = true;
+    must_close_ = true;
     constexpr int kRequestTimeout = 408;
     response.head.status = kRequestTimeout;
     Respond(std::move(response.head), response.body);
--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -145,13 +145,32 @@
   CHECK(site.server().connections() == 0);
 }
 
-TEST_CASE("requests pipelined behind an announced close are left unanswered") {
+TEST_CASE("a stop answers requests that are pipelined behind another") {
   Site site;
   site.Hold();
   const auto peer = site.Connect();
-  peer->Send(kRequest + kRequest);
+  bool read_before = true;
+  SUBCASE("read before the first answer") {}
+  SUBCASE("unread when the first answer is given") { read_before = false; }
+  peer->Send(read_before ? kRequest + kRequest : kRequest);
   REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
   site.server().CloseAfterResponses();
+  if (!read_before) {
+    peer->Send(kRequest);
+  }
+  site.last().Respond(ResponseHead{}, "answer");
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
+  site.last().Respond(ResponseHead{}, "answer");
+  REQUIRE(site.RunUntil([&] { return peer->ended(); }));
+  CHECK(ClosedAfterAnswers(*peer, 2));
+}
+
+TEST_CASE("requests behind one that ends its connection are left unanswered") {
+  Site site;
+  site.Hold();
+  const auto peer = site.Connect();
+  peer->Send(kLastRequest + kRequest);
+  REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
   site.last().Respond(ResponseHead{}, "answer");
   REQUIRE(site.RunUntil([&] { return peer->ended(); }));
   CHECK(ClosedAfterAnswers(*peer, 1));
@@ -274,56 +293,35 @@
   CHECK_FALSE(peer->reset());
 }
 
-TEST_CASE("a server finishes once its callers have all their answers") {
+TEST_CASE("a stopping server keeps a connection until its answer is read") {
   Site site;
   site.Hold();
-  bool finished = false;
   Caller reading(site, kSmallWindowBytes);
   reading.Send(kRequest);
   REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
-  site.server().Finish(kTestLimit, [&] { finished = true; });
+  site.server().StopListening();
+  site.server().CloseAfterResponses();
   site.RunFor(std::chrono::milliseconds(30));
-  CHECK_FALSE(finished);
+  CHECK(site.server().connections() == 1);
   site.last().Respond(ResponseHead{}, std::string(kLargeBytes, 'x'));
   site.RunFor(std::chrono::milliseconds(30));
-  CHECK_FALSE(finished);
+  CHECK(site.server().connections() == 1);
   CHECK(reading.ReadAllWhile(site) > kLargeBytes);
   CHECK(reading.error() == asio::error::eof);
   reading.socket().close();
-  CHECK(site.RunUntil([&] { return finished; }));
+  CHECK(site.RunUntil([&] { return site.server().connections() == 0; }));
 }
 
-TEST_CASE("a server that finishes answers what waits to be accepted") {
+TEST_CASE("a server that stops listening answers what waits to be accepted") {
   Site site;
-  bool finished = false;
   const auto peer = site.Connect();
   peer->Send(kRequest);
-  site.server().Finish(kTestLimit, [&] { finished = true; });
+  site.server().StopListening();
+  site.server().CloseAfterResponses();
   REQUIRE(site.RunUntil([&] { return peer->ended(); }));
   CHECK(ClosedAfterAnswers(*peer, 1));
   peer->Close();
-  CHECK(site.RunUntil([&] { return finished; }));
-}
-
-TEST_CASE("a server finishes at its limit, and at once without connections") {
-  Site site;
-  bool finished = false;
-  SUBCASE("no connection") {
-    site.server().Finish(kTestLimit, [&] { finished = true; });
-    CHECK_FALSE(finished);
-    site.RunFor(std::chrono::milliseconds(30));
-    CHECK(finished);
-  }
-  SUBCASE("a request that is never answered") {
-    site.Hold();
-    const auto peer = site.Connect();
-    peer->Send(kRequest);
-    REQUIRE(site.RunUntil([&] { return site.server().busy() == 1; }));
-    site.server().Finish(std::chrono::milliseconds(50),
-                         [&] { finished = true; });
-    CHECK(site.RunUntil([&] { return finished; }));
-    CHECK(site.server().busy() == 1);
-  }
+  CHECK(site.RunUntil([&] { return site.server().connections() == 0; }));
 }
 
 TEST_CASE("a request beyond the connection limit gets an answer") {
@@ -371,11 +369,8 @@
   }
   SUBCASE("pipelined") {
     end = UnansweredEnd::kPipelined;
-    sent += kRequest;
-    act = [&] {
-      site.server().CloseAfterResponses();
-      site.last().Respond(ResponseHead{}, "answer");
-    };
+    sent = kLastRequest + kRequest;
+    act = [&] { site.last().Respond(ResponseHead{}, "answer"); };
   }
   SUBCASE("unread") {
     end = UnansweredEnd::kUnread;
