Give the final answers also when the event loop stood still

What callers saw: nothing at all, if a stopping entry's event loop stood still from before its final answers until after its end (0.55 s at a grace time of 8 s, on a busy machine), or if the rounds that pass on late answers took too long.

Cause: the final answers were posted in 40 rounds without a time bound, and the end of the process didn't ask whether they had been given. Class: an end that doesn't depend on what must come before it.

Change: the rounds end half-way between the final answers and the end; the end gives the answers itself if they are still due. While the entry ends, reading from an upstream isn't paused for a slow caller, so that a finished answer isn't cut. A case label that a merge left twice is gone.

That a paused stream is read to its end has no test of its own.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -153,6 +153,10 @@
   /// @brief Ends a waiting request with an error response.
   void Refuse(const Error& error);
 
+  /// @brief Reads the upstream's answer as fast as it comes from now on,
+  /// however slowly the caller reads.
+  void ReadAll();
+
   /// @brief Ends an open request because this entry stops now.
   void EndForStop(Error error);
 
@@ -297,6 +301,7 @@
   std::string piece_;
   EventSplitter splitter_;
   bool event_stream_ = false;
+  bool may_pause_ = true;
   bool stream_started_ = false;
 };
 
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -161,6 +161,8 @@
   /// @brief Passes on the answers that have arrived, and then gives every open
   /// request its final answer.
   void EndOpen();
+  /// @brief Gives every open request its final answer, before it returns.
+  void EndOpenNow();
   bool idle() const { return exchanges_.empty(); }
 
   ConfigVersion routing_version() const;
@@ -336,6 +338,8 @@
   std::optional<policy::StopPlan> stop_plan_;
   bool refusing_ = false;
   bool ending_ = false;
+  /// After this time, the final answers are given without further rounds.
+  TimePoint last_round_at_;
   bool drain_scheduled_ = false;
 };
 
--- a/src/entry/relay_desk.cc
+++ b/src/entry/relay_desk.cc
@@ -102,9 +102,6 @@
     case RelayEnd::kStopped:
       Fail(*pending, policy::StopError(Verdict::kMayHaveRun));
       return;
-    case RelayEnd::kCutShort:
-      Fail(*pending, policy::StopError(Verdict::kMayHaveRun));
-      return;
     case RelayEnd::kUnreached:
       choice_.RecordUnreachable(peer, now);
       break;
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -311,6 +311,8 @@
     return;
   }
   if (all_done || now >= stop_plan_->ends_at()) {
+    // The event loop may have stood still since before the final answers.
+    proxy_.EndOpenNow();
     timers_.Stop();
     on_stopped_();
   }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -301,7 +301,8 @@
   if (state_ == State::kSent && stream_started_) {
     const auto self = shared_from_this();
     request_.caller->Flush();
-    if (connection_ && request_.caller->buffered() > kMaxBufferedBytes) {
+    if (connection_ && may_pause_ &&
+        request_.caller->buffered() > kMaxBufferedBytes) {
       connection_->Pause();
     }
   }
--- a/src/proxy/exchange_stop.cc
+++ b/src/proxy/exchange_stop.cc
@@ -4,6 +4,13 @@
 
 namespace rattanward::proxy {
 
+void Exchange::ReadAll() {
+  may_pause_ = false;
+  if (connection_) {
+    connection_->Resume();
+  }
+}
+
 void Exchange::EndForStop(Error error) {
   if (state_ == State::kFinished) {
     return;
--- a/src/proxy/proxy_stop.cc
+++ b/src/proxy/proxy_stop.cc
@@ -82,20 +82,30 @@
 }
 
 void Proxy::EndOpen() {
-  if (!ending_) {
-    ending_ = true;
-    refusing_ = true;
-    StopListening();
-    EndOpenAfter(kLastRounds);
+  if (ending_ || !stop_plan_) {
+    return;
+  }
+  ending_ = true;
+  refusing_ = true;
+  StopListening();
+  for (const auto& exchange : exchanges_) {
+    exchange->ReadAll();
   }
+  const TimePoint now = MonotonicNow();
+  last_round_at_ = now + (stop_plan_->ends_at() - now) / 2;
+  EndOpenAfter(kLastRounds);
 }
 
 /// Posted handlers let the event loop look for input in between.
 void Proxy::EndOpenAfter(int rounds) {
-  if (rounds > 0) {
+  if (rounds > 0 && MonotonicNow() < last_round_at_) {
     asio::post(io_, [this, rounds] { EndOpenAfter(rounds - 1); });
-    return;
+  } else {
+    EndOpenNow();
   }
+}
+
+void Proxy::EndOpenNow() {
   const std::vector<std::shared_ptr<Exchange>> open(exchanges_.begin(),
                                                     exchanges_.end());
   for (const auto& exchange : open) {
--- a/tests/src/unit-entry-node-stop.cc
+++ b/tests/src/unit-entry-node-stop.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fakes/proxy_entry.h"
@@ -129,6 +130,25 @@
   CHECK(entry.AnswersWith("Retry-After") == kRequests - ran);
 }
 
+TEST_CASE("an event loop that stands still at the end leaves no answer out") {
+  StoppingEntry entry([](LoopbackPeer&, const std::string&) {});
+  constexpr std::size_t kRequests = 6;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    entry.Ask("/once/", std::to_string(i));
+  }
+  REQUIRE(
+      entry.RunUntil([&] { return entry.upstream.requests().size() == 4; }));
+  auto timer = std::make_shared<asio::steady_timer>(*entry.node_io);
+  timer->expires_after(kGrace - milliseconds(600));
+  timer->async_wait([timer](const asio::error_code&) {
+    std::this_thread::sleep_for(milliseconds(500));
+  });
+  timer.reset();
+  entry.Stop();
+  CHECK(entry.AnswersWith("HTTP/1.1 502") == entry.upstream.requests().size());
+  CHECK(entry.AnswersWith("HTTP/1.1 50") == kRequests);
+}
+
 TEST_CASE("an answer that comes shortly before the end is passed on") {
   std::vector<LoopbackPeer*> running;
   StoppingEntry entry([&](LoopbackPeer& peer, const std::string&) {
