--- a/tests/src/unit-http-kept-connections.cc
+++ b/tests/src/unit-http-kept-connections.cc
@@ -18,7 +18,6 @@
 
 using fakes::CountOf;
 using fakes::kRequest;
-using fakes::kTestLimit;
 using fakes::LoopbackPeer;
 using Caller = fakes::HttpCaller;
 using Site = fakes::HttpSite;
