Acknowledge a departure only when a majority of the disks hold it

Cause of what was left: the acknowledgement did not depend on the file. It went out after 500 ms whatever the disk did, and counted on the disk of the asked control VM alone, which may be lost right after.

Change: the control VM that is told asks the others (an instance push sent as a call; new answer DeparturesKept), and acknowledges when a majority of the wanted voters have it on disk and the entries heed it. Entries heed it at once as before.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -29,11 +29,13 @@
   /// Longest wait for the entries to run new routes before the operator's call
   /// is acknowledged.
   Duration routing_ack_timeout{std::chrono::milliseconds(800)};
-  /// Longest wait for the entries to acknowledge that an upstream leaves.
+  /// Longest wait for the entries to acknowledge that an upstream leaves, and
+  /// for enough disks to hold it.
   Duration leave_ack_timeout{std::chrono::milliseconds(500)};
   /// Waits ignore an entry whose last report is older.
   Duration entry_timeout{std::chrono::milliseconds(1500)};
-  /// With fewer voters, new routes are rejected for a grace period.
+  /// With fewer voters, new routes are rejected for a grace period. A majority
+  /// of them must hold a departure before it is acknowledged.
   std::size_t wanted_voters = 3;
   /// Folder in which it is kept which upstreams left; if empty, that is lost
   /// with the process.
@@ -73,8 +75,10 @@
   /// @brief Handles a registration or heartbeat of an upstream.
   /// @param done Called at once if the upstream is ready. Otherwise the
   /// upstream is leaving, and it is called when the connected entries have
-  /// acknowledged that and it is on the disk, at the latest after
+  /// acknowledged that and enough disks hold it, at the latest after
   /// leave_ack_timeout.
+  /// Errors: kOutcomeUnknown if too few disks hold it then. The entries heed it
+  /// all the same; the upstream has to tell it again.
   void Register(const membership::InstanceRecord& record, Done done);
 
   /// @brief Handles the deregistration of an upstream.
@@ -108,16 +112,26 @@
     TimePoint last_report_at;
   };
   struct Waiter {
+    std::uint64_t number = 0;
     TimePoint deadline;
     std::function<bool(const Entry&)> acknowledged;
     Done done;
-    /// Departures that must be on the disk.
+    /// Departures that must be on the own disk for it to count.
+    std::uint64_t departures = 0;
+    /// Disks that must hold them, and other control VMs whose disks do.
+    std::size_t wanted_disks = 0;
+    std::size_t other_disks = 0;
+  };
+  /// A control VM that waits until this one's disk holds the departures.
+  struct KeptQuestion {
+    adapter::ReplyHandle reply;
     std::uint64_t departures = 0;
   };
 
   void HandleReport(const adapter::InboundMessage& message,
                     const adapter::ReplyHandle& reply);
-  void HandleInstancePush(const adapter::InboundMessage& message);
+  void HandleInstancePush(const adapter::InboundMessage& message,
+                          const adapter::ReplyHandle& reply);
   void HandleInstanceBeats(const adapter::InboundMessage& message);
   void MarkLeaving(const std::vector<membership::InstanceStart>& told);
   void TakeLimits(const std::vector<UpstreamLimit>& told);
@@ -142,8 +156,13 @@
   void WaitForEntries(Duration timeout,
                       std::function<bool(const Entry&)> acknowledged,
                       Done done);
-  void WaitForDeparture(Done done);
+  void AddWaiter(Waiter waiter);
   void CheckWaiters();
+  std::size_t DisksOf(const Waiter& waiter) const;
+  Status ResultOf(const Waiter& waiter) const;
+  void KeepDeparture(const UpstreamId& id, Done done);
+  void TakeKept(std::uint64_t waiter, const protocol::Envelope& answer);
+  void AnswerKept(bool refused);
   void LoadDepartures();
   void CountDepartures(const std::vector<membership::InstanceRecord>& changes);
   void SaveDepartures(TimePoint now);
@@ -158,6 +177,8 @@
   membership::InstanceDirectory directory_;
   std::map<ProcessId, Entry> entries_;
   std::vector<Waiter> waiters_;
+  std::uint64_t last_waiter_ = 0;
+  std::vector<KeptQuestion> kept_questions_;
   std::vector<membership::InstanceBeat> pending_beats_;
   membership::CrashNews crash_news_;
   LimitShares limit_shares_;
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -61,6 +61,13 @@
   /// @brief Sends a one-way message to every connected control VM.
   void SendToAll(protocol::MessageKind kind, const std::string& body);
 
+  /// @brief Sends a message to every connected control VM and waits for the
+  /// answers.
+  /// @param on_answer Called with each answer that arrives in time.
+  void CallAll(protocol::MessageKind kind, const std::string& body,
+               Duration timeout,
+               std::function<void(const protocol::Envelope&)> on_answer);
+
   /// @brief Sends a one-way message to the control VM at an endpoint. It is
   /// dropped if that is not connected.
   void SendTo(const Endpoint& endpoint, protocol::MessageKind kind,
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -32,6 +32,7 @@
   kInstanceBeats = 44,
   kCrashesTold = 45,
   kLoadTold = 46,
+  kDeparturesKept = 47,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -111,6 +111,15 @@
   friend bool operator==(const InstancePush&, const InstancePush&) = default;
 };
 
+/// @brief Answer of a control VM to an InstancePush that was sent as a call:
+/// whether the upstreams that left, as far as it knows, are on its disk.
+struct DeparturesKept {
+  bool kept = false;
+
+  friend bool operator==(const DeparturesKept&,
+                         const DeparturesKept&) = default;
+};
+
 /// @brief Between control VMs: signs of life without news.
 struct InstanceBeats {
   std::vector<membership::InstanceBeat> beats;
@@ -212,6 +221,11 @@
   static auto Tie(auto& m) { return std::tie(m.number, m.records); }
 };
 
+template <>
+struct FieldsOf<DeparturesKept> {
+  static auto Tie(auto& m) { return std::tie(m.kept); }
+};
+
 template <>
 struct FieldsOf<InstanceBeats> {
   static auto Tie(auto& m) { return std::tie(m.beats); }
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -73,7 +73,7 @@
       HandleReport(message, reply);
       return true;
     case protocol::MessageKind::kInstancePush:
-      HandleInstancePush(message);
+      HandleInstancePush(message, reply);
       return true;
     case protocol::MessageKind::kInstanceBeats:
       HandleInstanceBeats(message);
@@ -262,7 +262,8 @@
       protocol::Encode(protocol::InstancePush{0, records}));
 }
 
-void RoutingHub::HandleInstancePush(const adapter::InboundMessage& message) {
+void RoutingHub::HandleInstancePush(const adapter::InboundMessage& message,
+                                    const adapter::ReplyHandle& reply) {
   const auto push =
       protocol::Decode<protocol::InstancePush>(message.envelope.body);
   if (!push) {
@@ -272,6 +273,10 @@
     directory_.Merge(record, MonotonicNow());
   }
   PushDirectoryChanges();
+  if (message.envelope.request != 0) {
+    kept_questions_.push_back({reply, departures_});
+    AnswerKept(/*refused=*/false);
+  }
 }
 
 void RoutingHub::HandleInstanceBeats(const adapter::InboundMessage& message) {
@@ -291,25 +296,25 @@
       directory_.Merge(record, MonotonicNow());
   if (change == InstanceDirectory::Change::kChanged) {
     PushDirectoryChanges();
+  }
+  if (record.state != InstanceState::kReady) {
+    KeepDeparture(record.id, std::move(done));
+    return;
+  }
+  if (change == InstanceDirectory::Change::kChanged) {
     SendRecordsToControls({record});
   } else if (change == InstanceDirectory::Change::kRefreshed) {
     pending_beats_.push_back({record.id, record.stamp});
   }
-  if (record.state == InstanceState::kReady) {
-    done(outcome::success());
-    return;
-  }
-  WaitForDeparture(std::move(done));
+  done(outcome::success());
 }
 
 void RoutingHub::Deregister(const UpstreamId& id,
                             std::optional<std::uint64_t> born, Done done) {
-  const auto record = directory_.Deregister(id, born, MonotonicNow());
-  if (record) {
+  if (directory_.Deregister(id, born, MonotonicNow())) {
     PushDirectoryChanges();
-    SendRecordsToControls({*record});
   }
-  WaitForDeparture(std::move(done));
+  KeepDeparture(id, std::move(done));
 }
 
 bool RoutingHub::HasEnoughVoters(TimePoint now) {
@@ -397,18 +402,25 @@
 void RoutingHub::WaitForEntries(Duration timeout,
                                 std::function<bool(const Entry&)> acknowledged,
                                 Done done) {
-  waiters_.push_back(
-      {MonotonicNow() + timeout, std::move(acknowledged), std::move(done), 0});
+  Waiter waiter;
+  waiter.deadline = MonotonicNow() + timeout;
+  waiter.acknowledged = std::move(acknowledged);
+  waiter.done = std::move(done);
+  AddWaiter(std::move(waiter));
+}
+
+void RoutingHub::AddWaiter(Waiter waiter) {
+  waiters_.push_back(std::move(waiter));
   CheckWaiters();
 }
 
 void RoutingHub::CheckWaiters() {
   const TimePoint now = MonotonicNow();
   const TimePoint silent = now - options_.entry_timeout;
-  std::vector<Done> ready;
+  std::vector<Waiter> ended;
   std::erase_if(waiters_, [&](Waiter& waiter) {
     const bool acknowledged =
-        waiter.departures <= departures_saved_ &&
+        DisksOf(waiter) >= waiter.wanted_disks &&
         std::all_of(entries_.begin(), entries_.end(), [&](const auto& item) {
           const Entry& entry = item.second;
           return entry.last_report_at < silent || !entry.handle.connected() ||
@@ -417,11 +429,11 @@
     if (!acknowledged && now < waiter.deadline) {
       return false;
     }
-    ready.push_back(std::move(waiter.done));
+    ended.push_back(std::move(waiter));
     return true;
   });
-  for (const Done& done : ready) {
-    done(outcome::success());
+  for (const Waiter& waiter : ended) {
+    waiter.done(ResultOf(waiter));
   }
 }
 
--- a/src/control/routing_hub_departures.cc
+++ b/src/control/routing_hub_departures.cc
@@ -52,22 +52,82 @@
   next_departure_save_ = now + (saved ? kSavePeriod : kSavePauseAfterError);
   if (saved) {
     departures_saved_ = departures_;
-    return;
+  } else {
+    events_({EventId::kDeparturesNotKept, {{"reason", saved.error().message}}});
   }
-  events_({EventId::kDeparturesNotKept, {{"reason", saved.error().message}}});
+  AnswerKept(/*refused=*/!saved);
 }
 
-/// Calls back once the entries and the disk know what was told last.
-void RoutingHub::WaitForDeparture(Done done) {
+/// Calls back once the entries know what is known of the upstream, and so many
+/// disks hold it that one of them remains after the losses to be tolerated.
+void RoutingHub::KeepDeparture(const UpstreamId& id, Done done) {
   Waiter waiter;
+  waiter.number = ++last_waiter_;
   waiter.deadline = MonotonicNow() + options_.leave_ack_timeout;
   waiter.acknowledged = [number = push_number_](const Entry& entry) {
     return entry.push_heeded >= number;
   };
-  waiter.departures = departure_store_ ? departures_ : 0;
   waiter.done = std::move(done);
-  waiters_.push_back(std::move(waiter));
+  const InstanceRecord* record = directory_.Find(id);
+  if (record != nullptr) {
+    waiter.departures = departures_;
+    waiter.wanted_disks = departure_store_ ? options_.wanted_voters / 2 + 1 : 0;
+    daemon_.voters().CallAll(
+        protocol::MessageKind::kInstancePush,
+        protocol::Encode(protocol::InstancePush{0, {*record}}),
+        options_.leave_ack_timeout,
+        [this, number = waiter.number](const protocol::Envelope& answer) {
+          TakeKept(number, answer);
+        });
+  }
+  AddWaiter(std::move(waiter));
+}
+
+void RoutingHub::TakeKept(std::uint64_t waiter,
+                          const protocol::Envelope& answer) {
+  const auto told = protocol::Decode<protocol::DeparturesKept>(answer.body);
+  if (!told || !told.value().kept) {
+    return;
+  }
+  for (Waiter& waiting : waiters_) {
+    waiting.other_disks += waiting.number == waiter ? 1 : 0;
+  }
   CheckWaiters();
 }
 
+/// Answers the control VMs whose question is decided: the disk holds what they
+/// told, or it refuses or there is none.
+void RoutingHub::AnswerKept(bool refused) {
+  std::erase_if(kept_questions_, [&](const KeptQuestion& question) {
+    const bool kept =
+        departure_store_ && question.departures <= departures_saved_;
+    if (!kept && !refused && departure_store_) {
+      return false;
+    }
+    question.reply.Reply(protocol::MessageKind::kDeparturesKept,
+                         protocol::Encode(protocol::DeparturesKept{kept}));
+    return true;
+  });
+}
+
+std::size_t RoutingHub::DisksOf(const Waiter& waiter) const {
+  const bool own = departure_store_ && waiter.departures <= departures_saved_;
+  return waiter.other_disks + (own ? 1 : 0);
+}
+
+/// A wait that ends without the entries is a success: those that don't answer
+/// are out of touch.
+Status RoutingHub::ResultOf(const Waiter& waiter) const {
+  const std::size_t disks = DisksOf(waiter);
+  if (disks >= waiter.wanted_disks) {
+    return outcome::success();
+  }
+  Error error =
+      MakeError(ErrorCode::kOutcomeUnknown,
+                "the departure is on " + std::to_string(disks) + " of " +
+                    std::to_string(waiter.wanted_disks) + " disks");
+  events_({EventId::kDeparturesNotKept, {{"reason", error.message}}});
+  return error;
+}
+
 }  // namespace rattanward::control
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -130,6 +130,22 @@
   }
 }
 
+void VoterDirectory::CallAll(
+    protocol::MessageKind kind, const std::string& body, Duration timeout,
+    std::function<void(const protocol::Envelope&)> on_answer) {
+  for (const auto& [endpoint, client] : clients_) {
+    protocol::Envelope envelope;
+    envelope.kind = kind;
+    envelope.body = body;
+    client->Call(std::move(envelope), timeout,
+                 [on_answer](const Result<protocol::Envelope>& answer) {
+                   if (answer) {
+                     on_answer(answer.value());
+                   }
+                 });
+  }
+}
+
 void VoterDirectory::SendTo(const Endpoint& endpoint,
                             protocol::MessageKind kind, std::string body) {
   const auto client = clients_.find(endpoint);
