Begin during a stop only what the caller's estimate lets end in time

Cause: the expected run time was a quantile over requests of about the same declared maximum, but the maximum is 3 to 480 times what is really sent, so lengths within a kind differ tenfold.

--- a/include/rattanward/proxy/dialect.h
+++ b/include/rattanward/proxy/dialect.h
@@ -24,6 +24,8 @@
   std::vector<policy::PromptPart> prompt;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  /// The caller's estimate; 0 if there is none.
+  std::uint32_t expected_output_tokens = 0;
   /// The caller has a stream's events up to here and wants the rest.
   bool resumes_stream = false;
   /// Attempt that brought the stream's first event; empty if it isn't named.
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -249,6 +249,7 @@
       const std::shared_ptr<http::ServerConnection>& caller,
       const RequestTraits& traits, http::ServerRequest request,
       const std::optional<RelayedRequest>& relayed);
+  static policy::AnswerLength LengthOf(const Exchange& exchange);
   bool MayEndInTime(const Exchange& exchange) const;
   Error StopError(const std::string& reason, Duration remaining) const;
   bool RefuseIfTooLate(Exchange& exchange) const;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -400,8 +400,7 @@
         exchange.answered_at() - exchange.routed().request.arrived);
     if (exchange.succeeded()) {
       run_times_.Record(exchange.routed().route->name,
-                        exchange.placement().service,
-                        exchange.placement().max_output_tokens,
+                        exchange.placement().service, LengthOf(exchange),
                         MonotonicNow() - exchange.sent_at(), MonotonicNow());
     }
   }
--- a/src/proxy/proxy_stop.cc
+++ b/src/proxy/proxy_stop.cc
@@ -20,6 +20,11 @@
 
 }  // namespace
 
+policy::AnswerLength Proxy::LengthOf(const Exchange& exchange) {
+  const RequestTraits& traits = exchange.routed().traits;
+  return {traits.max_output_tokens, traits.expected_output_tokens};
+}
+
 void Proxy::BeginShutdown(const policy::StopPlan& plan) {
   stop_plan_ = plan;
   RefuseTooLate();
@@ -41,10 +46,9 @@
     return true;
   }
   const TimePoint now = MonotonicNow();
-  const policy::PlacementRequest& placement = exchange.placement();
-  const auto expected =
-      run_times_.Expected(exchange.routed().route->name, placement.service,
-                          placement.max_output_tokens, now);
+  const auto expected = run_times_.Expected(exchange.routed().route->name,
+                                            exchange.placement().service,
+                                            LengthOf(exchange), now);
   return stop_plan_->MayBegin(now, expected, exchange.deadline());
 }
 
--- a/tests/src/unit-platform.cc
+++ b/tests/src/unit-platform.cc
@@ -211,10 +211,25 @@
   CHECK(traits.deadline == std::chrono::seconds(8));
   CHECK(traits.prompt_tokens == 1460);
   CHECK(traits.max_output_tokens == 80);
+  CHECK(traits.expected_output_tokens == 0);
   REQUIRE(traits.prompt.size() == 3);
   CHECK(traits.prompt[2] == policy::PromptPart{0xe4402b7d, 250});
 }
 
+TEST_CASE("the caller's estimate of the length is optional") {
+  const auto estimate = [](const char* text) {
+    http::RequestHead head;
+    head.fields.Add("X-Length-Hint", text);
+    return PlatformDialect().ReadRequest(head).expected_output_tokens;
+  };
+  CHECK(estimate("120") == 120);
+  CHECK(estimate(" 120 ") == 120);
+  CHECK(estimate("") == 0);
+  CHECK(estimate("-1") == 0);
+  CHECK(estimate("many") == 0);
+  CHECK(estimate("99999999999") == 0);
+}
+
 TEST_CASE("a deadline of any size is a valid time from now on") {
   for (const char* text :
        {"86400001", "9223372036854775", "9223372036854775807"}) {
