Refuse a request whose key moved to another account while it waited

What callers saw: a request that waited at an entry while a new configuration gave its key to another account was sent for the old account.

Cause: right before the send only the key was looked up, not whose it is.

Change: the account is compared; if it is another one, 503 with Retry-After, not run.

--- a/src/proxy/proxy_requests.cc
+++ b/src/proxy/proxy_requests.cc
@@ -16,13 +16,20 @@
 constexpr Duration kDefaultRetryAfter{std::chrono::milliseconds(250)};
 /// Control usually elects a leader within about this time.
 constexpr Duration kNoRoutesRetryAfter{std::chrono::milliseconds(1500)};
+/// Every entry has the new routes within this time.
+constexpr Duration kMovedKeyRetryAfter{std::chrono::milliseconds(250)};
 constexpr Duration kDefaultDeadline{std::chrono::seconds(10)};
 
+/// Empty without an account.
+ClientAccountId AccountOf(const RoutedAccount* account) {
+  return account == nullptr ? ClientAccountId() : account->id;
+}
+
 std::uint64_t Fingerprint(const http::ServerRequest& request,
                           const RoutedAccount* account) {
   std::string text = request.head.target;
   text += '\n';
-  text += account == nullptr ? std::string() : account->id.str();
+  text += AccountOf(account).str();
   text += '\n';
   text += *request.body;
   return XXH3_64bits(text.data(), text.size());
@@ -157,10 +164,19 @@
   // The routing table, and with it the keys, may have changed while the request
   // was queued.
   const RoutedRequest& routed = exchange.routed();
-  if (routed.table != table_ &&
-      !table_->IsAllowed(*routed.route, routed.traits.key)) {
+  if (routed.table == table_) {
+    return outcome::success();
+  }
+  if (!table_->IsAllowed(*routed.route, routed.traits.key)) {
     return DenialError(ErrorCode::kUnknownKey, "unknown key");
   }
+  if (AccountOf(routed.account) !=
+      AccountOf(table_->FindAccount(routed.traits.key))) {
+    Error error = MakeError(ErrorCode::kNoConfiguration,
+                            "the key belongs to another account now");
+    error.retry_after = kMovedKeyRetryAfter;
+    return error;
+  }
   return outcome::success();
 }
 
--- a/tests/src/unit-departures.cc
+++ b/tests/src/unit-departures.cc
@@ -216,6 +216,8 @@
 
 }  // namespace
 
+// Guards against requests to an upstream that left, after its departure was
+// forgotten (review case 4).
 TEST_CASE("a late heartbeat brings nothing back after all processes restart") {
   const fakes::TemporaryFolder folder;
   {
--- a/tests/src/unit-entry-node-stop.cc
+++ b/tests/src/unit-entry-node-stop.cc
@@ -115,6 +115,8 @@
 
 }  // namespace
 
+// Guards against requests that a stopping entry drops unanswered (review case
+// 1).
 TEST_CASE("no request is left without an answer when the grace time ends") {
   StoppingEntry entry([](LoopbackPeer&, const std::string&) {});
   constexpr std::size_t kRequests = 12;
--- a/tests/src/unit-proxy.cc
+++ b/tests/src/unit-proxy.cc
@@ -85,6 +85,8 @@
   CHECK(Contains(later->received(), "Retry-After:"));
 }
 
+// Guards against proper requests that are denied under a configuration without
+// accounts (review case 5).
 TEST_CASE("a request without a key is served once no keys are needed") {
   ProxyEntry entry;
   entry.AddUpstream([](LoopbackPeer& peer, const std::string&) {
--- a/tests/src/unit-routing-change.cc
+++ b/tests/src/unit-routing-change.cc
@@ -158,6 +158,23 @@
   CHECK(Contains(waiting->received(), "Retry-After: "));
 }
 
+// Guards against a request that runs for an account that no longer has its key.
+TEST_CASE("a request that waits while its key moves to another account") {
+  ChangingEntry changing;
+  const auto waiting = changing.AskUntilWaiting("/once/");
+  const std::size_t before = changing.running.size();
+  changing.Put([](RoutingDeclaration& declaration) {
+    declaration.accounts = {{ClientAccountId("b"), {"k"}, std::nullopt}};
+  });
+  for (std::size_t i = 0; i < before; ++i) {
+    changing.running[i]->Send(MakeResponse("w" + std::to_string(i), "served"));
+  }
+  CHECK(Receives(changing.entry, waiting, "\r\n\r\n"));
+  CHECK(Contains(waiting->received(), "HTTP/1.1 503"));
+  CHECK(Contains(waiting->received(), "Retry-After: "));
+  CHECK(changing.running.size() == before);
+}
+
 TEST_CASE(
     "what waits is served after a change that keeps its service and key") {
   for (const NamedChange& change : Changes()) {
