Push the whole directory on each new connection of an entry

What callers would see: requests sent to an upstream that left, by an entry that wasn't told; after a quick reboot of its VM, an entry without routes for up to 10 s.

Cause: control took a report on a new connection for a continuation while its end of the old one was still held, though what had been pushed into that one may be lost; a later push that was heeded then counted for all before. Reports with a lower incarnation (time since the boot) were ignored until the entry was forgotten.

Change: connections are compared. A new one gets the directory again, and what it heeds counts anew. An older report is ignored only while the connection of the newer one is held.

Evidence: unit-entry-reports, new: 2 of 2 cases fail on the code before (no directory on the second connection; not heard within 5 s), 2 of 2 pass now, five times.

--- a/include/rattanward/adapter/message_transport.h
+++ b/include/rattanward/adapter/message_transport.h
@@ -77,6 +77,12 @@
   /// @brief Whether the connection is still held.
   bool connected() const { return !connection_.expired(); }
 
+  /// @brief Whether both messages came on the same connection.
+  bool SharesConnection(const ReplyHandle& other) const {
+    return !connection_.owner_before(other.connection_) &&
+           !other.connection_.owner_before(connection_);
+  }
+
  private:
   void SendEnvelope(protocol::Envelope envelope) const;
 
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -95,11 +95,14 @@
   }
   const protocol::EntryReport& report = decoded.value();
   Entry& entry = entries_[report.process];
-  if (std::tie(report.incarnation, report.sequence) <
-      std::tie(entry.incarnation, entry.sequence)) {
+  const bool new_connection = !entry.handle.SharesConnection(reply);
+  const bool older = std::tie(report.incarnation, report.sequence) <
+                     std::tie(entry.incarnation, entry.sequence);
+  if (new_connection && entry.handle.connected() && older) {
     return;  // Out of order: an older report from another connection.
   }
-  if (!entry.handle.connected() || entry.incarnation != report.incarnation) {
+  if (new_connection) {
+    // What was pushed into the connection before may be lost.
     entry.routing_pushes = PushPlan();
     entry.directory_sent = false;
     entry.push_heeded = 0;
--- /dev/null
+++ b/tests/src/unit-entry-reports.cc
@@ -0,0 +1,164 @@
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakes/temporary_folder.h"
+#include "rattanward/adapter/file_log_storage.h"
+#include "rattanward/control/routing_hub.h"
+
+namespace rattanward::control {
+namespace {
+
+/// A control VM on its own that knows one upstream.
+class ReportedControl {
+ public:
+  ReportedControl()
+      : endpoint_(FreeEndpoint()),
+        daemon_(io_, Settings(), "secret",
+                adapter::FileLogStorage::Open(folder_.path() + "/log").value(),
+                [](const Event&) {}),
+        hub_(daemon_, Options(), [](const Event&) {}) {
+    REQUIRE(daemon_.Start());
+    hub_.Start();
+    membership::InstanceRecord upstream;
+    upstream.id = UpstreamId("u");
+    upstream.stamp = {1, 1};
+    upstream.service = ServiceName("s");
+    hub_.Register(upstream, [](const Status&) {});
+  }
+  ~ReportedControl() {
+    daemon_.Stop();
+    io_.run_for(std::chrono::milliseconds(50));
+  }
+  ReportedControl(const ReportedControl&) = delete;
+  ReportedControl& operator=(const ReportedControl&) = delete;
+
+  asio::io_context& io() { return io_; }
+  const Endpoint& endpoint() const { return endpoint_; }
+
+  template <class Done>
+  bool RunUntil(Done done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      io_.restart();
+      io_.run_for(std::chrono::milliseconds(5));
+    }
+    return done();
+  }
+
+ private:
+  Endpoint FreeEndpoint() {
+    const asio::ip::tcp::acceptor taken(
+        io_, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    return {"127.0.0.1", taken.local_endpoint().port()};
+  }
+  /// The upstream doesn't become silent, which would be pushed, too.
+  static RoutingHubOptions Options() {
+    RoutingHubOptions options;
+    options.heartbeat = std::chrono::minutes(1);
+    return options;
+  }
+  adapter::ControlSettings Settings() {
+    adapter::ControlSettings settings;
+    settings.data_folder = folder_.path() + "/log";
+    settings.peer_listen = endpoint_;
+    return settings;
+  }
+
+  fakes::TemporaryFolder folder_;
+  asio::io_context io_;
+  Endpoint endpoint_;
+  ControlDaemon daemon_;
+  RoutingHub hub_;
+};
+
+/// One connection of an entry, and what control pushed into it.
+class EntryConnection {
+ public:
+  explicit EntryConnection(ReportedControl& control)
+      : client_(
+            control.io(), Options(), control.endpoint(),
+            [this](const protocol::Envelope& envelope) {
+              directories +=
+                  envelope.kind == protocol::MessageKind::kInstancePush;
+            },
+            [this](const ProcessId&) { connected = true; }) {
+    client_.Start();
+    REQUIRE(control.RunUntil([this] { return connected; }));
+  }
+  ~EntryConnection() { client_.Stop(); }
+  EntryConnection(const EntryConnection&) = delete;
+  EntryConnection& operator=(const EntryConnection&) = delete;
+
+  void Report(std::uint64_t incarnation, std::uint64_t sequence) {
+    protocol::EntryReport report;
+    report.process = ProcessId("entry");
+    report.incarnation = incarnation;
+    report.sequence = sequence;
+    protocol::Envelope envelope;
+    envelope.kind = protocol::MessageKind::kEntryReport;
+    envelope.body = protocol::Encode(report);
+    client_.Call(std::move(envelope), std::chrono::seconds(5),
+                 [this](const Result<protocol::Envelope>& answer) {
+                   answers += answer ? 1 : 0;
+                 });
+  }
+  bool connected = false;
+  int directories = 0;
+  int answers = 0;
+
+ private:
+  static adapter::TransportOptions Options() {
+    adapter::TransportOptions options;
+    options.self = ProcessId("entry");
+    options.secret = "secret";
+    return options;
+  }
+
+  adapter::PeerClient client_;
+};
+
+}  // namespace
+
+// Guards against an entry that misses that an upstream left: it was told into a
+// connection that had gone silent, of which control's end was still open.
+TEST_CASE("an entry gets the whole directory on each of its connections") {
+  ReportedControl control;
+  EntryConnection before(control);
+  before.Report(7, 1);
+  REQUIRE(control.RunUntil([&] { return before.directories == 1; }));
+  EntryConnection after(control);
+  after.Report(7, 2);
+  CHECK(control.RunUntil([&] { return after.directories == 1; }));
+  SUBCASE("an older report on the connection before changes nothing") {
+    before.Report(7, 1);
+    after.Report(7, 3);
+    CHECK(control.RunUntil([&] { return after.answers == 2; }));
+    CHECK(before.answers == 1);
+    CHECK(after.directories == 1);
+  }
+}
+
+// Guards against an entry that control ignores for ten seconds after a reboot
+// of its VM, since its incarnation is the time since the boot.
+TEST_CASE("an entry is heard at once after a quick reboot") {
+  ReportedControl control;
+  {
+    EntryConnection before(control);
+    before.Report(9'000'000, 50);
+    REQUIRE(control.RunUntil([&] { return before.answers == 1; }));
+  }
+  EntryConnection after(control);
+  std::uint64_t sequence = 0;
+  CHECK(control.RunUntil([&] {
+    after.Report(5'000, ++sequence);
+    return after.directories == 1;
+  }));
+}
+
+}  // namespace rattanward::control
