--- a/tests/src/unit-departures.cc
+++ b/tests/src/unit-departures.cc
@@ -65,6 +65,18 @@
       hub_.Deregister(UpstreamId(id), kBorn, std::move(done));
     });
   }
+  /// An entry reports that the upstream told in an answer that it leaves.
+  void ReportLeaving(const std::string& id) {
+    protocol::EntryReport report;
+    report.process = ProcessId("entry");
+    report.leaving = {{UpstreamId(id), kBorn}};
+    protocol::Envelope envelope;
+    envelope.kind = protocol::MessageKind::kEntryReport;
+    envelope.body = protocol::Encode(report);
+    hub_.HandleMessage({report.process, std::move(envelope)}, {});
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(400));
+  }
   InstanceState StateOf(const std::string& id) const {
     return hub_.directory().Find(UpstreamId(id))->state;
   }
@@ -243,6 +255,20 @@
   }
 }
 
+// Guards against the same where no heartbeat said that the upstream leaves.
+TEST_CASE("what an answer told of a leaving upstream survives all restarts") {
+  const fakes::TemporaryFolder folder;
+  {
+    LoneControl control(folder.path());
+    CHECK(control.Register(Heartbeat("i1", 4)));
+    control.ReportLeaving("i1");
+    CHECK(control.StateOf("i1") == InstanceState::kDraining);
+  }
+  LoneControl restarted(folder.path());
+  CHECK(restarted.Register(Heartbeat("i1", 5)));
+  CHECK(restarted.StateOf("i1") == InstanceState::kDraining);
+}
+
 TEST_CASE("a damaged file of departures is told, and replaced by the next") {
   const fakes::TemporaryFolder folder;
   REQUIRE(adapter::WriteFile(folder.path() + "/departures", "not a record"));
