--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -66,7 +66,7 @@
   /// @param on_answer Called with each answer that arrives in time.
   void CallAll(protocol::MessageKind kind, const std::string& body,
                Duration timeout,
-               std::function<void(const protocol::Envelope&)> on_answer);
+               const std::function<void(const protocol::Envelope&)>& on_answer);
 
   /// @brief Sends a one-way message to the control VM at an endpoint. It is
   /// dropped if that is not connected.
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -132,7 +132,7 @@
 
 void VoterDirectory::CallAll(
     protocol::MessageKind kind, const std::string& body, Duration timeout,
-    std::function<void(const protocol::Envelope&)> on_answer) {
+    const std::function<void(const protocol::Envelope&)>& on_answer) {
   for (const auto& [endpoint, client] : clients_) {
     protocol::Envelope envelope;
     envelope.kind = kind;
--- a/tests/src/unit-departures.cc
+++ b/tests/src/unit-departures.cc
@@ -100,7 +100,7 @@
   template <class Call>
   bool Acknowledges(Call call) {
     std::optional<bool> acknowledged;
-    call([&](const Status& status) { acknowledged = bool(status); });
+    call([&](const Status& status) { acknowledged = status.has_value(); });
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
     while (!acknowledged && std::chrono::steady_clock::now() < end) {
       io_.restart();
@@ -156,14 +156,15 @@
   /// Whether it was acknowledged.
   bool Register(std::size_t at, const InstanceRecord& record) {
     std::optional<bool> acknowledged;
-    hubs_[at]->Register(
-        record, [&](const Status& status) { acknowledged = bool(status); });
+    hubs_[at]->Register(record, [&](const Status& status) {
+      acknowledged = status.has_value();
+    });
     return RunUntil([&] { return acknowledged.has_value(); }) && *acknowledged;
   }
   bool Deregister(std::size_t at, const std::string& id) {
     std::optional<bool> acknowledged;
     hubs_[at]->Deregister(UpstreamId(id), kBorn, [&](const Status& status) {
-      acknowledged = bool(status);
+      acknowledged = status.has_value();
     });
     return RunUntil([&] { return acknowledged.has_value(); }) && *acknowledged;
   }
