--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -139,6 +139,13 @@
     std::size_t wanted_disks = 0;
     std::size_t other_disks = 0;
   };
+  /// Declarations of routes since the start, and how they were answered.
+  struct DeclarationCounts {
+    std::uint64_t received = 0;
+    std::uint64_t accepted = 0;
+    std::uint64_t sent_on = 0;
+    std::uint64_t refused = 0;
+  };
   /// A control VM that waits until this one's disk holds the departures.
   struct KeptQuestion {
     adapter::ReplyHandle reply;
@@ -184,6 +191,10 @@
   void CountDepartures(const std::vector<membership::InstanceRecord>& changes);
   void SaveDepartures(TimePoint now);
   void Tick(TimePoint now);
+  void Propose(ConfigVersion version, std::string text, Done done);
+  void CountAnswer(const Status& status);
+  void LogAnswer(ConfigVersion version, TimePoint received,
+                 const Status& status);
   void AfterCommit(ConfigVersion version, const Done& done);
   bool HasEnoughVoters(TimePoint now);
 
@@ -210,6 +221,7 @@
   TimePoint next_full_push_;
   TimePoint next_maintenance_;
   TimePoint too_few_voters_since_;
+  DeclarationCounts declarations_;
 };
 
 }  // namespace rattanward::control
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -85,6 +85,8 @@
   kScalingUnanswered = 4022,
   kScalingPlanned = 4023,
   kScalingShort = 4024,
+  kDeclarationReceived = 4025,
+  kDeclarationAnswered = 4026,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -26,9 +26,6 @@
 constexpr int kMaxMissedBeats = 4;
 /// Time for which a gone or silent upstream stays in the directory.
 constexpr Duration kInstanceRetention{std::chrono::seconds(60)};
-/// Time for which new routes are rejected while there are too few voters.
-/// Afterwards they are accepted anyway.
-constexpr Duration kTooFewVotersGracePeriod{std::chrono::seconds(20)};
 /// An entry whose last report is older is removed.
 constexpr Duration kEntryRetention{std::chrono::seconds(10)};
 /// Up to this number of entries, every entry communicates with every other.
@@ -327,86 +324,6 @@
   KeepDeparture(id, std::move(done));
 }
 
-bool RoutingHub::HasEnoughVoters(TimePoint now) {
-  const consensus::Node& node = daemon_.replica().node();
-  if (consensus::VoterCount(node.membership()) >= options_.wanted_voters &&
-      node.membership_committed()) {
-    too_few_voters_since_ = TimePoint();
-    return true;
-  }
-  if (too_few_voters_since_ == TimePoint()) {
-    too_few_voters_since_ = now;
-  }
-  return now - too_few_voters_since_ > kTooFewVotersGracePeriod;
-}
-
-void RoutingHub::Declare(ConfigVersion version, std::string text, Done done) {
-  if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().leader();
-    const bool other = !leader.empty() && leader != daemon_.replica().id();
-    done(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
-                   "this control VM is not a confirmed leader"));
-    return;
-  }
-  if (!HasEnoughVoters(MonotonicNow())) {
-    done(MakeError(ErrorCode::kNoQuorum,
-                   "fewer voters than required, or a membership change is not "
-                   "committed yet"));
-    return;
-  }
-  if (daemon_.replica().ledger().routing().version >= version) {
-    // Already committed. The read confirms that this state is current.
-    daemon_.replica().Read(
-        [this, version, done = std::move(done)](const Status& status) {
-          if (status) {
-            AfterCommit(version, done);
-          } else {
-            done(status);
-          }
-        });
-    return;
-  }
-  daemon_.replica().Propose(ledger::RoutingDeclare{version, std::move(text)},
-                            [this, version, done = std::move(done)](
-                                const Result<ledger::Outcome>& outcome) {
-                              if (!outcome) {
-                                done(outcome.error());
-                                return;
-                              }
-                              AfterCommit(version, done);
-                            });
-}
-
-void RoutingHub::AfterCommit(ConfigVersion version, const Done& done) {
-  PushRouting();
-  WaitForEntries(
-      options_.routing_ack_timeout,
-      [version](const Entry& entry) { return entry.routing >= version; },
-      [this, version, done](const Status& status) {
-        events_({EventId::kConfigAccepted,
-                 {{"routes", std::to_string(version.value)}}});
-        done(status);
-      });
-}
-
-void RoutingHub::ReadNewest(RoutingCallback callback) {
-  if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().leader();
-    const bool other = !leader.empty() && leader != daemon_.replica().id();
-    callback(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
-                       "this control VM is not a confirmed leader"));
-    return;
-  }
-  daemon_.replica().Read(
-      [this, callback = std::move(callback)](const Status& status) {
-        if (!status) {
-          callback(status.error());
-          return;
-        }
-        callback(daemon_.replica().ledger().routing());
-      });
-}
-
 void RoutingHub::OnStateChange() { PushRouting(); }
 
 void RoutingHub::WaitForEntries(Duration timeout,
@@ -462,6 +379,10 @@
   add("upstreams", directory_.size());
   add("pushes_total", push_number_);
   add("acknowledgements_waiting", waiters_.size());
+  add("declarations_received_total", declarations_.received);
+  add("declarations_accepted_total", declarations_.accepted);
+  add("declarations_sent_on_total", declarations_.sent_on);
+  add("declarations_refused_total", declarations_.refused);
   add("storage_suspended", daemon_.replica().suspended() ? 1 : 0);
   add("crashes_known", crash_news_.witnesses());
   add("prompt_parts_suspected", crash_news_.suspected_parts());
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -76,6 +76,8 @@
     {EventId::kScalingUnanswered, "scaling-unanswered"},
     {EventId::kScalingPlanned, "scaling-planned"},
     {EventId::kScalingShort, "scaling-short"},
+    {EventId::kDeclarationReceived, "declaration-received"},
+    {EventId::kDeclarationAnswered, "declaration-answered"},
     {EventId::kSnapshotWritten, "snapshot-written"},
     {EventId::kTornTailCut, "torn-tail-cut"},
     {EventId::kDamagedRecordFound, "damaged-record-found"},
