Hold an order until it can be committed, and pass it on to the leader

What callers saw: an order to a control VM that doesn't lead was answered with the address of the leader that it last heard of. If that one had just frozen or died, the operator lost a second there and a back-off, which doubles; between two leaders, or while a change of members was under way, each attempt was refused at once and the back-off grew as well. Cause: each control VM answered by what it knew at that moment, where a short wait would have known more, and left the way to the leader to the caller. Class: an answer that is given too early, by stale knowledge. Change: DeclarationDesk holds an order for 850 ms at most while a leader is elected or voters are missing, passes it on to the leader by a call between control VMs, and to the next leader if that one changes; NextStep decides, without a network. A control VM that hears of no leader for a second refuses at once, as before. Why it works: an order is idempotent by its version, so it may be asked of two leaders. The time lost at the frozen VM itself is not mended by this.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -11,6 +11,7 @@
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/control/control_daemon.h"
+#include "rattanward/control/declaration_desk.h"
 #include "rattanward/control/departure_store.h"
 #include "rattanward/control/limit_shares.h"
 #include "rattanward/control/push_plan.h"
@@ -67,14 +68,13 @@
   /// @brief Registers the hub as the daemon's extension and starts its timer.
   void Start();
 
-  /// @brief Commits routes and waits until the connected entries run them, at
-  /// most for routing_ack_timeout.
-  /// @param version Version that the operator assigned. Routes that are not
-  /// newer than the committed ones change nothing.
-  /// @param text The routes.
+  /// @brief Commits routes, here or at the leader, and waits until the
+  /// connected entries run them, at most for routing_ack_timeout.
+  /// @param declaration Routes that are not newer than the committed ones
+  /// change nothing.
   /// @param done Called with success also if the wait timed out.
-  /// Errors: kNotLeader, kNoQuorum, kOutcomeUnknown.
-  void Declare(ConfigVersion version, std::string text, Done done);
+  /// Errors: as DeclarationDesk::Take().
+  void Declare(Declaration declaration, Done done);
 
   /// @brief Reads the newest routes; linearizable.
   /// Errors: kNotLeader, kNoQuorum.
@@ -191,7 +191,14 @@
   void CountDepartures(const std::vector<membership::InstanceRecord>& changes);
   void SaveDepartures(TimePoint now);
   void Tick(TimePoint now);
-  void Propose(ConfigVersion version, std::string text, Done done);
+  void TakeDeclaration(Declaration declaration, DeclarationSource source,
+                       const std::string& from, Done done);
+  void HandleDeclaration(const adapter::InboundMessage& message,
+                         const adapter::ReplyHandle& reply);
+  DeclarationHooks MakeDeclarationHooks();
+  LeaderView ViewLeader(TimePoint now);
+  void PassOn(const VoterId& leader, const Declaration& declaration, Done done);
+  void Commit(const Declaration& declaration, Done done);
   void CountAnswer(const Status& status);
   void LogAnswer(ConfigVersion version, TimePoint received,
                  const Status& status);
@@ -221,7 +228,9 @@
   TimePoint next_full_push_;
   TimePoint next_maintenance_;
   TimePoint too_few_voters_since_;
+  DeclarationDesk declaration_desk_;
   DeclarationCounts declarations_;
+  TimePoint leader_known_at_;
 };
 
 }  // namespace rattanward::control
--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -68,6 +68,11 @@
                Duration timeout,
                const std::function<void(const protocol::Envelope&)>& on_answer);
 
+  /// @brief Sends a message to a voter and waits for its answer.
+  /// Errors: as PeerClient::Call(); kDisconnected if the voter is unknown.
+  void Call(const VoterId& voter, protocol::MessageKind kind, std::string body,
+            Duration timeout, adapter::PeerClient::CallCallback callback);
+
   /// @brief Sends a one-way message to the control VM at an endpoint. It is
   /// dropped if that is not connected.
   void SendTo(const Endpoint& endpoint, protocol::MessageKind kind,
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -33,6 +33,8 @@
   kCrashesTold = 45,
   kLoadTold = 46,
   kDeparturesKept = 47,
+  kRoutesDeclare = 48,
+  kRoutesDeclared = 49,
 };
 
 /// @brief Entry to every control VM, once a heartbeat.
@@ -129,6 +131,8 @@
   /// Number of kinds of log commands that it can read; 0 from a build that
   /// doesn't tell.
   std::uint32_t command_kinds = 0;
+  /// Whether it takes RoutesDeclare from other control VMs.
+  bool takes_declarations = false;
 
   friend bool operator==(const VoterHello&, const VoterHello&) = default;
 };
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -133,6 +133,24 @@
   friend bool operator==(const RoutingPush&, const RoutingPush&) = default;
 };
 
+/// @brief Control VM to the leader, as a call: the operator's routes.
+struct RoutesDeclare {
+  ConfigVersion version;
+  std::string text;
+
+  friend bool operator==(const RoutesDeclare&, const RoutesDeclare&) = default;
+};
+
+/// @brief Answer to RoutesDeclare, once the routes are acknowledged or refused.
+struct RoutesDeclared {
+  /// 0 is success; else the ErrorCode.
+  int error = 0;
+  std::string message;
+
+  friend bool operator==(const RoutesDeclared&,
+                         const RoutesDeclared&) = default;
+};
+
 /// @brief Changed records, to entries and between control VMs.
 struct InstancePush {
   /// Grows with each push of the sender; 0 where none is awaited.
@@ -248,6 +266,16 @@
   }
 };
 
+template <>
+struct FieldsOf<RoutesDeclare> {
+  static auto Tie(auto& m) { return std::tie(m.version, m.text); }
+};
+
+template <>
+struct FieldsOf<RoutesDeclared> {
+  static auto Tie(auto& m) { return std::tie(m.error, m.message); }
+};
+
 template <>
 struct FieldsOf<membership::InstanceStamp> {
   static auto Tie(auto& m) { return std::tie(m.born, m.sequence); }
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -137,6 +137,7 @@
   hello.peer_endpoint = settings_.peer_listen;
   hello.operator_endpoint = settings_.operator_listen;
   hello.command_kinds = ledger::kCommandKinds;
+  hello.takes_declarations = extension_ != nullptr;
   if (!replica_.blank()) {
     hello.membership =
         consensus::EncodeMembership(replica_.node().membership());
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -45,7 +45,9 @@
     : daemon_(daemon),
       options_(std::move(options)),
       events_(std::move(events)),
-      started_at_(MonotonicNow()) {
+      started_at_(MonotonicNow()),
+      declaration_desk_(MakeDeclarationHooks()),
+      leader_known_at_(started_at_) {
   if (!options_.data_folder.empty()) {
     departure_store_.emplace(options_.data_folder);
   }
@@ -78,6 +80,9 @@
     case protocol::MessageKind::kCrashesTold:
       HandleCrashes(message);
       return true;
+    case protocol::MessageKind::kRoutesDeclare:
+      HandleDeclaration(message, reply);
+      return true;
     default:
       return false;
   }
@@ -397,6 +402,8 @@
                                    std::exchange(pending_beats_, {})}));
   }
   SaveDepartures(now);
+  ViewLeader(now);
+  declaration_desk_.Check(now);
   CheckWaiters();
   PushRouting();
   if (now >= next_maintenance_) {
--- a/src/control/routing_hub_declare.cc
+++ b/src/control/routing_hub_declare.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "rattanward/control/routing_hub.h"
+#include "rattanward/protocol/message_fields.h"
 
 namespace rattanward::control {
 namespace {
@@ -13,6 +14,22 @@
 /// Afterwards they are accepted anyway.
 constexpr Duration kTooFewVotersGracePeriod{std::chrono::seconds(20)};
 
+/// Shorter than operators wait for an answer, longer than a leader waits for
+/// the entries.
+constexpr Duration kPassOnTimeout{std::chrono::milliseconds(950)};
+
+Status ToStatus(const protocol::Envelope& envelope) {
+  const auto answer = protocol::Decode<protocol::RoutesDeclared>(envelope.body);
+  if (!answer) {
+    return answer.error();
+  }
+  if (answer.value().error == 0) {
+    return outcome::success();
+  }
+  return MakeError(static_cast<ErrorCode>(answer.value().error),
+                   answer.value().message);
+}
+
 std::string Milliseconds(Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -33,18 +50,90 @@
   return now - too_few_voters_since_ > kTooFewVotersGracePeriod;
 }
 
-void RoutingHub::Declare(ConfigVersion version, std::string text, Done done) {
+void RoutingHub::Declare(Declaration declaration, Done done) {
+  TakeDeclaration(std::move(declaration), DeclarationSource::kOperator,
+                  "operator", std::move(done));
+}
+
+void RoutingHub::HandleDeclaration(const adapter::InboundMessage& message,
+                                   const adapter::ReplyHandle& reply) {
+  auto declared =
+      protocol::Decode<protocol::RoutesDeclare>(message.envelope.body);
+  if (!declared) {
+    return;
+  }
+  TakeDeclaration({declared.value().version, std::move(declared.value().text)},
+                  DeclarationSource::kControlVm, message.from.str(),
+                  [reply](const Status& status) {
+                    protocol::RoutesDeclared answer;
+                    if (!status) {
+                      answer.error = static_cast<int>(status.error().code);
+                      answer.message = status.error().message;
+                    }
+                    reply.Reply(protocol::MessageKind::kRoutesDeclared,
+                                protocol::Encode(answer));
+                  });
+}
+
+void RoutingHub::TakeDeclaration(Declaration declaration,
+                                 DeclarationSource source,
+                                 const std::string& from, Done done) {
+  const ConfigVersion version = declaration.version;
+  const TimePoint received = MonotonicNow();
   ++declarations_.received;
   events_({EventId::kDeclarationReceived,
            {{"routes", std::to_string(version.value)},
-            {"bytes", std::to_string(text.size())}}});
-  Propose(version, std::move(text),
-          [this, version, received = MonotonicNow(),
-           done = std::move(done)](const Status& status) {
-            CountAnswer(status);
-            LogAnswer(version, received, status);
-            done(status);
-          });
+            {"bytes", std::to_string(declaration.text.size())},
+            {"from", from}}});
+  declaration_desk_.Take(
+      std::move(declaration), source, received,
+      [this, version, received, done = std::move(done)](const Status& status) {
+        CountAnswer(status);
+        LogAnswer(version, received, status);
+        done(status);
+      });
+}
+
+DeclarationHooks RoutingHub::MakeDeclarationHooks() {
+  DeclarationHooks hooks;
+  hooks.view = [this](TimePoint now) { return ViewLeader(now); };
+  hooks.commit = [this](const Declaration& declaration, Done done) {
+    Commit(declaration, std::move(done));
+  };
+  hooks.pass_on = [this](const VoterId& leader, const Declaration& declaration,
+                         Done done) {
+    PassOn(leader, declaration, std::move(done));
+  };
+  return hooks;
+}
+
+LeaderView RoutingHub::ViewLeader(TimePoint now) {
+  const Replica& replica = daemon_.replica();
+  LeaderView view;
+  view.leads = replica.ConfirmedLeader();
+  view.has_enough_voters = view.leads && HasEnoughVoters(now);
+  if (replica.leader() != replica.id()) {
+    view.other_leader = replica.leader();
+  }
+  if (view.leads || !view.other_leader.empty()) {
+    leader_known_at_ = now;
+  }
+  view.leaderless = now - leader_known_at_;
+  const protocol::VoterHello* hello = daemon_.voters().Find(view.other_leader);
+  view.other_takes = hello != nullptr && hello->takes_declarations;
+  return view;
+}
+
+void RoutingHub::PassOn(const VoterId& leader, const Declaration& declaration,
+                        Done done) {
+  daemon_.voters().Call(
+      leader, protocol::MessageKind::kRoutesDeclare,
+      protocol::Encode(
+          protocol::RoutesDeclare{declaration.version, declaration.text}),
+      kPassOnTimeout,
+      [done = std::move(done)](const Result<protocol::Envelope>& answer) {
+        done(answer ? ToStatus(answer.value()) : Status(answer.error()));
+      });
 }
 
 void RoutingHub::CountAnswer(const Status& status) {
@@ -71,20 +160,8 @@
   events_(event);
 }
 
-void RoutingHub::Propose(ConfigVersion version, std::string text, Done done) {
-  if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().leader();
-    const bool other = !leader.empty() && leader != daemon_.replica().id();
-    done(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
-                   "this control VM is not a confirmed leader"));
-    return;
-  }
-  if (!HasEnoughVoters(MonotonicNow())) {
-    done(MakeError(ErrorCode::kNoQuorum,
-                   "fewer voters than required, or a membership change is not "
-                   "committed yet"));
-    return;
-  }
+void RoutingHub::Commit(const Declaration& declaration, Done done) {
+  const ConfigVersion version = declaration.version;
   if (daemon_.replica().ledger().routing().version >= version) {
     // Already committed. The read confirms that this state is current.
     daemon_.replica().Read(
@@ -97,7 +174,7 @@
         });
     return;
   }
-  daemon_.replica().Propose(ledger::RoutingDeclare{version, std::move(text)},
+  daemon_.replica().Propose(ledger::RoutingDeclare{version, declaration.text},
                             [this, version, done = std::move(done)](
                                 const Result<ledger::Outcome>& outcome) {
                               if (!outcome) {
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -146,6 +146,23 @@
   }
 }
 
+void VoterDirectory::Call(const VoterId& voter, protocol::MessageKind kind,
+                          std::string body, Duration timeout,
+                          adapter::PeerClient::CallCallback callback) {
+  const protocol::VoterHello* hello = Find(voter);
+  const auto client =
+      hello == nullptr ? clients_.end() : clients_.find(hello->peer_endpoint);
+  if (client == clients_.end()) {
+    callback(
+        MakeError(ErrorCode::kDisconnected, "unknown voter " + voter.str()));
+    return;
+  }
+  protocol::Envelope envelope;
+  envelope.kind = kind;
+  envelope.body = std::move(body);
+  client->second->Call(std::move(envelope), timeout, std::move(callback));
+}
+
 void VoterDirectory::SendTo(const Endpoint& endpoint,
                             protocol::MessageKind kind, std::string body) {
   const auto client = clients_.find(endpoint);
--- a/tests/fakes/control_fleet.h
+++ b/tests/fakes/control_fleet.h
@@ -65,9 +65,19 @@
       return peer->ended() ||
              peer->received().find("\r\n\r\n") != std::string::npos;
     });
+    last_location_ = FieldOf(peer->received(), "Location: ");
     return peer->received().substr(0, peer->received().find('\r'));
   }
 
+  /// @brief Where the last answer sent the operator; empty if nowhere.
+  const std::string& last_location() const { return last_location_; }
+
+  /// @brief Location by which an answer names a control VM.
+  std::string Location(std::size_t vm) const {
+    return "http://" + ToString(vms_[vm]->calls.endpoint()) +
+           "/-/configuration";
+  }
+
   ConfigVersion routes(std::size_t vm) const {
     return vms_[vm]->daemon.replica().ledger().routing().version;
   }
@@ -149,6 +159,16 @@
                        [&](const auto& vm) { return holds(*vm); });
   }
 
+  static std::string FieldOf(const std::string& answer,
+                             const std::string& name) {
+    const std::size_t begin = answer.find(name);
+    if (begin == std::string::npos) {
+      return std::string();
+    }
+    const std::size_t value = begin + name.size();
+    return answer.substr(value, answer.find('\r', value) - value);
+  }
+
   Endpoint FreeEndpoint() {
     const asio::ip::tcp::acceptor taken(
         io_, {asio::ip::make_address_v4("127.0.0.1"), 0});
@@ -157,6 +177,7 @@
 
   asio::io_context io_;
   std::vector<std::unique_ptr<Vm>> vms_;
+  std::string last_location_;
 };
 
 }  // namespace rattanward::fakes
