Bound what held orders take, and answer those that can't be read

Cause: 64 held orders of 6 MB each would not fit a control VM of 256 MB; an order between control VMs that can't be read got no answer, and an answer that can't be read could have become a final refusal. The check of voters ran in each tick, so that its grace time no longer began with the first order. Change: 16 MB of texts held together (one is always taken), shared with the call under way; unreadable messages count as an unknown outcome; the tick only notes whether a leader is known.

--- a/include/rattanward/control/declaration_desk.h
+++ b/include/rattanward/control/declaration_desk.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "rattanward/control/declaration_step.h"
@@ -56,7 +57,8 @@
 
  private:
   struct Held {
-    Declaration declaration;
+    /// Shared with the call under way, whose outcome may end the hold.
+    std::shared_ptr<const Declaration> declaration;
     DeclarationSource source = DeclarationSource::kOperator;
     TimePoint since;
     VoterId asked;
@@ -65,6 +67,7 @@
     Done done;
   };
 
+  bool HasRoomFor(const Declaration& declaration) const;
   void Advance(std::uint64_t number, TimePoint now);
   void Commit(std::uint64_t number);
   void PassOn(std::uint64_t number, const VoterId& leader);
@@ -75,6 +78,7 @@
 
   DeclarationHooks hooks_;
   std::map<std::uint64_t, Held> held_;
+  std::size_t held_bytes_ = 0;
   std::uint64_t last_number_ = 0;
 };
 
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -196,6 +196,8 @@
   void HandleDeclaration(const adapter::InboundMessage& message,
                          const adapter::ReplyHandle& reply);
   DeclarationHooks MakeDeclarationHooks();
+  bool OtherLeads() const;
+  void NoteLeader(TimePoint now);
   LeaderView ViewLeader(TimePoint now);
   void PassOn(const VoterId& leader, const Declaration& declaration, Done done);
   void Commit(const Declaration& declaration, Done done);
--- a/src/control/declaration_desk.cc
+++ b/src/control/declaration_desk.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t kMaxHeld = 64;
+/// Texts held together. One is always taken, whatever its size.
+constexpr std::size_t kMaxHeldBytes = 16U << 20U;
 
 /// Whether the declaration may be tried again here or at another leader.
 bool MayTryAgain(const Error& error) {
@@ -31,20 +33,27 @@
 
 void DeclarationDesk::Take(Declaration declaration, DeclarationSource source,
                            TimePoint now, Done done) {
-  if (held_.size() >= kMaxHeld) {
+  if (!HasRoomFor(declaration)) {
     done(MakeError(ErrorCode::kTooManyOpenRequests,
                    "too many declarations wait"));
     return;
   }
   const std::uint64_t number = ++last_number_;
+  held_bytes_ += declaration.text.size();
   Held& held = held_[number];
-  held.declaration = std::move(declaration);
+  held.declaration = std::make_shared<Declaration>(std::move(declaration));
   held.source = source;
   held.since = now;
   held.done = std::move(done);
   Advance(number, now);
 }
 
+bool DeclarationDesk::HasRoomFor(const Declaration& declaration) const {
+  return held_.empty() ||
+         (held_.size() < kMaxHeld &&
+          held_bytes_ + declaration.text.size() <= kMaxHeldBytes);
+}
+
 void DeclarationDesk::Check(TimePoint now) {
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, held] : held_) {
@@ -86,9 +95,8 @@
 void DeclarationDesk::Commit(std::uint64_t number) {
   Held& held = held_.at(number);
   held.committing = true;
-  // Copied: the outcome may come at once and remove what is held.
-  const Declaration declaration = held.declaration;
-  hooks_.commit(declaration, [this, number](const Status& status) {
+  const auto declaration = held.declaration;
+  hooks_.commit(*declaration, [this, number](const Status& status) {
     TakeOutcome(number, status);
   });
 }
@@ -97,8 +105,8 @@
   Held& held = held_.at(number);
   held.asked = leader;
   held.awaits_answer = true;
-  const Declaration declaration = held.declaration;
-  hooks_.pass_on(leader, declaration,
+  const auto declaration = held.declaration;
+  hooks_.pass_on(leader, *declaration,
                  [this, number, leader](const Status& status) {
                    TakeAnswer(number, leader, status);
                  });
@@ -138,9 +146,11 @@
 
 void DeclarationDesk::Finish(std::uint64_t number, const Status& status) {
   auto held = held_.extract(number);
-  if (!held.empty()) {
-    held.mapped().done(status);
+  if (held.empty()) {
+    return;
   }
+  held_bytes_ -= held.mapped().declaration->text.size();
+  held.mapped().done(status);
 }
 
 }  // namespace rattanward::control
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -402,7 +402,7 @@
                                    std::exchange(pending_beats_, {})}));
   }
   SaveDepartures(now);
-  ViewLeader(now);
+  NoteLeader(now);
   declaration_desk_.Check(now);
   CheckWaiters();
   PushRouting();
--- a/src/control/routing_hub_declare.cc
+++ b/src/control/routing_hub_declare.cc
@@ -18,10 +18,16 @@
 /// the entries.
 constexpr Duration kPassOnTimeout{std::chrono::milliseconds(950)};
 
+/// What can't be read is no reason to refuse the operator's routes for good.
+Error Unreadable(const Error& error) {
+  return MakeError(ErrorCode::kOutcomeUnknown, error.message,
+                   Verdict::kMayHaveRun);
+}
+
 Status ToStatus(const protocol::Envelope& envelope) {
   const auto answer = protocol::Decode<protocol::RoutesDeclared>(envelope.body);
   if (!answer) {
-    return answer.error();
+    return Unreadable(answer.error());
   }
   if (answer.value().error == 0) {
     return outcome::success();
@@ -30,6 +36,15 @@
                    answer.value().message);
 }
 
+void ReplyDeclared(const adapter::ReplyHandle& reply, const Status& status) {
+  protocol::RoutesDeclared answer;
+  if (!status) {
+    answer.error = static_cast<int>(status.error().code);
+    answer.message = status.error().message;
+  }
+  reply.Reply(protocol::MessageKind::kRoutesDeclared, protocol::Encode(answer));
+}
+
 std::string Milliseconds(Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -60,19 +75,13 @@
   auto declared =
       protocol::Decode<protocol::RoutesDeclare>(message.envelope.body);
   if (!declared) {
+    ReplyDeclared(reply, Unreadable(declared.error()));
     return;
   }
-  TakeDeclaration({declared.value().version, std::move(declared.value().text)},
-                  DeclarationSource::kControlVm, message.from.str(),
-                  [reply](const Status& status) {
-                    protocol::RoutesDeclared answer;
-                    if (!status) {
-                      answer.error = static_cast<int>(status.error().code);
-                      answer.message = status.error().message;
-                    }
-                    reply.Reply(protocol::MessageKind::kRoutesDeclared,
-                                protocol::Encode(answer));
-                  });
+  TakeDeclaration(
+      {declared.value().version, std::move(declared.value().text)},
+      DeclarationSource::kControlVm, message.from.str(),
+      [reply](const Status& status) { ReplyDeclared(reply, status); });
 }
 
 void RoutingHub::TakeDeclaration(Declaration declaration,
@@ -107,20 +116,29 @@
   return hooks;
 }
 
+bool RoutingHub::OtherLeads() const {
+  const VoterId& leader = daemon_.replica().leader();
+  return !leader.empty() && leader != daemon_.replica().id();
+}
+
+void RoutingHub::NoteLeader(TimePoint now) {
+  if (daemon_.replica().ConfirmedLeader() || OtherLeads()) {
+    leader_known_at_ = now;
+  }
+}
+
 LeaderView RoutingHub::ViewLeader(TimePoint now) {
-  const Replica& replica = daemon_.replica();
+  NoteLeader(now);
   LeaderView view;
-  view.leads = replica.ConfirmedLeader();
+  view.leads = daemon_.replica().ConfirmedLeader();
   view.has_enough_voters = view.leads && HasEnoughVoters(now);
-  if (replica.leader() != replica.id()) {
-    view.other_leader = replica.leader();
-  }
-  if (view.leads || !view.other_leader.empty()) {
-    leader_known_at_ = now;
-  }
   view.leaderless = now - leader_known_at_;
-  const protocol::VoterHello* hello = daemon_.voters().Find(view.other_leader);
-  view.other_takes = hello != nullptr && hello->takes_declarations;
+  if (!view.leads && OtherLeads()) {
+    view.other_leader = daemon_.replica().leader();
+    const protocol::VoterHello* hello =
+        daemon_.voters().Find(view.other_leader);
+    view.other_takes = hello != nullptr && hello->takes_declarations;
+  }
   return view;
 }
 
@@ -199,10 +217,9 @@
 
 void RoutingHub::ReadNewest(RoutingCallback callback) {
   if (!daemon_.replica().ConfirmedLeader()) {
-    const VoterId& leader = daemon_.replica().leader();
-    const bool other = !leader.empty() && leader != daemon_.replica().id();
-    callback(MakeError(other ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
-                       "this control VM is not a confirmed leader"));
+    callback(
+        MakeError(OtherLeads() ? ErrorCode::kNotLeader : ErrorCode::kNoQuorum,
+                  "this control VM is not a confirmed leader"));
     return;
   }
   daemon_.replica().Read(
