Name the redirect of an order as such, and show how many orders are held

Cause: reading the change anew, 'sent on' and 'sent away' stood for the same as the redirect. Change: names; the gauge declarations_held; a test that hellos of builds without and with orders between control VMs read each other.

--- a/include/rattanward/control/declaration_desk.h
+++ b/include/rattanward/control/declaration_desk.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "rattanward/control/declaration_step.h"
 #include "rattanward/domain/ids.h"
--- a/include/rattanward/control/declaration_step.h
+++ b/include/rattanward/control/declaration_step.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "rattanward/domain/ids.h"
@@ -43,10 +44,11 @@
 /// @brief What is done next with a declaration.
 enum class DeclarationStep : std::uint8_t {
   kCommit,
+  /// The leader is asked, and its answer is the answer here.
   kPassOn,
   kWait,
   /// The answer names the leader.
-  kSendAway,
+  kRedirect,
   kRefuse,
 };
 
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -143,7 +143,7 @@
   struct DeclarationCounts {
     std::uint64_t received = 0;
     std::uint64_t accepted = 0;
-    std::uint64_t sent_on = 0;
+    std::uint64_t redirected = 0;
     std::uint64_t refused = 0;
   };
   /// A control VM that waits until this one's disk holds the departures.
--- a/src/control/declaration_desk.cc
+++ b/src/control/declaration_desk.cc
@@ -82,7 +82,7 @@
       break;
     case DeclarationStep::kWait:
       break;
-    case DeclarationStep::kSendAway:
+    case DeclarationStep::kRedirect:
       Finish(number, MakeError(ErrorCode::kNotLeader,
                                "this control VM is not a confirmed leader"));
       break;
--- a/src/control/declaration_step.cc
+++ b/src/control/declaration_step.cc
@@ -11,7 +11,7 @@
 DeclarationStep StepTowards(const LeaderView& view,
                             const DeclarationState& state) {
   if (state.source == DeclarationSource::kControlVm || !view.other_takes) {
-    return DeclarationStep::kSendAway;
+    return DeclarationStep::kRedirect;
   }
   const bool asked = state.asked == view.other_leader;
   if (asked && state.awaits_answer) {
@@ -20,7 +20,7 @@
   if (state.held < kLongestHold) {
     return DeclarationStep::kPassOn;
   }
-  return asked ? DeclarationStep::kRefuse : DeclarationStep::kSendAway;
+  return asked ? DeclarationStep::kRefuse : DeclarationStep::kRedirect;
 }
 
 }  // namespace
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -384,9 +384,10 @@
   add("upstreams", directory_.size());
   add("pushes_total", push_number_);
   add("acknowledgements_waiting", waiters_.size());
+  add("declarations_held", declaration_desk_.held());
   add("declarations_received_total", declarations_.received);
   add("declarations_accepted_total", declarations_.accepted);
-  add("declarations_sent_on_total", declarations_.sent_on);
+  add("declarations_redirected_total", declarations_.redirected);
   add("declarations_refused_total", declarations_.refused);
   add("storage_suspended", daemon_.replica().suspended() ? 1 : 0);
   add("crashes_known", crash_news_.witnesses());
--- a/src/control/routing_hub_declare.cc
+++ b/src/control/routing_hub_declare.cc
@@ -158,7 +158,7 @@
   if (status) {
     ++declarations_.accepted;
   } else if (status.error().code == ErrorCode::kNotLeader) {
-    ++declarations_.sent_on;
+    ++declarations_.redirected;
   } else {
     ++declarations_.refused;
   }
--- a/tests/src/unit-declarations.cc
+++ b/tests/src/unit-declarations.cc
@@ -1,11 +1,39 @@
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "fakes/control_fleet.h"
+#include "rattanward/protocol/message_fields.h"
+
+namespace rattanward::protocol {
+namespace {
+
+/// VoterHello of a build that takes no orders from other control VMs.
+struct OlderHello {
+  VoterId id;
+  ProcessId process;
+  Endpoint peer_endpoint;
+  Endpoint operator_endpoint;
+  std::string membership;
+  std::uint32_t command_kinds = 0;
+};
+
+}  // namespace
+
+template <>
+struct FieldsOf<OlderHello> {
+  static auto Tie(auto& m) {
+    return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
+                    m.membership, m.command_kinds);
+  }
+};
+
+}  // namespace rattanward::protocol
 
 namespace rattanward::control {
 namespace {
@@ -97,20 +125,20 @@
     view.other_leader = VoterId("c");
     CHECK(NextStep(view, state) == DeclarationStep::kPassOn);
     state.held = kLongestHold;
-    CHECK(NextStep(view, state) == DeclarationStep::kSendAway);
+    CHECK(NextStep(view, state) == DeclarationStep::kRedirect);
     view.other_leader = other;
     state.awaits_answer = false;
     CHECK(NextStep(view, state) == DeclarationStep::kRefuse);
   }
   SUBCASE("another one leads that takes no orders from control VMs") {
     view.other_leader = other;
-    CHECK(NextStep(view, state) == DeclarationStep::kSendAway);
+    CHECK(NextStep(view, state) == DeclarationStep::kRedirect);
   }
   SUBCASE("an order that was passed on goes no further") {
     view.other_leader = other;
     view.other_takes = true;
     state.source = DeclarationSource::kControlVm;
-    CHECK(NextStep(view, state) == DeclarationStep::kSendAway);
+    CHECK(NextStep(view, state) == DeclarationStep::kRedirect);
   }
   SUBCASE("none leads") {
     CHECK(NextStep(view, state) == DeclarationStep::kWait);
@@ -148,4 +176,22 @@
   CHECK(desk.held() == 0);
 }
 
+// Guards against orders passed on to a build that doesn't answer them.
+TEST_CASE("control VMs of builds without and with orders read each other") {
+  protocol::OlderHello older;
+  older.id = VoterId("a");
+  const auto read =
+      protocol::Decode<protocol::VoterHello>(protocol::Encode(older));
+  REQUIRE(read);
+  CHECK(read.value().id == older.id);
+  CHECK_FALSE(read.value().takes_declarations);
+  protocol::VoterHello hello;
+  hello.id = VoterId("b");
+  hello.takes_declarations = true;
+  const auto read_by_older =
+      protocol::Decode<protocol::OlderHello>(protocol::Encode(hello));
+  REQUIRE(read_by_older);
+  CHECK(read_by_older.value().id == hello.id);
+}
+
 }  // namespace rattanward::control
