Review, case 6: an entry ends by a null pointer when a read is answered elsewhere

Breaks: LOST, and a process crashes. One runner crashes while it works on reads that last 0.8 s; they are sent once more, and the whole answer to the first of them ends the entry with SIGSEGV: the exchange has released its connection, but still counts as sent, when the answer clears a witness and the reports that follow ask for the demand.

The earlier cases move to review/7 (DELETE) and review/8 (crashing request): the gravest goes first.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,8 +2,8 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/rattanward-platform ] && [ -x target/review-2/departure ] || exit 2
-timeout -k 2 115 target/review-2/departure review/6/record.txt
+[ -x target/rattanward-platform ] && [ -x target/review-2/second_answer ] || exit 2
+timeout -k 2 115 target/review-2/second_answer review/6/record.txt
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 leaves the disruption out. COMPARE=1 gives the crashing request a body.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/rattanward-platform ] && [ -x target/review-2/poison ] || exit 2
-timeout -k 2 115 target/review-2/poison review/7/record.txt
+[ -x target/rattanward-platform ] && [ -x target/review-2/departure ] || exit 2
+timeout -k 2 115 target/review-2/departure review/7/record.txt
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/standin-2/departure.cc
+++ b/review/standin-2/departure.cc
@@ -1,4 +1,4 @@
-// Case 6: a runner that leaves by DELETE after all processes of the core were
+// Case 7: a runner that leaves by DELETE after all processes of the core were
 // killed, and before control has heard of it again.
 #include "rig.h"
 
--- a/review/standin-2/poison.cc
+++ b/review/standin-2/poison.cc
@@ -1,4 +1,4 @@
-// Case 7: a request that crashes each runner that begins to run it, while
+// Case 8: a request that crashes each runner that begins to run it, while
 // another request with the same path, caller and (empty) body is answered.
 #include "rig.h"
 
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -416,6 +416,19 @@
     }
     return ends;
   }
+  // Starts processes that ended by themselves again, `delay` seconds later.
+  int RestartEnded(double delay) {
+    const int ends = OwnEnds();
+    for (auto& [name, process] : processes_) {
+      if (process.pid > 0) continue;
+      if (process.ended_at < 0) process.ended_at = Now();
+      if (Now() - process.ended_at >= delay) {
+        process.ended_at = -1;
+        Start(name);
+      }
+    }
+    return ends;
+  }
   bool Ready(int entry) const {
     return Ask(EntryIp(entry), kReadyPort,
                "GET /-/readyz HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n", 1)
@@ -481,10 +494,11 @@
     bool core = false;
     int index = 0;
     pid_t pid = -1;
+    double ended_at = -1;
   };
   void Add(const std::string& kind, int i) {
     const std::string name = kind + "-" + std::to_string(i);
-    processes_[name] = {name, kind == "core", i, -1};
+    processes_[name] = {name, kind == "core", i, -1, -1};
   }
   void Write(const Process& p) const {
     const std::string ip = p.core ? ControlIp(p.index) : EntryIp(p.index);
