Review, case 9: a crashing request is not held back where upstreams are few

With four upstreams, two of which are down, the entry that is asked whether an upstream is reachable says that it can't tell, and the evidence of the crash is dropped; a request with two attempts goes on crashing runners.

--- a/review/standin-2/poison.cc
+++ b/review/standin-2/poison.cc
@@ -1,5 +1,7 @@
 // Case 8: a request that crashes each runner that begins to run it, while
 // another request with the same path, caller and (empty) body is answered.
+// Case 9 (FEW=1): the same with a body that no other request has, in a deployment
+// with four runners.
 #include "rig.h"
 
 using namespace rig;
@@ -17,7 +19,13 @@
   const bool trouble = Trouble();
   // For comparison: the same with a body of two bytes, which the GET lacks.
   const char* compare = std::getenv("COMPARE");
-  const std::string body = compare != nullptr && std::string(compare) == "1" ? "{}" : "";
+  const bool few = std::getenv("FEW") != nullptr && std::string(std::getenv("FEW")) == "1";
+  const std::string body =
+      few || (compare != nullptr && std::string(compare) == "1") ? "{}" : "";
+  // FEW_OTHERS: for comparison, how many runners of another service there are.
+  const char* others = std::getenv("FEW_OTHERS");
+  const int desks = few ? 3 : 6;
+  const int all_runners = desks + (!few ? 4 : others != nullptr ? std::atoi(others) : 1);
   Deployment d{Options{}};
   std::mutex mutex;
   int crashes = 0;
@@ -54,9 +62,9 @@
   };
   d.StartAll();
   std::vector<std::unique_ptr<Runner>> runners;
-  for (int i = 0; i < 6; ++i)
+  for (int i = 0; i < desks; ++i)
     runners.push_back(std::make_unique<Runner>(d, "desk", i, 6, behave));
-  for (int i = 6; i < 10; ++i)
+  for (int i = desks; i < all_runners; ++i)
     runners.push_back(std::make_unique<Runner>(d, "other", i, 6, behave));
   const std::string text = ConfigurationText(
       1,
