Hold an exchange's stage and its connection in one value

Cause: between Release() and the next decision an exchange was in the state "sent" without a connection. The answer cleared the request of the crash, the entry reported that, and the report asked each exchange whether an upstream has it: a null pointer.

Change: ExchangeStage holds the stage and the connection of the attempt, so that they can't differ; between attempts an exchange is neither waiting nor sent. The same holds for what the deadline or the caller's leaving moves aside. The fake entry's hooks ask what a report holds, in all tests of the data path; the proxy's fuzz draws crashes and later answers.

--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -19,6 +19,7 @@
 #include "rattanward/proxy/dialect.h"
 #include "rattanward/proxy/event_pace.h"
 #include "rattanward/proxy/event_splitter.h"
+#include "rattanward/proxy/exchange_stage.h"
 #include "rattanward/proxy/hedge_attempt.h"
 #include "rattanward/proxy/relay_fields.h"
 
@@ -232,7 +233,7 @@
   const std::set<Endpoint>& relays_tried() const { return relays_tried_; }
   /// @brief Whether an upstream has the request.
   bool sent_to_upstream() const {
-    return state_ == State::kSent && !relay_peer_ && connection_->sent_any();
+    return stage_.sent() && !relay_peer_ && stage_.connection()->sent_any();
   }
   /// @brief Last time that bytes of the answer arrived, or that the request was
   /// sent.
@@ -253,8 +254,8 @@
   TimePoint answered_at() const;
   /// @brief Mean time between the events of a stream, if there were enough.
   std::optional<Duration> mean_event_gap() const;
-  bool waiting() const { return state_ == State::kWaiting; }
-  bool finished() const { return state_ == State::kFinished; }
+  bool waiting() const { return stage_.waiting(); }
+  bool finished() const { return stage_.finished(); }
   /// @brief Start of the upstream when the request was sent to it.
   std::uint64_t upstream_start() const { return upstream_start_; }
   /// @brief What was known against the prompt's parts when the request was
@@ -288,8 +289,6 @@
   void OnFailure(http::ClientFailure failure) override;
 
  private:
-  enum class State : std::uint8_t { kWaiting, kSent, kFinished };
-
   bool MayAnswerLate() const;
   void AwaitLateAnswer();
   void EndLateAnswer();
@@ -324,6 +323,7 @@
   void Requeue();
   void Fail(Error error);
   void Release();
+  void ReturnToOwner(const std::shared_ptr<http::ClientConnection>& connection);
   void End(EventId id, std::vector<EventField> fields);
   void ReadLimit(int status);
   ForwardingInfo MakeForwardingInfo(const UpstreamId& upstream) const;
@@ -336,18 +336,17 @@
   policy::PlacementRequest placement_;
   policy::PlacementCharge charge_;
   std::set<UpstreamId> excluded_;
-  std::shared_ptr<http::ClientConnection> connection_;
+  ExchangeStage stage_;
   /// Set after the end of a request whose upstream may still answer.
   std::shared_ptr<http::ClientConnection> late_connection_;
-  /// A second attempt that runs beside the one on connection_.
+  /// A second attempt that runs beside the current one.
   std::shared_ptr<HedgeAttempt> hedge_;
-  /// A former second attempt, whose connection is connection_.
+  /// A former second attempt, that has become the current attempt.
   std::shared_ptr<HedgeAttempt> adopted_hedge_;
   UpstreamId upstream_;
   std::optional<Endpoint> relay_peer_;
   std::set<Endpoint> relays_tried_;
   RelayedResponse relay_response_;
-  State state_ = State::kWaiting;
   TimePoint deadline_;
   TimePoint sent_at_;
   TimePoint last_byte_at_;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -88,8 +88,8 @@
   };
   watcher.on_drained = [weak] {
     const auto self = weak.lock();
-    if (self && self->connection_) {
-      self->connection_->Resume();
+    if (self && self->stage_.sent()) {
+      self->stage_.connection()->Resume();
     }
   };
   watcher.on_memory_exhausted = [weak] {
@@ -164,8 +164,7 @@
 
 void Exchange::BeginAttempt(
     std::shared_ptr<http::ClientConnection> connection) {
-  connection_ = std::move(connection);
-  state_ = State::kSent;
+  stage_.Send(std::move(connection));
   ++attempts_;
   sent_at_ = MonotonicNow();
   last_byte_at_ = sent_at_;
@@ -180,9 +179,9 @@
 
 void Exchange::Transmit(const http::RequestHead& head,
                         Duration connect_timeout) {
-  connection_->SetHeadRequest(request_.request.head.method == "HEAD");
-  connection_->Send(Serialize(head), request_.request.body,
-                    std::min(connect_timeout, RemainingTime()), this);
+  stage_.connection()->SetHeadRequest(request_.request.head.method == "HEAD");
+  stage_.connection()->Send(Serialize(head), request_.request.body,
+                            std::min(connect_timeout, RemainingTime()), this);
 }
 
 void Exchange::OnReceivedHead(const http::ResponseHead& head) {
@@ -224,8 +223,9 @@
 bool Exchange::IsMatchingResponse(const http::ResponseHead& /*head*/) const {
   // On a reused connection, a response without an id may be a second copy of
   // the response before.
-  return IsResponseTo(response_traits_,
-                      late_connection_ ? *late_connection_ : *connection_);
+  return IsResponseTo(response_traits_, late_connection_
+                                            ? *late_connection_
+                                            : *stage_.connection());
 }
 
 bool Exchange::IsResponseTo(const ResponseTraits& traits,
@@ -266,7 +266,7 @@
   if (stream_started_ && !event_stream_ && !relay_response_.unable) {
     // The next upstream did not resume the stream.
     const auto self = shared_from_this();
-    connection_->Close();
+    stage_.connection()->Close();
     if (response_traits_.not_run && !relay_peer_) {
       HandleRejection();
     } else {
@@ -304,7 +304,7 @@
   body_.append(piece);
   if (body_.size() > kMaxWholeResponseBytes) {
     const auto self = shared_from_this();
-    connection_->Close();
+    stage_.connection()->Close();
     OnFailure(ClientFailure::kMalformed);
     return;
   }
@@ -321,7 +321,7 @@
   }
   if (splitter_.partial_event_bytes() > kMaxEventBytes) {
     const auto self = shared_from_this();
-    connection_->Close();
+    stage_.connection()->Close();
     OnFailure(ClientFailure::kMalformed);
   }
 }
@@ -357,14 +357,14 @@
 }
 
 void Exchange::OnReadEnd() {
-  if (state_ == State::kSent && stream_started_) {
+  if (stage_.sent() && stream_started_) {
     const auto self = shared_from_this();
     request_.caller->Flush();
     request_.caller->HoldForResponse(splitter_.partial_event_bytes());
-    if (connection_ && may_pause_ &&
+    if (stage_.sent() && may_pause_ &&
         request_.caller->buffered() >
             request_.caller->ReadAhead(kMaxBufferedBytes)) {
-      connection_->Pause();
+      stage_.connection()->Pause();
     }
   }
 }
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -169,7 +169,7 @@
     EndLateAnswer();
     return;
   }
-  if (state_ != State::kSent) {
+  if (!stage_.sent()) {
     return;
   }
   if (relay_peer_) {
@@ -177,7 +177,7 @@
     return;
   }
   if (failure == ClientFailure::kNotSent) {
-    const bool reused = connection_->reused();
+    const bool reused = stage_.connection()->reused();
     --attempts_;
     if (!reused) {
       ++unreachable_count_;
@@ -233,9 +233,9 @@
        {"answer_begun", response_begun_ ? "1" : "0"},
        {"framing", std::string(FramingName(response_framing_))},
        {"partial_event_bytes", std::to_string(splitter_.partial_event_bytes())},
-       {"reused", connection_->reused() ? "1" : "0"},
-       {"idle_ms", MillisecondText(connection_->idle_before())},
-       {"kept_ms", MillisecondText(connection_->keep_alive())},
+       {"reused", stage_.connection()->reused() ? "1" : "0"},
+       {"idle_ms", MillisecondText(stage_.connection()->idle_before())},
+       {"kept_ms", MillisecondText(stage_.connection()->keep_alive())},
        {"after_ms", MillisecondText(MonotonicNow() - sent_at_)},
        {"parts", PartIds(placement_.prompt)}});
   excluded_.insert(upstream_);
@@ -244,7 +244,7 @@
 }
 
 void Exchange::Requeue() {
-  state_ = State::kWaiting;
+  stage_.Wait();
   owner_.Log(
       stream_started_ ? EventId::kStreamResumed : EventId::kRequestRetried,
       *this,
@@ -258,7 +258,7 @@
 /// Sends the final error response. If the request may have run, a status that
 /// implies that it did not run is replaced.
 void Exchange::Fail(Error error) {
-  if (state_ == State::kFinished) {
+  if (stage_.finished()) {
     return;
   }
   const auto self = shared_from_this();
@@ -267,7 +267,7 @@
   Release();
   if (stream_started_) {
     request_.caller->Flush();
-    if (state_ == State::kFinished) {
+    if (stage_.finished()) {
       return;  // The caller had closed its connection.
     }
     request_.caller->Abort();
@@ -294,11 +294,11 @@
 }
 
 void Exchange::OnCallerGone() {
-  if (state_ == State::kFinished) {
+  if (stage_.finished()) {
     return;
   }
   const auto self = shared_from_this();
-  const bool was_sent = state_ == State::kSent;
+  const bool was_sent = stage_.sent();
   if (MayAnswerLate() && RemainingTime() < kLateAnswerTime) {
     AwaitLateAnswer();
   }
@@ -308,11 +308,10 @@
 }
 
 void Exchange::OnDeadline() {
-  if (state_ == State::kFinished) {
+  if (stage_.finished()) {
     return;
   }
-  const bool sent =
-      state_ == State::kSent && connection_ && connection_->sent_any();
+  const bool sent = stage_.sent() && stage_.connection()->sent_any();
   may_have_run_ = may_have_run_ || sent;
   if (sent && !streams()) {
     owner_.OnOutcome(*this, false);
@@ -330,14 +329,14 @@
 }
 
 bool Exchange::MayAnswerLate() const {
-  return connection_ && connection_->sent_all() && !response_begun_ &&
+  return stage_.sent() && stage_.connection()->sent_all() && !response_begun_ &&
          !relay_peer_;
 }
 
 /// The head of a late answer may tell that the upstream is leaving, or asks for
 /// back-off. Its request has ended.
 void Exchange::AwaitLateAnswer() {
-  late_connection_ = std::exchange(connection_, nullptr);
+  late_connection_ = stage_.EndAttempt();
   const auto timer =
       std::make_shared<asio::steady_timer>(timer_.get_executor());
   timer->expires_after(kLateAnswerTime);
@@ -350,26 +349,31 @@
 }
 
 void Exchange::EndLateAnswer() {
-  connection_ = std::exchange(late_connection_, nullptr);
-  connection_->Close();
-  Release();
+  const auto connection = std::exchange(late_connection_, nullptr);
+  connection->Close();
+  ReturnToOwner(connection);
 }
 
 /// Releases the capacity charged at the upstream. A connection with an
 /// unfinished response is closed, which cancels the request there.
 void Exchange::Release() {
-  if (!connection_) {
+  const auto connection = stage_.EndAttempt();
+  if (!connection) {
     return;
   }
-  const auto connection = std::exchange(connection_, nullptr);
   if (!connection->Reusable(MonotonicNow())) {
     connection->Close();
   }
+  ReturnToOwner(connection);
+}
+
+void Exchange::ReturnToOwner(
+    const std::shared_ptr<http::ClientConnection>& connection) {
   owner_.OnReleased(*this, std::exchange(charge_, {}), connection);
 }
 
 void Exchange::End(EventId id, std::vector<EventField> fields) {
-  state_ = State::kFinished;
+  stage_.Finish();
   timer_.cancel();
   CancelHedge();
   fields.push_back(
--- a/src/proxy/exchange_hedge.cc
+++ b/src/proxy/exchange_hedge.cc
@@ -19,7 +19,7 @@
 
 /// Whether a second attempt may run beside the current one.
 bool Exchange::MayHedge() const {
-  return state_ == State::kSent && is_retryable() && !stream_started_ &&
+  return stage_.sent() && is_retryable() && !stream_started_ &&
          !response_begun_ && !hedge_ && !relay_peer_ && !request_.relayed &&
          !request_.traits.resumes_stream &&
          attempts_ < request_.route->max_attempts;
@@ -74,15 +74,15 @@
   const auto self = shared_from_this();
   const auto hedge = std::exchange(hedge_, nullptr);
   const HedgePlacement& placement = hedge->placement();
-  may_have_run_ = may_have_run_ || (connection_ && connection_->sent_any());
+  may_have_run_ =
+      may_have_run_ || (stage_.sent() && stage_.connection()->sent_any());
   Release();
   excluded_.insert(upstream_);
   upstream_ = placement.upstream;
   upstream_start_ = placement.upstream_start;
   upstream_version_ = placement.upstream_version;
-  connection_ = placement.connection;
+  stage_.Send(placement.connection);
   charge_ = placement.charge;
-  state_ = State::kSent;
   last_byte_at_ = MonotonicNow();
   body_.clear();
   response_begun_ = false;
--- a/src/proxy/exchange_relay.cc
+++ b/src/proxy/exchange_relay.cc
@@ -119,7 +119,7 @@
 void Exchange::HandleRelayFailure(ClientFailure failure) {
   if (failure == ClientFailure::kNotSent) {
     --attempts_;
-    if (!connection_->reused()) {
+    if (!stage_.connection()->reused()) {
       relays_tried_.insert(*relay_peer_);
       owner_.OnPeerUnreachable(*this);
     }
@@ -137,13 +137,13 @@
 }
 
 bool Exchange::MayAbandonSilent(TimePoint now) const {
-  return state_ == State::kSent && !relay_peer_ &&
+  return stage_.sent() && !relay_peer_ &&
          now - last_byte_at_ >= kShortSilence && MayGoOn();
 }
 
 void Exchange::LeaveLostPath() {
   const auto self = shared_from_this();
-  connection_->Close();
+  stage_.connection()->Close();
   RecordConnectionLoss("no path to the upstream");
   if (!FallBackToHedge()) {
     Requeue();
--- a/src/proxy/exchange_stop.cc
+++ b/src/proxy/exchange_stop.cc
@@ -6,24 +6,24 @@
 
 void Exchange::ReadAll() {
   may_pause_ = false;
-  if (connection_) {
-    connection_->Resume();
+  if (stage_.sent()) {
+    stage_.connection()->Resume();
   }
 }
 
 void Exchange::EndForStop(Error error) {
-  if (state_ == State::kFinished) {
+  if (stage_.finished()) {
     return;
   }
   // Fail() closes the connection, so a request that wasn't sent stays unsent.
-  may_have_run_ = may_have_run_ || (state_ == State::kSent && connection_ &&
-                                    connection_->sent_any());
+  may_have_run_ =
+      may_have_run_ || (stage_.sent() && stage_.connection()->sent_any());
   Fail(std::move(error));
 }
 
 /// What may have run can't be refused; its connection is closed instead.
 void Exchange::OnMemoryExhausted() {
-  if (state_ == State::kWaiting && !may_have_run_) {
+  if (stage_.waiting() && !may_have_run_) {
     Fail(MakeError(ErrorCode::kMemoryExhausted,
                    "memory budget of the entry exhausted"));
   }
--- a/tests/fakes/proxy_entry.h
+++ b/tests/fakes/proxy_entry.h
@@ -77,17 +77,23 @@
     proxy::ProxyHooks hooks;
     hooks.witness = [this](const protocol::CrashWitness& witness) {
       witnesses.push_back(witness);
+      Report();
+    };
+    hooks.cleared = [this](const std::vector<protocol::CrashWitness>& changed) {
+      cleared.insert(cleared.end(), changed.begin(), changed.end());
+      Report();
     };
-    hooks.cleared = [](const std::vector<protocol::CrashWitness>&) {};
     hooks.suspicions =
         [this](const std::vector<policy::PartSuspicion>& changed) {
           suspicions.insert(suspicions.end(), changed.begin(), changed.end());
         };
     hooks.leaving = [this](const membership::InstanceStart& upstream) {
       leaving.push_back(upstream);
+      Report();
     };
     hooks.limit = [this](const UpstreamLimit& limit) {
       limits.push_back(limit);
+      Report();
     };
     hooks.urgent_load = [] {};
     hooks.events = [this](const Event& event) { events.push_back(event); };
@@ -145,12 +151,21 @@
   asio::io_context io;
   TestDialect dialect;
   std::vector<protocol::CrashWitness> witnesses;
+  std::vector<protocol::CrashWitness> cleared;
   std::vector<policy::PartSuspicion> suspicions;
   std::vector<membership::InstanceStart> leaving;
   std::vector<UpstreamLimit> limits;
   std::vector<Event> events;
   std::unique_ptr<proxy::Proxy> data_path;
   std::vector<std::unique_ptr<LoopbackUpstream>> upstreams;
+
+ private:
+  /// Asks what an entry's report to control holds, as its hooks do.
+  void Report() const {
+    data_path->Demand();
+    data_path->Suspicions();
+    data_path->Limits();
+  }
 };
 
 /// @brief Returns the bytes of a caller's request.
--- a/tests/src/fuzz-proxy.cc
+++ b/tests/src/fuzz-proxy.cc
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fakes/proxy_entry.h"
@@ -33,6 +35,7 @@
   kTruncates,
   kCloses,
   kResets,
+  kCrashes,
   kSilent,
 };
 
@@ -43,7 +46,8 @@
     Script::kRejectsAsNotRun, Script::kRespondsWithTrailingBytes,
     Script::kUnmarked503,     Script::kReturns500,
     Script::kUnsigned,        Script::kTruncates,
-    Script::kCloses,          Script::kResets};
+    Script::kCloses,          Script::kResets,
+    Script::kCrashes};
 const std::string kPayload = "0123456789";
 const std::array<std::string, 3> kEvents = {"data: a\n\n", "data: b\n\n",
                                             "data: c\n\n"};
@@ -75,14 +79,33 @@
   std::size_t arrivals = 0;
   /// Number of requests for which it did not state that they did not run.
   std::size_t may_have_run = 0;
+  std::size_t crashes = 0;
+  /// An answer that waits until the entry knows of the crashes before it.
+  std::function<void()> held_answer;
 
-  void HandleRequest(LoopbackPeer& peer) {
+  void HandleRequest(fakes::LoopbackUpstream& upstream, LoopbackPeer& peer) {
     const Script script = arrivals < scenario.scripts.size()
                               ? scenario.scripts[arrivals]
                               : Script::kResponds;
     ++arrivals;
     may_have_run += script == Script::kRejectsAsNotRun ? 0 : 1;
-    RunScript(script, peer);
+    if (script == Script::kCrashes) {
+      ++crashes;
+      upstream.Stop();
+      peer.Close(true);
+    } else if (crashes > 0) {
+      held_answer = [this, script, to = peer.shared_from_this()] {
+        RunScript(script, *to);
+      };
+    } else {
+      RunScript(script, peer);
+    }
+  }
+
+  void Release(std::size_t witnessed) {
+    if (held_answer && witnessed >= crashes) {
+      std::exchange(held_answer, nullptr)();
+    }
   }
 
   void RunScript(Script script, LoopbackPeer& peer) {
@@ -117,6 +140,7 @@
       case Script::kResets:
         peer.Close(script == Script::kResets);
         break;
+      case Script::kCrashes:
       case Script::kSilent:
         break;
     }
@@ -325,14 +349,15 @@
     Oracle oracle;
     oracle.scenario = RandomScenario();
     ProxyEntry entry;
-    for (int i = 0; i < 3; ++i) {
-      entry.AddUpstream([&](LoopbackPeer& peer, const std::string&) {
-        oracle.HandleRequest(peer);
+    for (std::size_t i = 0; i < 3; ++i) {
+      entry.AddUpstream([&, i](LoopbackPeer& peer, const std::string&) {
+        oracle.HandleRequest(*entry.upstreams[i], peer);
       });
     }
     const auto caller = entry.ConnectCaller();
     caller->Send(MakeRequest(oracle.scenario.path, "1", "body"));
     const auto finished = [&] {
+      oracle.Release(entry.witnesses.size());
       return entry.data_path->counters().arrived == 1 &&
              entry.data_path->idle();
     };
