Keep what is known of crashes on control's disks

Callers saw: upstreams crash again.

Cause: witnesses were in memory alone. Control VMs told each other nothing of whole requests when they connect, an entry told control only what it had seen itself, and it was told upstreams before crashes. Beside that, an upstream that a later start had replaced at its address is on disk as gone; after a restart it counted as one that had announced its exit, which clears its witnesses.

Change: CrashKeeper writes CrashNews to the file "crashes" of each control VM (RecordFile, shared with the departures) and reads it at a start; control VMs and entries tell all they know when they connect; crashes are pushed before the directory; InstanceRecord has `replaced`. Events 5008 and 5009.

--- a/include/rattanward/control/departure_store.h
+++ b/include/rattanward/control/departure_store.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "rattanward/adapter/record_file.h"
 #include "rattanward/domain/result.h"
 #include "rattanward/membership/instance_directory.h"
 
@@ -19,7 +21,8 @@
  public:
   /// @param folder Existing folder of this control VM; the file's name in it is
   /// "departures".
-  explicit DepartureStore(std::string folder) : folder_(std::move(folder)) {}
+  explicit DepartureStore(std::string folder)
+      : file_(std::move(folder), "departures") {}
 
   /// @brief Reads what was saved last; nothing if there is no file.
   /// Errors: kStorageFailed; kDamagedRecord if the file is not as it was saved.
@@ -31,7 +34,7 @@
   Status Save(const std::vector<membership::InstanceRecord>& departed) const;
 
  private:
-  std::string folder_;
+  adapter::RecordFile file_;
 };
 
 }  // namespace rattanward::control
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -11,12 +11,12 @@
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/control/control_daemon.h"
+#include "rattanward/control/crash_keeper.h"
 #include "rattanward/control/declaration_desk.h"
 #include "rattanward/control/departure_store.h"
 #include "rattanward/control/limit_shares.h"
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
-#include "rattanward/membership/crash_news.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
@@ -46,8 +46,8 @@
   /// With fewer voters, new routes are rejected for a grace period. A majority
   /// of them must hold a departure before it is acknowledged.
   std::size_t wanted_voters = 3;
-  /// Folder in which it is kept which upstreams left; if empty, that is lost
-  /// with the process.
+  /// Folder in which it is kept which upstreams left, and what is known of
+  /// crashes; if empty, both are lost with the process.
   std::string data_folder;
 };
 
@@ -55,8 +55,8 @@
 /// control VM.
 /// @note Routes are stored in the replicated log. The directory is soft state:
 /// it is pushed to the entries and the other control VMs and rebuilt from
-/// heartbeats. Only which upstreams left is kept on the disk. Control thread
-/// only.
+/// heartbeats. Which upstreams left, and what is known of crashes, is kept on
+/// the disk. Control thread only.
 class RoutingHub : public ControlExtension {
  public:
   using Done = std::function<void(Status)>;
@@ -109,6 +109,7 @@
   std::string ScrapeText() const;
 
   const membership::InstanceDirectory& directory() const { return directory_; }
+  const membership::CrashNews& crashes() const { return crashes_.news(); }
   std::size_t entries() const { return entries_.size(); }
 
   /// @brief What runs and waits at all live entries together, by service.
@@ -217,7 +218,7 @@
   std::uint64_t last_waiter_ = 0;
   std::vector<KeptQuestion> kept_questions_;
   std::vector<membership::InstanceBeat> pending_beats_;
-  membership::CrashNews crash_news_;
+  CrashKeeper crashes_;
   LimitShares limit_shares_;
   std::vector<ReportExtension*> report_extensions_;
   RoutingTexts routing_texts_;
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -95,6 +95,8 @@
   kStorageResumed = 5005,
   kDeparturesNotKept = 5006,
   kStorageOpened = 5007,
+  kCrashesNotKept = 5008,
+  kCrashesLoaded = 5009,
 
   kPeerConnected = 6001,
   kPeerSilent = 6002,
--- a/include/rattanward/membership/crash_memory.h
+++ b/include/rattanward/membership/crash_memory.h
@@ -83,6 +83,11 @@
   /// call, to be told.
   std::vector<protocol::CrashWitness> TakeCleared();
 
+  /// @brief All that is known, for a control VM that may know nothing yet.
+  protocol::CrashesTold All() const {
+    return {witnesses_.All(), {}, witnesses_.Cleared()};
+  }
+
   std::size_t quarantined() const { return quarantined_.size(); }
 
  private:
--- a/include/rattanward/membership/crash_news.h
+++ b/include/rattanward/membership/crash_news.h
@@ -22,8 +22,9 @@
                                TimePoint now);
 
   /// @brief An upstream announced its exit, which clears those it cuts.
-  void RecordPlannedExit(const InstanceStart& upstream) {
-    witnesses_.RecordPlannedExit(upstream);
+  /// @return Number of witnesses that this clears.
+  std::size_t RecordPlannedExit(const InstanceStart& upstream) {
+    return witnesses_.RecordPlannedExit(upstream).size();
   }
 
   /// @brief What is known against the parts of some suspicions.
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -53,6 +53,9 @@
   /// Time that an upstream which is being reclaimed had left when it said so;
   /// otherwise 0.
   Duration leaves_in{0};
+  /// Set for an instance that is gone because a later start took over its
+  /// address. It announced nothing, as far as is known.
+  bool replaced = false;
 
   friend bool operator==(const InstanceRecord&,
                          const InstanceRecord&) = default;
@@ -168,6 +171,8 @@
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
   Change AddRecord(const InstanceRecord& record, TimePoint now);
   bool IsEarlierAtItsAddress(const InstanceRecord& record) const;
+  void MarkIfReplaced(InstanceRecord* record) const;
+  Change MergeExit(const InstanceRecord& received, InstanceRecord* known);
   InstanceRecord WithSignals(InstanceRecord record) const;
   void ApplySignals(const UpstreamId& id);
   bool IsKnownStart(const UpstreamId& id, std::uint64_t born) const;
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -286,7 +286,7 @@
   static auto Tie(auto& m) {
     return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
                     m.version, m.slots, m.state, m.silent, m.leaving, m.limit,
-                    m.beats_ahead, m.spot, m.leaves_in);
+                    m.beats_ahead, m.spot, m.leaves_in, m.replaced);
   }
 };
 
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -28,6 +28,9 @@
   std::function<void(const protocol::RoutingPush&)> routing;
   std::function<void(const std::vector<membership::InstanceRecord>&)> instances;
   std::function<void(const protocol::CrashesTold&)> crashes;
+  /// What this entry knows of crashes, for a control VM that may know nothing
+  /// yet; may be empty.
+  std::function<protocol::CrashesTold()> known_crashes;
   /// What this entry knows against parts of prompts, for a control VM that may
   /// know nothing yet.
   std::function<std::vector<policy::PartSuspicion>()> suspicions;
@@ -109,6 +112,7 @@
     std::uint64_t push_heeded = 0;
   };
 
+  void TellCrashes(Control& control);
   void SendReport(const Endpoint& endpoint, Control& control);
   void HandlePush(const Endpoint& endpoint, const protocol::Envelope& envelope);
   void ConfirmSuspicions(const std::vector<policy::PartSuspicion>& told);
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -115,6 +115,9 @@
   /// @brief Merges what control knows against parts of prompts.
   void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
 
+  /// @brief What this entry knows of requests that crashed upstreams.
+  protocol::CrashesTold KnownCrashes() const { return crashes_.All(); }
+
   /// @brief What this entry knows against parts of prompts.
   std::vector<policy::PartSuspicion> Suspicions() const {
     return part_quarantine_.All();
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -46,6 +46,7 @@
       options_(std::move(options)),
       events_(std::move(events)),
       started_at_(MonotonicNow()),
+      crashes_(options_.data_folder, events_),
       declaration_desk_(MakeDeclarationHooks()),
       leader_known_at_(started_at_) {
   if (!options_.data_folder.empty()) {
@@ -55,9 +56,12 @@
 
 void RoutingHub::Start() {
   daemon_.SetExtension(this);
+  crashes_.Load(started_at_);
   LoadDepartures();
   daemon_.voters().OnConnected([this](const Endpoint& endpoint) {
     // What was told while the connection was down is lost.
+    daemon_.voters().SendTo(endpoint, protocol::MessageKind::kCrashesTold,
+                            protocol::Encode(crashes_.news().All()));
     daemon_.voters().SendTo(
         endpoint, protocol::MessageKind::kInstancePush,
         protocol::Encode(protocol::InstancePush{0, directory_.All()}));
@@ -228,12 +232,13 @@
 void RoutingHub::PushDirectory(Entry& entry) {
   if (!entry.directory_sent) {
     entry.directory_sent = true;
-    PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
-                protocol::InstancePush{push_number_, directory_.All()});
-    const protocol::CrashesTold crashes = crash_news_.All();
+    // First, since the entry may send as soon as it knows an upstream.
+    const protocol::CrashesTold crashes = crashes_.news().All();
     if (!membership::IsEmpty(crashes)) {
       PushMessage(entry.handle, protocol::MessageKind::kCrashesTold, crashes);
     }
+    PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
+                protocol::InstancePush{push_number_, directory_.All()});
   }
 }
 
@@ -245,7 +250,7 @@
   }
   for (const membership::InstanceStart& upstream :
        membership::PlannedExits(changes, directory_)) {
-    crash_news_.RecordPlannedExit(upstream);
+    crashes_.RecordPlannedExit(upstream);
   }
   CountDepartures(changes);
   ++push_number_;
@@ -390,9 +395,9 @@
   add("declarations_redirected_total", declarations_.redirected);
   add("declarations_refused_total", declarations_.refused);
   add("storage_suspended", daemon_.replica().suspended() ? 1 : 0);
-  add("crashes_known", crash_news_.witnesses());
-  add("prompt_parts_suspected", crash_news_.suspected_parts());
-  add("prompt_parts_quarantined", crash_news_.quarantined_parts());
+  add("crashes_known", crashes_.news().witnesses());
+  add("prompt_parts_suspected", crashes_.news().suspected_parts());
+  add("prompt_parts_quarantined", crashes_.news().quarantined_parts());
   return text;
 }
 
@@ -403,6 +408,7 @@
                                    std::exchange(pending_beats_, {})}));
   }
   SaveDepartures(now);
+  crashes_.SaveIfDue(now);
   NoteLeader(now);
   declaration_desk_.Check(now);
   CheckWaiters();
@@ -419,8 +425,8 @@
   if (now >= next_full_push_) {
     next_full_push_ = now + kFullPushPeriod;
     SendRecordsToControls(directory_.All());
-    crash_news_.Expire(now);
-    SendToControls(crash_news_.Suspicions());
+    crashes_.Expire(now);
+    SendToControls(crashes_.news().Suspicions());
   }
 }
 
--- a/src/control/routing_hub_signals.cc
+++ b/src/control/routing_hub_signals.cc
@@ -55,7 +55,7 @@
   if (!incoming) {
     return;
   }
-  PushToEntries(crash_news_.Record(incoming.value(), MonotonicNow()));
+  PushToEntries(crashes_.Record(incoming.value(), MonotonicNow()));
 }
 
 void RoutingHub::PushToEntries(const protocol::CrashesTold& news) {
@@ -79,13 +79,14 @@
 /// The reporting entry gets an answer for each of its suspicions.
 void RoutingHub::ForwardCrashes(const protocol::EntryReport& report,
                                 const adapter::ReplyHandle& reply) {
-  const protocol::CrashesTold news = crash_news_.Record(
+  const protocol::CrashesTold news = crashes_.Record(
       {report.witnesses, report.suspicions, report.cleared}, MonotonicNow());
   PushToEntries(news);
   SendToControls(news);
   if (news.suspicions.size() < report.suspicions.size()) {
-    reply.Push(protocol::MessageKind::kCrashesTold,
-               protocol::Encode(crash_news_.KnownAgainst(report.suspicions)));
+    reply.Push(
+        protocol::MessageKind::kCrashesTold,
+        protocol::Encode(crashes_.news().KnownAgainst(report.suspicions)));
   }
 }
 
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -85,6 +85,8 @@
     {EventId::kStorageResumed, "storage-resumed"},
     {EventId::kDeparturesNotKept, "departures-not-kept"},
     {EventId::kStorageOpened, "storage-opened"},
+    {EventId::kCrashesNotKept, "crashes-not-kept"},
+    {EventId::kCrashesLoaded, "crashes-loaded"},
     {EventId::kPeerConnected, "peer-connected"},
     {EventId::kPeerSilent, "peer-silent"},
     {EventId::kPeerRefused, "peer-refused"},
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -49,6 +49,7 @@
   const std::uint64_t report = ReportSequence(combined);
   if (a.state == InstanceState::kGone || b.state == InstanceState::kGone) {
     combined.state = InstanceState::kGone;
+    combined.replaced = a.replaced || b.replaced;
   }
   combined.silent = IsSilent(a, b);
   combined.stamp = std::max(a.stamp, b.stamp);
@@ -177,13 +178,31 @@
     const InstanceRecord& record, TimePoint now) {
   Instance& added = instances_[record.id];
   added = Instance{record, now};
-  if (IsEarlierAtItsAddress(record)) {
-    added.record.state = InstanceState::kGone;
-  }
+  MarkIfReplaced(&added.record);
   changed_.push_back(record.id);
   return Change::kChanged;
 }
 
+void InstanceDirectory::MarkIfReplaced(InstanceRecord* record) const {
+  if (record->state != InstanceState::kGone && IsEarlierAtItsAddress(*record)) {
+    record->state = InstanceState::kGone;
+    record->replaced = true;
+  }
+}
+
+/// Of a start that is gone nothing more is taken than that it had announced
+/// its exit, though its address was taken over first.
+InstanceDirectory::Change InstanceDirectory::MergeExit(
+    const InstanceRecord& received, InstanceRecord* known) {
+  if (!known->replaced || received.replaced ||
+      received.state != InstanceState::kGone) {
+    return Change::kStale;
+  }
+  known->replaced = false;
+  changed_.push_back(known->id);
+  return Change::kChanged;
+}
+
 InstanceDirectory::Change InstanceDirectory::MergeRecord(
     const InstanceRecord& record, TimePoint now) {
   RecordAddressOwner(record);
@@ -194,14 +213,14 @@
   Instance& instance = found->second;
   const InstanceRecord known = instance.record;
   const bool same_start = record.stamp.born == known.stamp.born;
-  if (record.stamp.born < known.stamp.born ||
-      (same_start && known.state == InstanceState::kGone)) {
+  if (same_start && known.state == InstanceState::kGone) {
+    return MergeExit(record, &instance.record);
+  }
+  if (record.stamp.born < known.stamp.born) {
     return Change::kStale;
   }
   InstanceRecord merged = same_start ? Combine(record, known) : record;
-  if (IsEarlierAtItsAddress(merged)) {
-    merged.state = InstanceState::kGone;
-  }
+  MarkIfReplaced(&merged);
   if (merged == known) {
     return Change::kStale;
   }
@@ -259,6 +278,7 @@
     record.leaves_in = Duration::zero();
   }
   record.state = InstanceState::kGone;
+  record.replaced = false;
   record.silent = false;
   if (Merge(record, now) != Change::kChanged) {
     return std::nullopt;
@@ -283,6 +303,7 @@
         instance.record.state != InstanceState::kGone &&
         instance.record.stamp.born < newest) {
       instance.record.state = InstanceState::kGone;
+      instance.record.replaced = true;
       changed_.push_back(id);
     }
   }
--- a/src/membership/planned_exits.cc
+++ b/src/membership/planned_exits.cc
@@ -38,9 +38,9 @@
   };
   std::vector<InstanceStart> exits;
   for (const InstanceRecord& record : records) {
-    const bool announced = record.leaving ||
-                           record.state == InstanceState::kDraining ||
-                           (IsGone(record) && !is_replaced(record));
+    const bool announced =
+        record.leaving || record.state == InstanceState::kDraining ||
+        (IsGone(record) && !record.replaced && !is_replaced(record));
     if (announced) {
       exits.push_back({record.id, record.stamp.born});
     }
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "rattanward/adapter/asio_timer_service.h"
+#include "rattanward/membership/crash_news.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -42,6 +43,7 @@
       [this, endpoint](const ProcessId&) {
         Control& connected = controls_[endpoint];
         connected.push_heeded = 0;
+        TellCrashes(connected);
         AddSuspicions(hooks_.suspicions());
         for (const UpstreamLimit& limit : hooks_.limits()) {
           AddLimit(limit);
@@ -51,6 +53,19 @@
   control.client->Start();
 }
 
+void ControlLink::TellCrashes(Control& control) {
+  if (!hooks_.known_crashes) {
+    return;
+  }
+  const protocol::CrashesTold known = hooks_.known_crashes();
+  if (!membership::IsEmpty(known)) {
+    protocol::Envelope envelope;
+    envelope.kind = protocol::MessageKind::kCrashesTold;
+    envelope.body = protocol::Encode(known);
+    control.client->Send(std::move(envelope));
+  }
+}
+
 void ControlLink::AddWitness(const protocol::CrashWitness& witness) {
   witnesses_.Insert(witness);
 }
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -110,6 +110,7 @@
     proxy_.RecordCrashes(told.witnesses);
     proxy_.MergeSuspicions(told.suspicions);
   };
+  hooks.known_crashes = [this] { return proxy_.KnownCrashes(); };
   hooks.suspicions = [this] { return proxy_.Suspicions(); };
   hooks.limits = [this] { return proxy_.Limits(); };
   hooks.demand = [this] { return proxy_.Demand(); };
--- a/tests/fakes/request_fleet.h
+++ b/tests/fakes/request_fleet.h
@@ -29,6 +29,8 @@
   std::uint64_t bad_request = 66;
   /// Without it, each lost upstream counts as crashed, and for good.
   bool weighs_evidence = true;
+  /// Without it, a restart of the hub loses all that it knew.
+  bool keeps_crashes = true;
 };
 
 /// @brief Entries with their CrashMemory, a hub with CrashNews, and upstreams
@@ -103,9 +105,38 @@
     Tell(index, hub_.All());
   }
 
+  /// @brief Restarts the hub, which reads what it saved last. The entries tell
+  /// it what they know.
+  void RestartHub() {
+    hub_ = {};
+    if (!options_.keeps_crashes) {
+      return;
+    }
+    hub_.Record(saved_, time());
+    for (const Entry& entry : entries_) {
+      Tell({}, entry.memory.All());
+    }
+  }
+
+  /// @brief Restarts the hub and all entries at once.
+  void RestartAll() {
+    news_.clear();
+    for (Entry& entry : entries_) {
+      entry = {};
+      entry.started_at = now_;
+    }
+    RestartHub();
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      Tell(i, hub_.All());
+    }
+  }
+
   void Step() {
     ++now_;
     DeliverNews();
+    if (now_ % kSaveSteps == 0) {
+      saved_ = hub_.All();
+    }
     EndRequests();
     for (std::size_t i = 0; i < upstreams_.size(); ++i) {
       if (upstreams_[i].leaves_at == now_) {
@@ -118,6 +149,8 @@
   int crashes() const { return crashes_; }
 
  private:
+  static constexpr int kSaveSteps = 4;
+
   struct Entry {
     membership::CrashMemory memory;
     int started_at = 0;
@@ -312,6 +345,7 @@
   std::vector<Upstream> upstreams_;
   std::size_t latest_sender_ = 0;
   membership::CrashNews hub_;
+  protocol::CrashesTold saved_;
   std::vector<Request> requests_;
   std::vector<News> news_;
   int now_ = 0;
--- a/tests/src/fuzz-request_quarantine.cc
+++ b/tests/src/fuzz-request_quarantine.cc
@@ -40,6 +40,8 @@
   int release = 0;
   int upstream_crash = 0;
   int entry_restart = 0;
+  int hub_restart = 0;
+  int restart_of_all = 0;
 };
 
 DayOutcome PlayDay(unsigned seed, const RequestFleetOptions& options,
@@ -78,6 +80,12 @@
     if (chance(trouble.entry_restart)) {
       fleet.RestartEntry();
     }
+    if (chance(trouble.hub_restart)) {
+      fleet.RestartHub();
+    }
+    if (chance(trouble.restart_of_all)) {
+      fleet.RestartAll();
+    }
     fleet.Step();
     if (!third_crash && fleet.crashes() >= kCountedCrashes) {
       third_crash = step;
@@ -122,6 +130,26 @@
   CHECK(MostlyServed(refused, sent));
 }
 
+// Guards against crashing requests that are forgotten when all processes end,
+// or entries and control in turn.
+TEST_CASE("a request that crashes upstreams stays stopped through restarts") {
+  CHECK(rc::check([] {
+    const auto seed = *rc::gen::arbitrary<unsigned>();
+    const DayOutcome outcome = PlayDay(seed, {}, {10, 0, 2, 2, 1});
+    RC_ASSERT(outcome.late_sends <= kAllowedSends);
+  }));
+}
+
+TEST_CASE("the days show the fault where nothing is kept") {
+  RequestFleetOptions options;
+  options.keeps_crashes = false;
+  int late_sends = 0;
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    late_sends += PlayDay(seed, options, {10, 0, 2, 2, 1}).late_sends;
+  }
+  CHECK(late_sends > 10 * kAllowedSends);
+}
+
 TEST_CASE("the days show the fault where no other evidence is weighed") {
   RequestFleetOptions options = Harmless();
   options.weighs_evidence = false;
--- a/tests/src/unit-entry-reports.cc
+++ b/tests/src/unit-entry-reports.cc
@@ -88,6 +88,7 @@
             [this](const protocol::Envelope& envelope) {
               directories +=
                   envelope.kind == protocol::MessageKind::kInstancePush;
+              pushed.push_back(envelope.kind);
             },
             [this](const ProcessId&) { connected = true; }) {
     client_.Start();
@@ -97,6 +98,13 @@
   EntryConnection(const EntryConnection&) = delete;
   EntryConnection& operator=(const EntryConnection&) = delete;
 
+  void Tell(const protocol::CrashesTold& crashes) {
+    protocol::Envelope envelope;
+    envelope.kind = protocol::MessageKind::kCrashesTold;
+    envelope.body = protocol::Encode(crashes);
+    client_.Send(std::move(envelope));
+  }
+
   void Report(std::uint64_t incarnation, std::uint64_t sequence,
               const std::string& process = "entry",
               std::vector<policy::ServiceDemand> demand = {}) {
@@ -113,6 +121,7 @@
                    answers += answer ? 1 : 0;
                  });
   }
+  std::vector<protocol::MessageKind> pushed;
   bool connected = false;
   int directories = 0;
   int answers = 0;
@@ -166,6 +175,18 @@
   }));
 }
 
+// Guards against an entry that sends a crashing request before it has heard
+// that this is held back.
+TEST_CASE("an entry hears of crashes before it knows an upstream") {
+  ReportedControl control;
+  EntryConnection connection(control);
+  connection.Tell({{{7, UpstreamId("u"), 1}}, {}, {}});
+  connection.Report(1, 1);
+  REQUIRE(control.RunUntil([&] { return connection.directories == 1; }));
+  CHECK(connection.pushed == std::vector{protocol::MessageKind::kCrashesTold,
+                                         protocol::MessageKind::kInstancePush});
+}
+
 // Guards against a plan for upstreams that follows one entry's demand only, or
 // the speed of the fastest upstream that any entry saw.
 TEST_CASE("the demand of all entries is summed") {
