Tell the entries of a departure that control doesn't know

Cause: a deregistration names no start. For an id that control doesn't know nothing was recorded, pushed or kept, and it was acknowledged at once, though the entries know the upstream. The same for what an answer told an entry of such an upstream: the other entries were not told.

Entries take the latest start that they know as gone and name it with their report; then a later start may register. Records of starts that told of their leaving are kept and pushed before their first heartbeat. DeparturesKept tells whether ids are kept, so that older builds don't count.

--- a/include/rattanward/control/departure_store.h
+++ b/include/rattanward/control/departure_store.h
@@ -14,6 +14,14 @@
 /// disk: several times the largest fleet.
 inline constexpr std::size_t kMaxKeptDepartures = 4096;
 
+/// @brief What a control VM keeps of upstreams that left.
+struct Departures {
+  /// Upstreams that are leaving or gone.
+  std::vector<membership::InstanceRecord> records;
+  /// Those that departed with an unknown start.
+  std::vector<UpstreamId> ids;
+};
+
 /// @brief File that keeps which upstreams are leaving or gone, so that a late
 /// heartbeat doesn't bring one back after a restart of all processes.
 /// @note Each control VM writes its own; see docs/design/departures.md.
@@ -26,12 +34,12 @@
 
   /// @brief Reads what was saved last; nothing if there is no file.
   /// Errors: kStorageFailed; kDamagedRecord if the file is not as it was saved.
-  Result<std::vector<membership::InstanceRecord>> Load() const;
+  Result<Departures> Load() const;
 
   /// @brief Replaces the file and waits until it is on the disk.
   /// Errors: kStorageRefused if the disk takes no more, kStorageFailed. The
   /// old file stays.
-  Status Save(const std::vector<membership::InstanceRecord>& departed) const;
+  Status Save(const Departures& departures) const;
 
  private:
   adapter::RecordFile file_;
--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -92,6 +92,9 @@
   /// @brief Handles the deregistration of an upstream.
   /// @param born Start that the deregistration refers to, in Unix milliseconds,
   /// if given.
+  /// @note Without a start, the latest one that control or an entry knows has
+  /// left. Where none is known, a ready upstream of this id is not taken for
+  /// DepartedIds::kHold.
   /// @param done As for Register() of a leaving upstream.
   void Deregister(const UpstreamId& id, std::optional<std::uint64_t> born,
                   Done done);
@@ -139,6 +142,8 @@
     /// Disks that must hold them, and other control VMs whose disks do.
     std::size_t wanted_disks = 0;
     std::size_t other_disks = 0;
+    /// Older builds don't keep a departure without a start.
+    bool names_no_start = false;
   };
   /// Declarations of routes since the start, and how they were answered.
   struct DeclarationCounts {
@@ -165,6 +170,7 @@
   void ForwardCrashes(const protocol::EntryReport& report,
                       const adapter::ReplyHandle& reply);
   void PushToEntries(const protocol::CrashesTold& news);
+  void PushToEntries(const protocol::InstancePush& push);
   void SendToControls(const protocol::CrashesTold& news);
   protocol::ControlReport ReportFor(const ProcessId& process,
                                     const Entry& entry);
@@ -185,6 +191,10 @@
   void CheckWaiters();
   std::size_t DisksOf(const Waiter& waiter) const;
   Status ResultOf(const Waiter& waiter) const;
+  bool Depart(const UpstreamId& id);
+  bool TakeDeparted(const std::vector<UpstreamId>& ids);
+  void ResolveDeparture(const membership::InstanceStart& departed);
+  protocol::InstancePush DepartureOf(const UpstreamId& id) const;
   void KeepDeparture(const UpstreamId& id, Done done);
   void TakeKept(std::uint64_t waiter, const protocol::Envelope& answer);
   void AnswerKept(bool refused);
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -87,6 +87,7 @@
   kScalingShort = 4024,
   kDeclarationReceived = 4025,
   kDeclarationAnswered = 4026,
+  kUpstreamDepartedUnknown = 4027,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -10,6 +10,7 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/named_limit.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/departed_ids.h"
 
 namespace rattanward::membership {
 
@@ -117,6 +118,45 @@
                                            std::optional<std::uint64_t> born,
                                            TimePoint now);
 
+  /// @brief What came of a deregistration that names no start.
+  enum class Departure : std::uint8_t {
+    /// The known start is gone, now or before.
+    kKnownStart,
+    /// No start is known that wasn't gone before. Ready records of the id are
+    /// not taken until ResolveDeparture(), or for DepartedIds::kHold.
+    kUnknownStart,
+    /// Nothing is known of the id, and there are too many such ids: this one
+    /// is not remembered.
+    kNotRemembered,
+  };
+
+  /// @brief Handles a deregistration that names no start.
+  Departure Depart(const UpstreamId& id, TimePoint now);
+
+  /// @brief Remembers that an unknown start of an id departed.
+  /// @return False if there are too many such ids.
+  bool AddDepartedId(const UpstreamId& id, TimePoint now) {
+    return departed_ids_.Add(id, now);
+  }
+
+  /// @brief Records which start of an id departed, if that wasn't known. Later
+  /// starts of it may register.
+  /// @return Whether the id had departed with an unknown start.
+  bool ResolveDeparture(const InstanceStart& departed, TimePoint now);
+
+  /// @brief Whether an id departed with an unknown start.
+  bool IsDepartedId(const UpstreamId& id) const {
+    return departed_ids_.Contains(id);
+  }
+
+  /// @brief Ids that departed with an unknown start.
+  std::vector<UpstreamId> DepartedWithUnknownStart() const {
+    return departed_ids_.All();
+  }
+
+  /// @brief Forgets ids that departed too long ago.
+  void ExpireDepartedIds(TimePoint now) { departed_ids_.Expire(now); }
+
   /// @brief Marks a start as leaving, which it told in an answer.
   /// @return Whether this is news. A start that is not known yet is remembered;
   /// an older or newer start of the same id is not affected.
@@ -170,6 +210,7 @@
 
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
   Change AddRecord(const InstanceRecord& record, TimePoint now);
+  bool IsHeld(const InstanceRecord& record) const;
   bool IsEarlierAtItsAddress(const InstanceRecord& record) const;
   void MarkIfReplaced(InstanceRecord* record) const;
   Change MergeExit(const InstanceRecord& received, InstanceRecord* known);
@@ -181,6 +222,7 @@
 
   std::map<UpstreamId, Instance> instances_;
   std::vector<UpstreamId> changed_;
+  DepartedIds departed_ids_;
   /// Latest start of each id that told that it is leaving.
   std::map<UpstreamId, std::uint64_t> leaving_;
   /// Limit that the latest start of each id named.
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -61,7 +61,8 @@
   std::vector<CrashWitness> witnesses;
   /// Changes that no control VM has confirmed yet; see PartQuarantine.
   std::vector<policy::PartSuspicion> suspicions;
-  /// Upstreams that told this entry lately that they are leaving.
+  /// Upstreams that told this entry lately that they are leaving, and the
+  /// starts of those that control told it as departed.
   std::vector<membership::InstanceStart> leaving;
   /// Limits that upstreams told this entry lately.
   std::vector<UpstreamLimit> limits;
@@ -156,6 +157,9 @@
   /// Grows with each push of the sender; 0 where none is awaited.
   std::uint64_t number = 0;
   std::vector<membership::InstanceRecord> records;
+  /// Upstreams that departed with a start that the sender doesn't know: the
+  /// latest one that the receiver knows is gone.
+  std::vector<UpstreamId> departed;
 
   friend bool operator==(const InstancePush&, const InstancePush&) = default;
 };
@@ -164,6 +168,8 @@
 /// whether the upstreams that left, as far as it knows, are on its disk.
 struct DeparturesKept {
   bool kept = false;
+  /// Whether those with an unknown start are, too.
+  bool ids_kept = false;
 
   friend bool operator==(const DeparturesKept&,
                          const DeparturesKept&) = default;
@@ -297,12 +303,12 @@
 
 template <>
 struct FieldsOf<InstancePush> {
-  static auto Tie(auto& m) { return std::tie(m.number, m.records); }
+  static auto Tie(auto& m) { return std::tie(m.number, m.records, m.departed); }
 };
 
 template <>
 struct FieldsOf<DeparturesKept> {
-  static auto Tie(auto& m) { return std::tie(m.kept); }
+  static auto Tie(auto& m) { return std::tie(m.kept, m.ids_kept); }
 };
 
 template <>
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -28,6 +28,9 @@
   std::function<void(const protocol::RoutingPush&)> routing;
   std::function<void(const std::vector<membership::InstanceRecord>&)> instances;
   std::function<void(const protocol::CrashesTold&)> crashes;
+  /// Upstreams that departed and that control knows no start of. The report
+  /// that follows tells it.
+  std::function<void(const std::vector<UpstreamId>&)> departed;
   /// What this entry knows of crashes, for a control VM that may know nothing
   /// yet; may be empty.
   std::function<protocol::CrashesTold()> known_crashes;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -115,6 +115,11 @@
   /// @brief Merges what control knows against parts of prompts.
   void MergeSuspicions(const std::vector<policy::PartSuspicion>& received);
 
+  /// @brief The latest known start of each of these upstreams is gone.
+  /// @return Those starts, since control doesn't know them.
+  std::vector<membership::InstanceStart> RecordDeparted(
+      const std::vector<UpstreamId>& ids);
+
   /// @brief What this entry knows of requests that crashed upstreams.
   protocol::CrashesTold KnownCrashes() const { return crashes_.All(); }
 
--- a/src/control/departure_store.cc
+++ b/src/control/departure_store.cc
@@ -6,18 +6,18 @@
 
 namespace rattanward::control {
 
-Result<std::vector<membership::InstanceRecord>> DepartureStore::Load() const {
+Result<Departures> DepartureStore::Load() const {
   BOOST_OUTCOME_TRY(payload, file_.Load());
   if (!payload) {
-    return std::vector<membership::InstanceRecord>();
+    return Departures();
   }
   BOOST_OUTCOME_TRY(saved, protocol::Decode<protocol::InstancePush>(*payload));
-  return saved.records;
+  return Departures{saved.records, saved.departed};
 }
 
-Status DepartureStore::Save(
-    const std::vector<membership::InstanceRecord>& departed) const {
-  return file_.Save(protocol::Encode(protocol::InstancePush{0, departed}));
+Status DepartureStore::Save(const Departures& departures) const {
+  return file_.Save(protocol::Encode(
+      protocol::InstancePush{0, departures.records, departures.ids}));
 }
 
 }  // namespace rattanward::control
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -64,7 +64,8 @@
                             protocol::Encode(crashes_.news().All()));
     daemon_.voters().SendTo(
         endpoint, protocol::MessageKind::kInstancePush,
-        protocol::Encode(protocol::InstancePush{0, directory_.All()}));
+        protocol::Encode(protocol::InstancePush{
+            0, directory_.All(), directory_.DepartedWithUnknownStart()}));
   });
   daemon_.timers().Every(kTickPeriod, [this](TimePoint now) { Tick(now); });
 }
@@ -238,7 +239,8 @@
       PushMessage(entry.handle, protocol::MessageKind::kCrashesTold, crashes);
     }
     PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
-                protocol::InstancePush{push_number_, directory_.All()});
+                protocol::InstancePush{push_number_, directory_.All(),
+                                       directory_.DepartedWithUnknownStart()});
   }
 }
 
@@ -254,11 +256,7 @@
   }
   CountDepartures(changes);
   ++push_number_;
-  const std::string body =
-      protocol::Encode(protocol::InstancePush{push_number_, changes});
-  for (auto& [process, entry] : entries_) {
-    entry.handle.Push(protocol::MessageKind::kInstancePush, body);
-  }
+  PushToEntries(protocol::InstancePush{push_number_, changes, {}});
   for (const InstanceRecord& record : changes) {
     events_({record.state == InstanceState::kReady ? EventId::kUpstreamAnnounced
                                                    : EventId::kUpstreamDraining,
@@ -276,7 +274,7 @@
     const std::vector<InstanceRecord>& records) {
   daemon_.voters().SendToAll(
       protocol::MessageKind::kInstancePush,
-      protocol::Encode(protocol::InstancePush{0, records}));
+      protocol::Encode(protocol::InstancePush{0, records, {}}));
 }
 
 void RoutingHub::HandleInstancePush(const adapter::InboundMessage& message,
@@ -290,10 +288,17 @@
     directory_.Merge(record, MonotonicNow());
   }
   PushDirectoryChanges();
-  if (message.envelope.request != 0) {
-    kept_questions_.push_back({reply, departures_});
-    AnswerKept(/*refused=*/false);
+  const bool remembered = TakeDeparted(push.value().departed);
+  if (message.envelope.request == 0) {
+    return;
   }
+  if (!remembered) {
+    reply.Reply(protocol::MessageKind::kDeparturesKept,
+                protocol::Encode(protocol::DeparturesKept{}));
+    return;
+  }
+  kept_questions_.push_back({reply, departures_});
+  AnswerKept(/*refused=*/false);
 }
 
 void RoutingHub::HandleInstanceBeats(const adapter::InboundMessage& message) {
@@ -328,8 +333,13 @@
 
 void RoutingHub::Deregister(const UpstreamId& id,
                             std::optional<std::uint64_t> born, Done done) {
-  if (directory_.Deregister(id, born, MonotonicNow())) {
+  if (born) {
+    directory_.Deregister(id, born, MonotonicNow());
     PushDirectoryChanges();
+  } else if (!Depart(id)) {
+    done(MakeError(ErrorCode::kOutcomeUnknown,
+                   "too many upstreams departed that are not known here"));
+    return;
   }
   KeepDeparture(id, std::move(done));
 }
@@ -417,6 +427,7 @@
     next_maintenance_ = now + kMaintenancePeriod;
     directory_.MarkSilent(now - kMaxMissedBeats * options_.heartbeat);
     directory_.Forget(now - kInstanceRetention);
+    directory_.ExpireDepartedIds(now);
     std::erase_if(entries_, [&](const auto& item) {
       return item.second.last_report_at < now - kEntryRetention;
     });
--- a/src/control/routing_hub_departures.cc
+++ b/src/control/routing_hub_departures.cc
@@ -27,9 +27,12 @@
         {EventId::kDeparturesNotKept, {{"reason", departed.error().message}}});
     return;
   }
-  for (const InstanceRecord& record : departed.value()) {
+  for (const InstanceRecord& record : departed.value().records) {
     directory_.Merge(record, MonotonicNow());
   }
+  for (const UpstreamId& id : departed.value().ids) {
+    directory_.AddDepartedId(id, MonotonicNow());
+  }
   PushDirectoryChanges();
   departures_saved_ = departures_;
 }
@@ -42,13 +45,52 @@
   departures_ += any_departed ? 1 : 0;
 }
 
+/// Handles a departure that names no start. Returns whether it is remembered.
+/// Where control doesn't know the upstream, as after a restart, entries may.
+bool RoutingHub::Depart(const UpstreamId& id) {
+  using Departure = membership::InstanceDirectory::Departure;
+  const Departure departure = directory_.Depart(id, MonotonicNow());
+  if (departure == Departure::kKnownStart) {
+    PushDirectoryChanges();
+  } else if (departure == Departure::kUnknownStart) {
+    ++departures_;
+    ++push_number_;
+    PushToEntries(protocol::InstancePush{push_number_, {}, {id}});
+    events_({EventId::kUpstreamDepartedUnknown,
+             {{"upstream", id.str()}, {"push", std::to_string(push_number_)}}});
+  }
+  return departure != Departure::kNotRemembered;
+}
+
+/// Takes departures that another control VM heard of and knew no start of. Each
+/// start that is known here is told to all.
+bool RoutingHub::TakeDeparted(const std::vector<UpstreamId>& ids) {
+  bool remembered = true;
+  for (const UpstreamId& id : ids) {
+    remembered = Depart(id) && remembered;
+    const InstanceRecord* record = directory_.Find(id);
+    if (record != nullptr) {
+      SendRecordsToControls({*record});
+    }
+  }
+  return remembered;
+}
+
+/// An entry knows which start of an upstream departed.
+void RoutingHub::ResolveDeparture(const membership::InstanceStart& departed) {
+  if (directory_.ResolveDeparture(departed, MonotonicNow())) {
+    SendRecordsToControls({*directory_.Find(departed.id)});
+  }
+}
+
 void RoutingHub::SaveDepartures(TimePoint now) {
   if (!departure_store_ || departures_saved_ == departures_ ||
       now < next_departure_save_) {
     return;
   }
   const Status saved =
-      departure_store_->Save(directory_.Departed(kMaxKeptDepartures));
+      departure_store_->Save({directory_.Departed(kMaxKeptDepartures),
+                              directory_.DepartedWithUnknownStart()});
   next_departure_save_ = now + (saved ? kSavePeriod : kSavePauseAfterError);
   if (saved) {
     departures_saved_ = departures_;
@@ -68,19 +110,29 @@
     return entry.push_heeded >= number;
   };
   waiter.done = std::move(done);
+  waiter.departures = departures_;
+  waiter.names_no_start = directory_.IsDepartedId(id);
+  waiter.wanted_disks = departure_store_ ? options_.wanted_voters / 2 + 1 : 0;
+  daemon_.voters().CallAll(
+      protocol::MessageKind::kInstancePush, protocol::Encode(DepartureOf(id)),
+      options_.leave_ack_timeout,
+      [this, number = waiter.number](const protocol::Envelope& answer) {
+        TakeKept(number, answer);
+      });
+  AddWaiter(std::move(waiter));
+}
+
+/// What is known of an upstream that left, for the other control VMs.
+protocol::InstancePush RoutingHub::DepartureOf(const UpstreamId& id) const {
+  protocol::InstancePush departure;
   const InstanceRecord* record = directory_.Find(id);
   if (record != nullptr) {
-    waiter.departures = departures_;
-    waiter.wanted_disks = departure_store_ ? options_.wanted_voters / 2 + 1 : 0;
-    daemon_.voters().CallAll(
-        protocol::MessageKind::kInstancePush,
-        protocol::Encode(protocol::InstancePush{0, {*record}}),
-        options_.leave_ack_timeout,
-        [this, number = waiter.number](const protocol::Envelope& answer) {
-          TakeKept(number, answer);
-        });
+    departure.records.push_back(*record);
   }
-  AddWaiter(std::move(waiter));
+  if (directory_.IsDepartedId(id)) {
+    departure.departed.push_back(id);
+  }
+  return departure;
 }
 
 void RoutingHub::TakeKept(std::uint64_t waiter,
@@ -90,7 +142,9 @@
     return;
   }
   for (Waiter& waiting : waiters_) {
-    waiting.other_disks += waiting.number == waiter ? 1 : 0;
+    const bool counts = waiting.number == waiter &&
+                        (!waiting.names_no_start || told.value().ids_kept);
+    waiting.other_disks += counts ? 1 : 0;
   }
   CheckWaiters();
 }
@@ -104,8 +158,9 @@
     if (!kept && !refused && departure_store_) {
       return false;
     }
-    question.reply.Reply(protocol::MessageKind::kDeparturesKept,
-                         protocol::Encode(protocol::DeparturesKept{kept}));
+    question.reply.Reply(
+        protocol::MessageKind::kDeparturesKept,
+        protocol::Encode(protocol::DeparturesKept{kept, kept}));
     return true;
   });
 }
--- a/src/control/routing_hub_signals.cc
+++ b/src/control/routing_hub_signals.cc
@@ -6,14 +6,27 @@
 using adapter::MonotonicNow;
 using membership::InstanceRecord;
 
+/// What is known of a start that told that it leaves. Whatever it registered
+/// is newer.
+InstanceRecord LeavingRecord(const membership::InstanceStart& leaving) {
+  InstanceRecord record;
+  record.id = leaving.id;
+  record.stamp.born = leaving.born;
+  record.state = membership::InstanceState::kDraining;
+  record.leaving = true;
+  return record;
+}
+
 }  // namespace
 
 void RoutingHub::MarkLeaving(
     const std::vector<membership::InstanceStart>& told) {
   for (const membership::InstanceStart& leaving : told) {
-    const InstanceRecord* record = directory_.Find(leaving.id);
-    if (directory_.MarkLeaving(leaving) && record != nullptr) {
-      SendRecordsToControls({*record});
+    ResolveDeparture(leaving);
+    if (directory_.MarkLeaving(leaving)) {
+      // Kept and told on also where the start hasn't registered here.
+      directory_.Merge(LeavingRecord(leaving), MonotonicNow());
+      SendRecordsToControls({*directory_.Find(leaving.id)});
     }
   }
   PushDirectoryChanges();
@@ -68,6 +81,13 @@
   }
 }
 
+void RoutingHub::PushToEntries(const protocol::InstancePush& push) {
+  const std::string body = protocol::Encode(push);
+  for (auto& [process, entry] : entries_) {
+    entry.handle.Push(protocol::MessageKind::kInstancePush, body);
+  }
+}
+
 void RoutingHub::SendToControls(const protocol::CrashesTold& news) {
   if (!membership::IsEmpty(news)) {
     daemon_.voters().SendToAll(protocol::MessageKind::kCrashesTold,
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -78,6 +78,7 @@
     {EventId::kScalingShort, "scaling-short"},
     {EventId::kDeclarationReceived, "declaration-received"},
     {EventId::kDeclarationAnswered, "declaration-answered"},
+    {EventId::kUpstreamDepartedUnknown, "upstream-departed-unknown"},
     {EventId::kSnapshotWritten, "snapshot-written"},
     {EventId::kTornTailCut, "torn-tail-cut"},
     {EventId::kDamagedRecordFound, "damaged-record-found"},
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -183,6 +183,12 @@
   return Change::kChanged;
 }
 
+/// Whether a ready record may be a late one of the start that departed.
+bool InstanceDirectory::IsHeld(const InstanceRecord& record) const {
+  return record.state == InstanceState::kReady &&
+         departed_ids_.Contains(record.id);
+}
+
 void InstanceDirectory::MarkIfReplaced(InstanceRecord* record) const {
   if (record->state != InstanceState::kGone && IsEarlierAtItsAddress(*record)) {
     record->state = InstanceState::kGone;
@@ -205,6 +211,9 @@
 
 InstanceDirectory::Change InstanceDirectory::MergeRecord(
     const InstanceRecord& record, TimePoint now) {
+  if (IsHeld(record)) {
+    return Change::kStale;
+  }
   RecordAddressOwner(record);
   const auto found = instances_.find(record.id);
   if (found == instances_.end()) {
@@ -286,6 +295,28 @@
   return record;
 }
 
+InstanceDirectory::Departure InstanceDirectory::Depart(const UpstreamId& id,
+                                                       TimePoint now) {
+  const InstanceRecord* known = Find(id);
+  if (known != nullptr && known->state != InstanceState::kGone) {
+    Deregister(id, std::nullopt, now);
+    return Departure::kKnownStart;
+  }
+  if (AddDepartedId(id, now)) {
+    return Departure::kUnknownStart;
+  }
+  return known != nullptr ? Departure::kKnownStart : Departure::kNotRemembered;
+}
+
+bool InstanceDirectory::ResolveDeparture(const InstanceStart& departed,
+                                         TimePoint now) {
+  if (!departed_ids_.Remove(departed.id)) {
+    return false;
+  }
+  Deregister(departed.id, departed.born, now);
+  return true;
+}
+
 /// Records the start as the owner of its address if it is the latest one, and
 /// marks instances with an earlier start at that address as gone. They stay
 /// gone even after the later instance has moved to another address.
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -97,6 +97,8 @@
 }
 
 void ControlLink::AddLeaving(const membership::InstanceStart& upstream) {
+  std::erase_if(leaving_,
+                [&](const auto& item) { return item.second == upstream; });
   leaving_.emplace_back(MonotonicNow() + kSignalReportTime, upstream);
 }
 
@@ -191,6 +193,9 @@
       const auto push = protocol::Decode<protocol::InstancePush>(envelope.body);
       if (push) {
         hooks_.instances(push.value().records);
+        if (!push.value().departed.empty()) {
+          hooks_.departed(push.value().departed);
+        }
         Control& control = controls_[endpoint];
         control.push_heeded =
             std::max(control.push_heeded, push.value().number);
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -105,6 +105,11 @@
       [this](const std::vector<membership::InstanceRecord>& records) {
         proxy_.UpdateInstances(records);
       };
+  hooks.departed = [this](const std::vector<UpstreamId>& ids) {
+    for (const membership::InstanceStart& start : proxy_.RecordDeparted(ids)) {
+      link_.AddLeaving(start);
+    }
+  };
   hooks.crashes = [this](const protocol::CrashesTold& told) {
     proxy_.RecordCleared(told.cleared);
     proxy_.RecordCrashes(told.witnesses);
--- a/src/proxy/proxy_signals.cc
+++ b/src/proxy/proxy_signals.cc
@@ -24,6 +24,22 @@
   hooks_.leaving(upstream);
 }
 
+std::vector<membership::InstanceStart> Proxy::RecordDeparted(
+    const std::vector<UpstreamId>& ids) {
+  std::vector<membership::InstanceStart> departed;
+  for (const UpstreamId& id : ids) {
+    const membership::InstanceRecord* record = directory_.Find(id);
+    if (record == nullptr) {
+      continue;
+    }
+    departed.push_back({id, record->stamp.born});
+    directory_.Deregister(id, std::nullopt, MonotonicNow());
+  }
+  ApplyDirectoryChanges();
+  RecordPlannedExits(departed);
+  return departed;
+}
+
 void Proxy::OnBackoff(const Exchange& exchange, Duration backoff_for) {
   if (StartOf(exchange.upstream()) != exchange.upstream_start()) {
     return;
--- a/tests/fakes/directory_fleet.h
+++ b/tests/fakes/directory_fleet.h
@@ -120,8 +120,8 @@
 
   void SendRecords(std::size_t from,
                    const std::vector<membership::InstanceRecord>& records) {
-    SendToOthers(from,
-                 {protocol::Encode(protocol::InstancePush{0, records}), {}});
+    SendToOthers(
+        from, {protocol::Encode(protocol::InstancePush{0, records, {}}), {}});
   }
 
   void SendToOthers(std::size_t from, const Message& message) {
@@ -142,9 +142,10 @@
   void Apply(std::size_t entry,
              const std::vector<membership::InstanceRecord>& records,
              TimePoint now) {
-    const auto push = protocol::Decode<protocol::InstancePush>(
-                          protocol::Encode(protocol::InstancePush{1, records}))
-                          .value();
+    const auto push =
+        protocol::Decode<protocol::InstancePush>(
+            protocol::Encode(protocol::InstancePush{1, records, {}}))
+            .value();
     for (const membership::InstanceRecord& record : push.records) {
       entries_[entry].Merge(record, now);
     }
--- a/tests/src/unit-departures.cc
+++ b/tests/src/unit-departures.cc
@@ -144,7 +144,8 @@
   static bool Holds(const std::string& folder, const std::string& id) {
     const auto saved = DepartureStore(folder).Load();
     return saved &&
-           std::any_of(saved.value().begin(), saved.value().end(),
+           std::any_of(saved.value().records.begin(),
+                       saved.value().records.end(),
                        [&](const auto& r) { return r.id == UpstreamId(id); });
   }
 
@@ -210,8 +211,8 @@
   CHECK(control.Deregister("i1"));
   const auto saved = DepartureStore(folder.path()).Load();
   REQUIRE(saved);
-  REQUIRE(saved.value().size() == 1);
-  CHECK(saved.value()[0].state == InstanceState::kGone);
+  REQUIRE(saved.value().records.size() == 1);
+  CHECK(saved.value().records[0].state == InstanceState::kGone);
 }
 
 // Guards against an acknowledgement that a restart of all processes undoes.
--- a/tests/src/unit-scaling-parts.cc
+++ b/tests/src/unit-scaling-parts.cc
@@ -100,7 +100,7 @@
   report.demand = {{ServiceName("s"), 1, 2, 3, 4, 5}};
   CHECK(protocol::Decode<protocol::EntryReport>(protocol::Encode(report))
             .value() == report);
-  protocol::InstancePush push{1, {Spot("u", 1)}};
+  protocol::InstancePush push{1, {Spot("u", 1)}, {}};
   push.records[0].leaves_in = seconds(1);
   CHECK(protocol::Decode<protocol::InstancePush>(protocol::Encode(push))
             .value() == push);
