Take an unframed answer as whole only if its request has arrived

Callers saw: part of an answer as a complete one, where the upstream answered a long upload without a length, ended its side in order and then reset the connection while the upload was still being sent (MIXED, told of another system).

Cause: the end of the upstream's side was taken for the answer's end, whether or not the upstream had the request.

Change: ClientConnection asks whether the whole request was written and acknowledged; else the answer is truncated, and may have run. A rejection that states that the request did not run counts also if its body breaks off.

Evidence: before, two of three subcases of unit-http-connection and three of four of the new case of unit-proxy-answers fail (booking, stream, read); all pass now. The reset alone, without the end before it, was right before.

--- a/include/rattanward/http/client_connection.h
+++ b/include/rattanward/http/client_connection.h
@@ -119,6 +119,7 @@
   void ProcessHead();
   void FinishSkippedResponse();
   void Complete();
+  bool PeerHasRequest();
   void OnPeerClosed(bool reset);
   void Fail(ClientFailure failure);
   void UpdateKeepAlive(const ResponseHead& head);
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -310,10 +310,17 @@
   return connected_ && !closed_ && !awaiting_response_ && now < usable_until_;
 }
 
+/// Whether the whole request has arrived at the peer. One that ends its answer
+/// sooner may be about to reset the connection.
+bool ClientConnection::PeerHasRequest() {
+  return sent_all() && detail::UnacknowledgedBytes(socket_) == 0;
+}
+
 void ClientConnection::OnPeerClosed(bool reset) {
   // A reset that the send has reported is read as a normal close afterwards.
   const bool closed_normally = !reset && !send_failed_;
-  if (closed_normally && head_delivered_ && parser_->FeedEof()) {
+  if (closed_normally && PeerHasRequest() && head_delivered_ &&
+      parser_->FeedEof()) {
     peer_will_close_ = true;
     Complete();
     return;
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -194,6 +194,11 @@
     }
     return;
   }
+  if (response_begun_ && response_traits_.not_run && !stream_started_) {
+    // The head of the answer says it all.
+    HandleRejection();
+    return;
+  }
   HandleConnectionLoss(failure == ClientFailure::kMalformed
                            ? "the upstream's response is malformed"
                            : "the upstream broke off");
--- a/tests/src/unit-http-connection.cc
+++ b/tests/src/unit-http-connection.cc
@@ -57,22 +57,36 @@
 
 }  // namespace
 
+// Guards against half an answer that is passed on as whole: its upstream ended
+// its side in order before the reset.
 TEST_CASE("an unframed answer reset while its request is sent is incomplete") {
+  bool ends_first = false;
+  std::size_t body_bytes = kLargeBytes;
+  SUBCASE("reset at once") {}
+  SUBCASE("ended in order first") { ends_first = true; }
+  SUBCASE("ended in order first, the rest of the request in system buffers") {
+    ends_first = true;
+    body_bytes = 1U << 20U;
+  }
   asio::io_context io;
   tcp::acceptor acceptor = Listen(io);
   RecordingHandler handler;
   const auto connection = std::make_shared<ClientConnection>(
       io, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
   connection->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                       std::to_string(kLargeBytes) + "\r\n\r\n",
-                   std::make_shared<const std::string>(kLargeBytes, 'x'),
+                       std::to_string(body_bytes) + "\r\n\r\n",
+                   std::make_shared<const std::string>(body_bytes, 'x'),
                    std::chrono::seconds(5), &handler);
   tcp::socket upstream = acceptor.accept();
   asio::write(
       upstream,
       asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nthe first half")));
   REQUIRE(RunUntil(io, [&] { return !handler.body.empty(); }));
-  REQUIRE_FALSE(connection->sent_all());
+  REQUIRE(connection->sent_all() == (body_bytes < kLargeBytes));
+  if (ends_first) {
+    upstream.shutdown(tcp::socket::shutdown_send);
+    RunUntil(io, [&] { return handler.completed || handler.failure; });
+  }
   upstream.set_option(asio::socket_base::linger(true, 0));
   upstream.close();
   REQUIRE(RunUntil(io, [&] { return handler.completed || handler.failure; }));
--- a/tests/src/unit-proxy-answers.cc
+++ b/tests/src/unit-proxy-answers.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using fakes::Contains;
+using fakes::IdOf;
 using fakes::LoopbackPeer;
 using fakes::MakeRequest;
 using fakes::MakeResponse;
@@ -282,6 +283,57 @@
   CHECK(Receives(entry, caller, "HTTP/1.1 502"));
 }
 
+// Guards against half an answer that is passed on as whole: its upstream ended
+// it while the request was still being sent, and reset the connection then.
+TEST_CASE("an unframed answer that ends before its request is not complete") {
+  using asio::ip::tcp;
+  ProxyEntry entry;
+  tcp::acceptor acceptor(entry.io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  entry.AddRecord(7, {"127.0.0.1", acceptor.local_endpoint().port()});
+  std::string path = "/once/";
+  std::string head = UnframedHead();
+  std::string part = std::string(5000, 'x');
+  std::string expected = "HTTP/1.1 502";
+  SUBCASE("of a booking") {}
+  SUBCASE("of a stream, between its events") {
+    path = "/stream/";
+    part = "id: 1\ndata: a\n\n";
+    expected = part;
+  }
+  SUBCASE("of a read, which is sent again") {
+    path = "/safe/";
+    expected = "whole";
+  }
+  SUBCASE("but a rejection needs no body") {
+    head = "HTTP/1.1 503 Full\r\nid: 1\r\nnot-run: x\r\n\r\n";
+    expected = "HTTP/1.1 503";
+  }
+  tcp::socket upstream(entry.io);
+  bool accepted = false;
+  acceptor.async_accept(upstream,
+                        [&](const asio::error_code&) { accepted = true; });
+  const auto caller = entry.ConnectCaller();
+  caller->Send(MakeRequest(path, "1", std::string(1U << 20U, 'b')));
+  REQUIRE(entry.RunUntil([&] { return accepted; }));
+  if (path == "/safe/") {
+    entry.AddUpstream([](LoopbackPeer& peer, const std::string& request) {
+      peer.Send(MakeResponse(IdOf(request), "whole"));
+    });
+  }
+  asio::write(upstream, asio::buffer(head + part));
+  upstream.shutdown(tcp::socket::shutdown_send);
+  entry.RunUntil([&] { return caller->ended(); },
+                 std::chrono::milliseconds(20));
+  upstream.set_option(asio::socket_base::linger(true, 0));
+  upstream.close();
+  entry.RunUntil([&] {
+    return caller->ended() ||
+           (path != "/stream/" && Contains(caller->received(), "\r\n\r\n"));
+  });
+  CHECK(Contains(caller->received(), expected));
+  CHECK_FALSE(Contains(caller->received(), "\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("an unframed answer that is reset between events is not complete") {
   ProxyEntry entry;
   auto& upstream =
