End an answer at once whose status is no status

A booking was sent on when such an answer was marked as a rejection, though it may have run.

Cause: ClientConnection took any number below 200 as interim and any other as final; Beast's parser takes any three digits.

Change: what isn't 100 to 599 is malformed, before anything of its head is read: closed at once, may have run. The load tool counts it as interrupted.

Evidence: the new cases of unit-http-connection (000, 001, 099, 600, 999) and unit-proxy-answers (000, 099, 600) fail before, all pass now.

--- a/include/rattanward/http/message.h
+++ b/include/rattanward/http/message.h
@@ -101,6 +101,13 @@
 std::string EncodeChunk(std::string_view piece);
 
 /// @brief End of a chunked body without trailer fields.
+/// @brief Whether a number is a status of HTTP.
+constexpr bool IsStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return status >= kFirst && status <= kLast;
+}
+
 /// @brief Whether a status reports success (2xx).
 constexpr bool IsSuccess(int status) {
   constexpr int kOk = 200;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -262,6 +262,10 @@
 void ClientConnection::ProcessHead() {
   constexpr int kFirstFinalStatus = 200;
   const ResponseHead& head = parser_->head();
+  if (!IsStatus(head.status)) {
+    Fail(ClientFailure::kMalformed);
+    return;
+  }
   handler_->OnReceivedHead(head);
   skipping_response_ =
       head.status < kFirstFinalStatus || !handler_->IsMatchingResponse(head);
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "rattanward/http/message.h"
+
 namespace rattanward::load {
 namespace {
 
@@ -261,7 +263,7 @@
   }
   if (streamed && response_head.status == kHttpOk) {
     RecordStreamedAnswer(reader, record);
-  } else if (!completed) {
+  } else if (!completed || !http::IsStatus(response_head.status)) {
     record.outcome = CallOutcome::kInterrupted;
     record.verdict = Verdict::kMayHaveRun;
   } else if (response_head.status == kHttpOk) {
--- a/tests/src/unit-http-connection.cc
+++ b/tests/src/unit-http-connection.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/http/client_connection.h"
@@ -94,6 +95,29 @@
   CHECK(handler.failure == ClientFailure::kTruncated);
 }
 
+// Guards against a wait for another answer, and against an answer that is
+// passed on, where the status is no status.
+TEST_CASE("an answer whose status is no status is broken at once") {
+  const std::vector<std::string> statuses = {"000", "001", "099", "600", "999"};
+  for (const std::string& status : statuses) {
+    CAPTURE(status);
+    asio::io_context io;
+    tcp::acceptor acceptor = Listen(io);
+    RecordingHandler handler;
+    const auto connection = std::make_shared<ClientConnection>(
+        io, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+    connection->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                     std::make_shared<const std::string>(),
+                     std::chrono::seconds(5), &handler);
+    tcp::socket upstream = acceptor.accept();
+    asio::write(upstream, asio::buffer("HTTP/1.1 " + status +
+                                       " X\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(RunUntil(io, [&] { return handler.completed || handler.failure; }));
+    CHECK(handler.failure == ClientFailure::kMalformed);
+    CHECK_FALSE(handler.head_seen);
+  }
+}
+
 TEST_CASE("a caller without chunks gets a reset instead of half an answer") {
   asio::io_context io;
   std::shared_ptr<ServerConnection> connection;
--- a/tests/src/unit-proxy-answers.cc
+++ b/tests/src/unit-proxy-answers.cc
@@ -283,6 +283,28 @@
   CHECK(Receives(entry, caller, "HTTP/1.1 502"));
 }
 
+// Guards against an answer whose status is no status, and against a wait for
+// another one.
+TEST_CASE("an answer whose status is no status is a broken attempt") {
+  for (const std::string status : {"000", "099", "600"}) {
+    CAPTURE(status);
+    ProxyEntry entry;
+    int arrivals = 0;
+    const auto handler = [&](LoopbackPeer& peer, const std::string& request) {
+      const bool first = ++arrivals == 1;
+      // What such an answer says of itself counts for nothing.
+      peer.Send(MakeResponse(IdOf(request), "x", "signed: x\r\nnot-run: x\r\n",
+                             first ? status + " X" : "200 OK"));
+    };
+    entry.AddUpstream(handler);
+    entry.AddUpstream(handler);
+    const auto caller = entry.ConnectCaller();
+    caller->Send(MakeRequest("/once/", "1"));
+    CHECK(Receives(entry, caller, "HTTP/1.1 502"));
+    CHECK(arrivals == 1);
+  }
+}
+
 // Guards against half an answer that is passed on as whole: its upstream ended
 // it while the request was still being sent, and reset the connection then.
 TEST_CASE("an unframed answer that ends before its request is not complete") {
