--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -341,7 +341,7 @@
   std::shared_ptr<http::ClientConnection> late_connection_;
   /// A second attempt that runs beside the current one.
   std::shared_ptr<HedgeAttempt> hedge_;
-  /// A former second attempt, that has become the current attempt.
+  /// A former second attempt that has become the current one.
   std::shared_ptr<HedgeAttempt> adopted_hedge_;
   UpstreamId upstream_;
   std::optional<Endpoint> relay_peer_;
--- a/tests/src/unit-crashes-kept.cc
+++ b/tests/src/unit-crashes-kept.cc
@@ -19,7 +19,6 @@
 namespace {
 
 using membership::InstanceDirectory;
-using membership::InstanceState;
 using protocol::CrashesTold;
 using protocol::CrashWitness;
 
@@ -175,7 +174,7 @@
         }
       });
   REQUIRE(listener.Listen({"127.0.0.1", 0}));
-  const CrashesTold known{News().witnesses, {}, News().cleared};
+  CrashesTold known{News().witnesses, {}, News().cleared};
   proxy::ControlLinkHooks hooks;
   hooks.known_crashes = [&] { return known; };
   hooks.suspicions = [] { return std::vector<policy::PartSuspicion>(); };
