Generate departures that control has forgotten the start of

Cause: unit-departed-unknown plays single orders of events; restarts of control and of entries around a departure were not generated.

Change: DirectoryFleet restarts control VMs with their disks and entries without memory, and takes departures that name no start. fuzz-directory_fleet checks that the departed start never becomes ready at an entry while it is held, and that a later start of the id does.

--- a/tests/fakes/directory_fleet.h
+++ b/tests/fakes/directory_fleet.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -76,6 +77,47 @@
   /// @brief The push to an entry that has just connected.
   void Connect(std::size_t entry, std::size_t control, TimePoint now) {
     Apply(entry, controls_[control].All(), now);
+    for (const UpstreamId& id : controls_[control].DepartedWithUnknownStart()) {
+      HeedDeparture(entry, id, now);
+    }
+  }
+
+  /// @brief A deregistration that names no start arrives at a control VM, which
+  /// asks the others to keep it.
+  void Depart(std::size_t at, const UpstreamId& id, TimePoint now) {
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+      TakeDeparture((at + i) % controls_.size(), id, now);
+    }
+  }
+
+  /// @brief All control VMs end and start again with what is on their disks.
+  void RestartControls(TimePoint now) {
+    links_.clear();
+    for (membership::InstanceDirectory& control : controls_) {
+      const auto departed = control.Departed(kMaxRecords);
+      const auto ids = control.DepartedWithUnknownStart();
+      control = {};
+      for (const membership::InstanceRecord& record : departed) {
+        control.Merge(record, now);
+      }
+      for (const UpstreamId& id : ids) {
+        control.AddDepartedId(id, now);
+      }
+    }
+    for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+      ConnectToAll(entry, now);
+    }
+  }
+
+  void RestartEntry(std::size_t entry, TimePoint now) {
+    entries_[entry] = {};
+    ConnectToAll(entry, now);
+  }
+
+  void ExpireDepartedIds(TimePoint now) {
+    for (membership::InstanceDirectory& control : controls_) {
+      control.ExpireDepartedIds(now);
+    }
   }
 
   /// @brief Lets the oldest message between two control VMs arrive, if any.
@@ -113,11 +155,47 @@
   }
 
  private:
+  static constexpr std::size_t kMaxRecords = 4096;
+
   struct Message {
     std::string push;
     std::string beats;
   };
 
+  void ConnectToAll(std::size_t entry, TimePoint now) {
+    for (std::size_t control = 0; control < controls_.size(); ++control) {
+      Connect(entry, control, now);
+    }
+  }
+
+  void TakeDeparture(std::size_t at, const UpstreamId& id, TimePoint now) {
+    using Departure = membership::InstanceDirectory::Departure;
+    if (controls_[at].Depart(id, now) == Departure::kUnknownStart) {
+      for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+        HeedDeparture(entry, id, now);
+      }
+    }
+    TellEntries(at, now);
+    if (const membership::InstanceRecord* record = controls_[at].Find(id)) {
+      SendRecords(at, {*record});
+    }
+  }
+
+  /// The entry names the start to each control VM, if it knows one.
+  void HeedDeparture(std::size_t entry, const UpstreamId& id, TimePoint now) {
+    const membership::InstanceRecord* record = entries_[entry].Find(id);
+    if (record == nullptr) {
+      return;
+    }
+    const membership::InstanceStart start{id, record->stamp.born};
+    entries_[entry].Deregister(id, std::nullopt, now);
+    for (std::size_t control = 0; control < controls_.size(); ++control) {
+      controls_[control].ResolveDeparture(start, now);
+      controls_[control].MarkLeaving(start);
+      TellEntries(control, now);
+    }
+  }
+
   void SendRecords(std::size_t from,
                    const std::vector<membership::InstanceRecord>& records) {
     SendToOthers(
--- a/tests/src/fuzz-directory_fleet.cc
+++ b/tests/src/fuzz-directory_fleet.cc
@@ -33,6 +33,12 @@
   return directory.Find(UpstreamId(id))->state;
 }
 
+/// Whether the directory knows an upstream as ready.
+bool IsReady(const InstanceDirectory& directory, const std::string& id) {
+  const InstanceRecord* record = directory.Find(UpstreamId(id));
+  return record != nullptr && record->state == InstanceState::kReady;
+}
+
 /// A heartbeat that is sent and may arrive much later.
 struct Sent {
   InstanceRecord record;
@@ -185,6 +191,63 @@
   }));
 }
 
+// Guards against a departed start that comes back by a late heartbeat, and
+// against a later start of its id that stays away.
+TEST_CASE("a start that departed stays away, whatever control has forgotten") {
+  CHECK(rc::check([] {
+    DirectoryFleet fleet(3, 2);
+    TimePoint now{seconds(100)};
+    const auto any_control = [&] {
+      return *rc::gen::inRange<std::size_t>(0, fleet.controls());
+    };
+    const auto step = [&] {
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          fleet.RestartControls(now);
+          break;
+        case 1:
+          fleet.RestartEntry(*rc::gen::inRange<std::size_t>(0, fleet.entries()),
+                             now);
+          break;
+        case 2:
+          fleet.SendDirectory(any_control());
+          break;
+        case 3:
+          fleet.DeliverAll(now);
+          break;
+        default:
+          fleet.Register(any_control(),
+                         Heartbeat(0, 7, *rc::gen::inRange(1, 9)), now);
+      }
+    };
+    fleet.Register(any_control(), Heartbeat(0, 7, 1), now);
+    for (int i = *rc::gen::inRange(0, 10); i > 0; --i) {
+      step();
+    }
+    if (*rc::gen::element(false, true)) {
+      fleet.RestartControls(now);
+    }
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+      if (*rc::gen::element(false, true)) {
+        fleet.RestartEntry(entry, now);
+      }
+    }
+    fleet.Depart(any_control(), UpstreamId("i0"), now);
+    for (int i = *rc::gen::inRange(0, 20); i > 0; --i) {
+      step();
+      for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+        RC_ASSERT(!IsReady(fleet.entry(entry), "i0"));
+      }
+    }
+    now += DepartedIds::kHold + seconds(1);
+    fleet.ExpireDepartedIds(now);
+    fleet.Register(any_control(), Heartbeat(0, 8, 1), now);
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+      RC_ASSERT(IsReady(fleet.entry(entry), "i0"));
+    }
+  }));
+}
+
 TEST_CASE("after a cut all directories agree on the newest report") {
   CHECK(rc::check([] {
     DirectoryFleet fleet(3, 2);
