Ask entries of a departure only where control knows no start

Cause: an upstream that deregisters first does so once more at its exit.

Change: a known start counts as the one that deregisters, as before. What remains open is control that has only an earlier start of the id, from its disk.

Evidence: unit-departed-unknown, unit-departures, unit-crashes-kept and both fuzz programs of the directory pass.

--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -122,8 +122,8 @@
   enum class Departure : std::uint8_t {
     /// The known start is gone, now or before.
     kKnownStart,
-    /// No start is known that wasn't gone before. Ready records of the id are
-    /// not taken until ResolveDeparture(), or for DepartedIds::kHold.
+    /// No start is known. Ready records of the id are not taken until
+    /// ResolveDeparture(), or for DepartedIds::kHold.
     kUnknownStart,
     /// Nothing is known of the id, and there are too many such ids: this one
     /// is not remembered.
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -297,15 +297,12 @@
 
 InstanceDirectory::Departure InstanceDirectory::Depart(const UpstreamId& id,
                                                        TimePoint now) {
-  const InstanceRecord* known = Find(id);
-  if (known != nullptr && known->state != InstanceState::kGone) {
+  if (Find(id) != nullptr) {
     Deregister(id, std::nullopt, now);
     return Departure::kKnownStart;
   }
-  if (AddDepartedId(id, now)) {
-    return Departure::kUnknownStart;
-  }
-  return known != nullptr ? Departure::kKnownStart : Departure::kNotRemembered;
+  return AddDepartedId(id, now) ? Departure::kUnknownStart
+                                : Departure::kNotRemembered;
 }
 
 bool InstanceDirectory::ResolveDeparture(const InstanceStart& departed,
