--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,10 +3,10 @@
 # leaves the disruption out. Needs the build of the deploy file and
 # review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/rattanward-platform target/review-3/foreign-heartbeat; do
+for program in target/rattanward-platform target/review-3/control-turnover; do
   [ -x "$program" ] || { echo "$program is missing"; exit 2; }
 done
-timeout -k 2 118 target/review-3/foreign-heartbeat target/rattanward-platform \
+timeout -k 2 118 target/review-3/control-turnover target/rattanward-platform \
   "review/12/record.txt" "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 1 ] || code=2
--- a/review/standin-3/control_turnover.cc
+++ b/review/standin-3/control_turnover.cc
@@ -162,6 +162,7 @@
       // config_apply_ms 2,000; the core was stable.
       Sleep(4);
       const Tally open = AskMany(open_client, record, "open", false, 30, &next);
+      keyed_client.Close();  // idle for longer than clients keep a connection
       const Tally keyed = AskMany(keyed_client, record, "keyed", true, 10, &next);
       // A process of the same program that starts now shows what is in force.
       const std::vector<int> now = controls();
