Show that a planned turnover of three control machines ends the group

Three of five control machines get SIGTERM together, 8 s after their successors started (catch_up_s is 4). The successors are learners until a voter has been inactive for 0.5 s, a stopping voter hands nothing over, and two voters of five are left: no leader, no read, no acknowledgement, keyed requests get 503.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0
+# leaves the disruption out. Needs the build of the deploy file and
+# review/build-3.sh.
+cd "$(dirname "$0")/../.." || exit 2
+for program in target/rattanward-platform target/review-3/foreign-heartbeat; do
+  [ -x "$program" ] || { echo "$program is missing"; exit 2; }
+done
+timeout -k 2 118 target/review-3/foreign-heartbeat target/rattanward-platform \
+  "review/15/record.txt" "${TROUBLE:-1}"
+code=$?
+[ "$code" -le 1 ] || code=2
+tail -n 8 "review/15/record.txt"
+exit "$code"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in control_turnover foreign_heartbeat poison; do
+for name in control_turnover foreign_heartbeat planned_turnover poison; do
   [ -f "review/standin-3/$name.cc" ] || continue
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread \
     -o "target/review-3/${name//_/-}" "review/standin-3/$name.cc"
