Keep the ports that tests hand out bound

Change: ReservedEndpoint() binds a port with reuse of addresses and keeps it for the life of the process, without listening: connections are refused, the system gives the port to nobody, and the product's listeners, which reuse addresses, can open it. The cases and their checks are the same.

--- a/tests/fakes/control_fleet.h
+++ b/tests/fakes/control_fleet.h
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "fakes/loopback_peer.h"
+#include "fakes/reserved_ports.h"
 #include "fakes/temporary_folder.h"
 #include "platform/control_calls.h"
 #include "rattanward/control/control_daemon.h"
@@ -25,10 +25,10 @@
   ControlFleet() {
     std::vector<Endpoint> seeds;
     for (std::size_t i = 0; i < kVms; ++i) {
-      seeds.push_back(FreeEndpoint());
+      seeds.push_back(ReservedEndpoint());
     }
     for (const Endpoint& seed : seeds) {
-      vms_.push_back(std::make_unique<Vm>(seed, FreeEndpoint(), seeds));
+      vms_.push_back(std::make_unique<Vm>(seed, ReservedEndpoint(), seeds));
     }
   }
 
@@ -175,12 +175,6 @@
     return answer.substr(value, answer.find('\r', value) - value);
   }
 
-  Endpoint FreeEndpoint() {
-    const asio::ip::tcp::acceptor taken(
-        io_, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    return {"127.0.0.1", taken.local_endpoint().port()};
-  }
-
   asio::io_context io_;
   std::vector<std::unique_ptr<Vm>> vms_;
   std::string last_location_;
--- a/tests/fakes/cut_path.h
+++ b/tests/fakes/cut_path.h
@@ -48,11 +48,4 @@
   std::vector<asio::ip::tcp::socket> waiting_;
 };
 
-/// @brief An endpoint that refuses every connection.
-inline Endpoint RefusingEndpoint(asio::io_context& io) {
-  asio::ip::tcp::acceptor acceptor(io,
-                                   {asio::ip::make_address_v4("127.0.0.1"), 0});
-  return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 }  // namespace rattanward::fakes
--- a/tests/src/unit-departed-unknown.cc
+++ b/tests/src/unit-departed-unknown.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fakes/proxy_entry.h"
+#include "fakes/reserved_ports.h"
 #include "fakes/temporary_folder.h"
 #include "rattanward/adapter/file_log_storage.h"
 #include "rattanward/control/routing_hub.h"
@@ -45,7 +46,7 @@
 class RestartedControl {
  public:
   RestartedControl(asio::io_context& io, const std::string& folder)
-      : endpoint_(FreeEndpoint(io)),
+      : endpoint_(fakes::ReservedEndpoint()),
         daemon_(io, Settings(), "secret",
                 adapter::FileLogStorage::Open(folder + "/log").value(),
                 [](const Event&) {}),
@@ -69,11 +70,6 @@
   }
 
  private:
-  static Endpoint FreeEndpoint(asio::io_context& io) {
-    const asio::ip::tcp::acceptor taken(
-        io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    return {"127.0.0.1", taken.local_endpoint().port()};
-  }
   static RoutingHubOptions Options(const std::string& folder) {
     RoutingHubOptions options;
     options.data_folder = folder;
--- a/tests/src/unit-duties.cc
+++ b/tests/src/unit-duties.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "fakes/duty_platform.h"
+#include "fakes/reserved_ports.h"
 #include "fakes/temporary_folder.h"
 #include "platform/duty_calls.h"
 #include "rattanward/control/usage_desk.h"
@@ -24,12 +25,6 @@
 const DutySubject kScaling{DutyKind::kScaling, ServiceName("s"),
                            FailureDomain("a")};
 
-Endpoint FreeEndpoint(asio::io_context& io) {
-  const asio::ip::tcp::acceptor taken(
-      io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-  return {"127.0.0.1", taken.local_endpoint().port()};
-}
-
 /// One control VM that leads, with its duties, beside a platform.
 class DutySite {
  public:
@@ -79,7 +74,7 @@
   void Open(const std::string& holder) {
     adapter::ControlSettings settings;
     settings.identity.process = ProcessId(holder + "/control");
-    settings.peer_listen = FreeEndpoint(io_);
+    settings.peer_listen = fakes::ReservedEndpoint();
     settings.initial_voters = {settings.peer_listen};
     settings.bootstrap = true;
     daemon_.emplace(
--- a/tests/src/unit-entry-relay.cc
+++ b/tests/src/unit-entry-relay.cc
@@ -8,6 +8,7 @@
 
 #include "fakes/caller_entry.h"
 #include "fakes/cut_path.h"
+#include "fakes/reserved_ports.h"
 
 namespace rattanward::entry {
 namespace {
@@ -76,7 +77,7 @@
 TEST_CASE("callers of an entry without a path are served by another") {
   asio::io_context io;
   const fakes::DroppingEndpoint dropping(io);
-  for (const Endpoint& cut : {RefusingEndpoint(io), dropping.endpoint()}) {
+  for (const Endpoint& cut : {RefusingEndpoint(), dropping.endpoint()}) {
     CAPTURE(ToString(cut));
     TwoEntries entries(cut);
     for (int i = 0; i < 3; ++i) {
@@ -95,7 +96,7 @@
 
 TEST_CASE("a relayed request that a stop cuts gets a true answer") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io),
+  TwoEntries entries(RefusingEndpoint(),
                      [](LoopbackPeer&, const std::string&) {});
   const auto caller = entries.cut.Caller();
   caller->Send(Completion());
@@ -110,8 +111,8 @@
 
 TEST_CASE("a relayed stream that a stop cuts ends with an error event") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io), [](LoopbackPeer& connection,
-                                              const std::string& request) {
+  TwoEntries entries(RefusingEndpoint(), [](LoopbackPeer& connection,
+                                            const std::string& request) {
     const std::string whole = StreamResponse(RequestIdIn(request));
     connection.Send(whole.substr(0, whole.find("id: 2")));
   });
@@ -127,7 +128,7 @@
 
 TEST_CASE("without another entry, a request without a path is refused") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io), RespondWell, false);
+  TwoEntries entries(RefusingEndpoint(), RespondWell, false);
   const std::string answer = entries.Ask(Completion());
   CHECK_FALSE(Contains(answer, "HTTP/1.1 200"));
   CHECK(Contains(answer, "X-Rattanward-Verdict: not-run"));
@@ -135,7 +136,7 @@
 
 TEST_CASE("a relayed request is refused, not relayed, by a second cut entry") {
   asio::io_context io;
-  const Endpoint refusing = RefusingEndpoint(io);
+  const Endpoint refusing = RefusingEndpoint();
   CallerEntry second([](LoopbackPeer&, const std::string&) {}, refusing,
                      RelayPeers{{refusing}, {}});
   CallerEntry first([](LoopbackPeer&, const std::string&) {}, refusing,
@@ -154,7 +155,7 @@
 
 TEST_CASE("an upstream that moves is used again without a probe") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io));
+  TwoEntries entries(RefusingEndpoint());
   CHECK(Contains(entries.Ask(Completion()), "[DONE]"));
   LoopbackUpstream moved(entries.cut.core.context(), RespondWell);
   entries.cut.MoveUpstreams(moved.endpoint());
@@ -165,7 +166,7 @@
 
 TEST_CASE("a caller that leaves ends its relayed request") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io),
+  TwoEntries entries(RefusingEndpoint(),
                      [](LoopbackPeer&, const std::string&) {});
   const auto caller = entries.cut.Caller();
   caller->Send(Post("/services/plugs/read", "{}"));
@@ -179,7 +180,7 @@
 
 TEST_CASE("a request whose claim was taken is not relayed") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io));
+  TwoEntries entries(RefusingEndpoint());
   const std::string first = entries.Ask(
       Completion("X-Request-Class: once\r\nIdempotency-Key: k-1\r\n"));
   // The claim is taken before the lost path is known, and given back.
@@ -209,7 +210,7 @@
                             }
                           });
     CallerEntry cut([](LoopbackPeer&, const std::string&) {},
-                    RefusingEndpoint(io), RelayPeers{{peer.endpoint()}, {}});
+                    RefusingEndpoint(), RelayPeers{{peer.endpoint()}, {}});
     const auto caller = cut.Caller();
     caller->Send(Completion());
     const auto run_until = [&](const std::string& text) {
--- a/tests/src/unit-entry-reports.cc
+++ b/tests/src/unit-entry-reports.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "fakes/reserved_ports.h"
 #include "fakes/temporary_folder.h"
 #include "rattanward/adapter/file_log_storage.h"
 #include "rattanward/control/routing_hub.h"
@@ -19,7 +20,7 @@
 class ReportedControl {
  public:
   ReportedControl()
-      : endpoint_(FreeEndpoint()),
+      : endpoint_(fakes::ReservedEndpoint()),
         daemon_(io_, Settings(), "secret",
                 adapter::FileLogStorage::Open(folder_.path() + "/log").value(),
                 [](const Event&) {}),
@@ -54,11 +55,6 @@
   }
 
  private:
-  Endpoint FreeEndpoint() {
-    const asio::ip::tcp::acceptor taken(
-        io_, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    return {"127.0.0.1", taken.local_endpoint().port()};
-  }
   /// The upstream doesn't become silent, which would be pushed, too.
   static RoutingHubOptions Options() {
     RoutingHubOptions options;
--- a/tests/src/unit-lost-path.cc
+++ b/tests/src/unit-lost-path.cc
@@ -7,6 +7,7 @@
 
 #include "fakes/cut_path.h"
 #include "fakes/proxy_entry.h"
+#include "fakes/reserved_ports.h"
 
 namespace rattanward::proxy {
 namespace {
@@ -133,7 +134,7 @@
 
 TEST_CASE("callers of an entry that upstreams refuse are served by relay") {
   asio::io_context io;
-  TwoEntries entries(RefusingEndpoint(io));
+  TwoEntries entries(RefusingEndpoint());
   CHECK(CountServed(entries, 12) == 12);
 }
 
--- a/tests/src/unit-relay.cc
+++ b/tests/src/unit-relay.cc
@@ -6,6 +6,7 @@
 
 #include "fakes/cut_path.h"
 #include "fakes/proxy_entry.h"
+#include "fakes/reserved_ports.h"
 #include "rattanward/proxy/relay_fields.h"
 
 namespace rattanward::proxy {
@@ -85,7 +86,7 @@
 TEST_CASE("a relayed request is not relayed again") {
   asio::io_context io;
   Fleet fleet(3);
-  const Endpoint refusing = RefusingEndpoint(io);
+  const Endpoint refusing = RefusingEndpoint();
   for (const auto& entry : fleet.entries) {
     entry->AddRecord(1, refusing);
     entry->AddRecord(2, refusing);
@@ -101,7 +102,7 @@
 TEST_CASE("a request is not relayed to older routes") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   const auto& upstream = fleet[1].AddUpstream(Serve);
   RoutingDeclaration newer = fakes::MakeDeclaration();
   newer.version = ConfigVersion{2};
@@ -120,7 +121,7 @@
 TEST_CASE("an entry that stops takes no relayed request") {
   asio::io_context io;
   Fleet fleet(3);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   const auto& stopping = fleet[1].AddUpstream(Serve);
   const auto& other = fleet[2].AddUpstream(Serve);
   fleet[1].data_path->BeginShutdown(fakes::MakeStopPlan());
@@ -134,14 +135,14 @@
 TEST_CASE("a relayed request that broke off is not sent again") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   const auto& upstream =
       fleet[1].AddUpstream([](LoopbackPeer&, const std::string&) {});
   LoopbackUpstream peer(
       io, [](LoopbackPeer& from, const std::string&) { from.Close(true); });
   // The only entry that it knows takes the request and breaks off.
   Fleet alone(1);
-  alone[0].AddRecord(1, RefusingEndpoint(io));
+  alone[0].AddRecord(1, RefusingEndpoint());
   alone[0].data_path->AddRelayPeers({peer.endpoint()}, {});
   const auto caller = alone[0].ConnectCaller();
   caller->Send(MakeRequest("/once/", "0"));
@@ -157,7 +158,7 @@
 TEST_CASE("a caller that leaves ends its relayed request at the upstream") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   const auto& upstream =
       fleet[1].AddUpstream([](LoopbackPeer&, const std::string&) {});
   const auto caller = fleet[0].ConnectCaller();
@@ -171,7 +172,7 @@
 TEST_CASE("an upstream's own failure comes back as it is") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   fleet[1].AddUpstream([](LoopbackPeer& peer, const std::string& request) {
     peer.Send(MakeResponse(IdOf(request), "no", "signed: x\r\n", "500 Failed"));
   });
@@ -184,7 +185,7 @@
 TEST_CASE("what an upstream gets of a relayed request is as from its caller") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   const auto& upstream = fleet[1].AddUpstream(Serve);
   CHECK(Contains(fleet.Ask("/once/", "0"), "served"));
   REQUIRE(upstream.requests().size() == 1);
@@ -198,7 +199,7 @@
 TEST_CASE("an upstream that leaves by a relayed answer gets no more") {
   asio::io_context io;
   Fleet fleet(2);
-  fleet[0].AddRecord(1, RefusingEndpoint(io));
+  fleet[0].AddRecord(1, RefusingEndpoint());
   fleet[1].AddUpstream([](LoopbackPeer& peer, const std::string& request) {
     peer.Send(
         MakeResponse(IdOf(request), "served", "signed: x\r\nleaving: 1\r\n"));
@@ -220,7 +221,7 @@
         });
     LoopbackUpstream sound(fleet[1].io, Serve);
     const Endpoint other_way =
-        reached_by_other ? sound.endpoint() : RefusingEndpoint(io);
+        reached_by_other ? sound.endpoint() : RefusingEndpoint();
     // Others in order, so that the other entry can tell.
     for (std::size_t i = 2; i <= 4; ++i) {
       fleet[1].AddRecord(i, sound.endpoint());
@@ -247,7 +248,7 @@
       },
       "v1");
   asio::io_context io;
-  fleet[0].AddRecord(2, RefusingEndpoint(io), "v1");
+  fleet[0].AddRecord(2, RefusingEndpoint(), "v1");
   std::string after;
   fleet[1].AddUpstream(
       [&](LoopbackPeer& peer, const std::string& request) {
@@ -279,8 +280,8 @@
         begun = peer.shared_from_this();
       },
       "v1");
-  fleet[0].AddRecord(9, RefusingEndpoint(io), "v1");
-  fleet[1].AddRecord(9, RefusingEndpoint(io), "v1");
+  fleet[0].AddRecord(9, RefusingEndpoint(), "v1");
+  fleet[1].AddRecord(9, RefusingEndpoint(), "v1");
   const auto caller = fleet[0].ConnectCaller();
   caller->Send(MakeRequest("/resume/", "0"));
   REQUIRE(
