Hand over the vote of a control VM that is told to stop

Nothing led any more; reads, orders and keyed requests got 503, by the code for good.

Cause: a control VM that was told to stop left its vote to others' timeouts, and those that stood by were learners, promoted one at a time and only once a voter was silent for 0.5 s. Two of five votes were left.

Change: a control VM that is told to stop says so in its hellos, serves on, and ends once a confirmed leader says that it is no voter (2 s at most; at once where fewer than the wanted number would remain). The leader replaces and removes those that leave, itself last. Control VMs that stand by vote as far as the number of voters stays odd, up to twice the wanted number less one, which also bears kills. Voters beyond the wanted number are removed as soon as they are inactive. Two events, 4028 and 4029; two fields at the end of the hello.

Why it works: the quorum that is left never contains a vote of a process that was told to stop; and of 7 or 9 voters 3 or 4 may end at once.

--- a/apps/rattanward-control/main.cc
+++ b/apps/rattanward-control/main.cc
@@ -1,4 +1,5 @@
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -20,6 +21,7 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotListen = 3;
 constexpr int kExitStorage = 4;
+constexpr Duration kHandOverLimit{std::chrono::seconds(2)};
 
 /// Prints the error and returns the exit code given.
 int PrintError(const Error& error, int code) {
@@ -93,7 +95,7 @@
   }
   signals.Watch(io, [&] {
     events({EventId::kShutdownStarted, {}});
-    daemon.Stop();
+    daemon.LeaveGroup(kHandOverLimit, [&daemon] { daemon.Stop(); });
   });
   events({EventId::kProcessReady, {}});
   io.run();
--- a/include/rattanward/consensus/node.h
+++ b/include/rattanward/consensus/node.h
@@ -213,7 +213,7 @@
   /// Read(), which is correct even if clocks run at different rates.
   bool HoldsLease(TimePoint now) const;
 
-  /// @brief Progress of all members including this node; empty unless leader.
+  /// @brief Progress of all members, this node last; empty unless leader.
   std::vector<MemberProgress> Progress(TimePoint now) const;
 
  private:
--- a/include/rattanward/control/control_daemon.h
+++ b/include/rattanward/control/control_daemon.h
@@ -5,12 +5,14 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "rattanward/adapter/asio_timer_service.h"
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/adapter/settings.h"
 #include "rattanward/consensus/repair.h"
 #include "rattanward/control/entry_hub.h"
+#include "rattanward/control/hand_over.h"
 #include "rattanward/control/member_keeper.h"
 #include "rattanward/control/replica.h"
 #include "rattanward/control/voter_directory.h"
@@ -53,6 +55,13 @@
   /// @brief Runs a function on the control thread. Thread-safe.
   void Post(std::function<void()> step);
 
+  /// @brief Hands over the vote of this control VM if others stand by, and
+  /// goes on serving meanwhile. Control thread only.
+  /// @param limit Time after which `done` is called in any case.
+  /// @param done Called once the vote is handed over, or at once if there is
+  /// nobody to take it. Ignored if a hand-over is under way.
+  void LeaveGroup(Duration limit, std::function<void()> done);
+
   /// @brief Stops the daemon. Thread-safe.
   void Stop();
 
@@ -98,6 +107,9 @@
   void LogConfigCommit();
   void LogStorage();
   void ReconcileMembership();
+  std::vector<DiscoveredVoter> DiscoveredVoters() const;
+  /// Ends the hand-over when it is over.
+  void CheckHandOver(TimePoint now);
   void Fail(const Error& error);
 
   asio::io_context& io_;
@@ -109,7 +121,11 @@
   Replica replica_;
   EntryHub entries_;
   adapter::MessageListener listener_;
+  KeeperOptions keeper_options_;
   MemberKeeper member_keeper_;
+  /// Set once this control VM was told to stop and others can take its vote.
+  std::optional<HandOver> hand_over_;
+  std::function<void()> on_handed_over_;
   ControlExtension* extension_ = nullptr;
   ConfigVersion logged_config_;
   ConfigVersion logged_routes_;
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -88,6 +88,8 @@
   kDeclarationReceived = 4025,
   kDeclarationAnswered = 4026,
   kUpstreamDepartedUnknown = 4027,
+  kHandOverStarted = 4028,
+  kHandOverEnded = 4029,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/include/rattanward/protocol/control_messages.h
+++ b/include/rattanward/protocol/control_messages.h
@@ -133,6 +133,10 @@
   std::uint32_t command_kinds = 0;
   /// Whether it takes RoutesDeclare from other control VMs.
   bool takes_declarations = false;
+  /// Whether it has been told to stop and hands over its vote.
+  bool leaving = false;
+  /// Whether it leads, is confirmed by a quorum, and `membership` is committed.
+  bool confirms_membership = false;
 
   friend bool operator==(const VoterHello&, const VoterHello&) = default;
 };
--- a/include/rattanward/protocol/message_fields.h
+++ b/include/rattanward/protocol/message_fields.h
@@ -107,7 +107,8 @@
 struct FieldsOf<VoterHello> {
   static auto Tie(auto& m) {
     return std::tie(m.id, m.process, m.peer_endpoint, m.operator_endpoint,
-                    m.membership, m.command_kinds, m.takes_declarations);
+                    m.membership, m.command_kinds, m.takes_declarations,
+                    m.leaving, m.confirms_membership);
   }
 };
 
--- a/src/consensus/node_membership.cc
+++ b/src/consensus/node_membership.cc
@@ -123,6 +123,9 @@
         peer == peers_.end() ? log_.last_index() : peer->second.match;
     progress.push_back({member, match, IsActive(member.id, now)});
   }
+  std::stable_partition(
+      progress.begin(), progress.end(),
+      [this](const MemberProgress& p) { return p.member.id != id_; });
   return progress;
 }
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -1,6 +1,7 @@
 #include "rattanward/control/control_daemon.h"
 
 #include <asio/post.hpp>
+#include <chrono>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,8 @@
 constexpr Duration kTickPeriod{std::chrono::milliseconds(20)};
 constexpr Duration kHelloPeriod{std::chrono::milliseconds(1000)};
 constexpr Duration kMembershipCheckPeriod{std::chrono::milliseconds(100)};
+/// Between two hellos of a control VM that hands over its vote.
+constexpr Duration kLeavingHelloPeriod{std::chrono::milliseconds(50)};
 /// Interval of the LogTimeAdvance commands, which advance the log time even if
 /// no other commands are proposed.
 constexpr Duration kLogTimeAdvancePeriod{std::chrono::seconds(60)};
@@ -26,6 +29,15 @@
   return options;
 }
 
+/// With twice the wanted number less one, as many voters as are wanted still
+/// form a quorum.
+KeeperOptions MakeKeeperOptions(std::size_t wanted_voters) {
+  KeeperOptions options;
+  options.wanted_voters = wanted_voters;
+  options.max_voters = wanted_voters == 0 ? 0 : 2 * wanted_voters - 1;
+  return options;
+}
+
 adapter::TransportOptions MakeTransport(
     const adapter::ControlSettings& settings, const std::string& secret,
     const port::EventSink& events, std::shared_ptr<port::LogicalClock> clock) {
@@ -62,7 +74,8 @@
                        const adapter::ReplyHandle& reply) {
                   HandleMessage(message, reply);
                 }),
-      member_keeper_(KeeperOptions{settings_.wanted_voters}) {}
+      keeper_options_(MakeKeeperOptions(settings_.wanted_voters)),
+      member_keeper_(keeper_options_) {}
 
 ReplicaHooks ControlDaemon::MakeReplicaHooks() {
   ReplicaHooks hooks;
@@ -114,6 +127,51 @@
   asio::post(io_, std::move(step));
 }
 
+void ControlDaemon::LeaveGroup(Duration limit, std::function<void()> done) {
+  const TimePoint now = timers_.Now();
+  if (hand_over_) {
+    return;
+  }
+  if (!CanHandOver(DiscoveredVoters(), keeper_options_, now)) {
+    done();
+    return;
+  }
+  const consensus::Membership& members = replica_.node().membership();
+  hand_over_.emplace(replica_.id(), consensus::IsVoter(members, replica_.id()),
+                     now, limit);
+  on_handed_over_ = std::move(done);
+  events_({EventId::kHandOverStarted,
+           {{"voter", replica_.id().str()},
+            {"leads", replica_.HoldsLease() ? "1" : "0"}}});
+  voters_.SendHellos();
+  timers_.Every(kLeavingHelloPeriod, [this](TimePoint at) {
+    if (on_handed_over_) {
+      voters_.SendHellos();
+      CheckHandOver(at);
+    }
+  });
+}
+
+void ControlDaemon::CheckHandOver(TimePoint now) {
+  for (const auto& [endpoint, hello] : voters_.latest_hellos()) {
+    hand_over_->RecordHello(hello, voters_.LastHelloAt(endpoint));
+  }
+  const consensus::Node& node = replica_.node();
+  if (node.membership_committed()) {
+    hand_over_->RecordCommitted(node.membership());
+  }
+  if (!hand_over_->Over(now)) {
+    return;
+  }
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - hand_over_->began());
+  events_({EventId::kHandOverEnded,
+           {{"voter", replica_.id().str()},
+            {"released", hand_over_->released() ? "1" : "0"},
+            {"took_ms", std::to_string(took.count())}}});
+  std::exchange(on_handed_over_, nullptr)();
+}
+
 void ControlDaemon::Stop() {
   stopped_ = true;
   asio::post(io_, [this] {
@@ -138,6 +196,9 @@
   hello.operator_endpoint = settings_.operator_listen;
   hello.command_kinds = ledger::kCommandKinds;
   hello.takes_declarations = extension_ != nullptr;
+  hello.leaving = hand_over_.has_value();
+  hello.confirms_membership =
+      replica_.ConfirmedLeader() && replica_.node().membership_committed();
   if (!replica_.blank()) {
     hello.membership =
         consensus::EncodeMembership(replica_.node().membership());
@@ -252,11 +313,10 @@
   if (!replica_.HoldsLease()) {
     return;
   }
-  std::vector<DiscoveredVoter> discovered;
-  for (const auto& [endpoint, hello] : voters_.latest_hellos()) {
-    discovered.push_back({hello.id, endpoint, voters_.LastHelloAt(endpoint)});
-  }
   const consensus::Node& node = replica_.node();
+  std::vector<DiscoveredVoter> discovered = DiscoveredVoters();
+  discovered.push_back(
+      {replica_.id(), settings_.peer_listen, now, hand_over_.has_value()});
   const auto change = member_keeper_.Next(node.Progress(now),
                                           node.commit_index(), discovered, now);
   if (!change) {
@@ -274,6 +334,15 @@
   }
 }
 
+std::vector<DiscoveredVoter> ControlDaemon::DiscoveredVoters() const {
+  std::vector<DiscoveredVoter> discovered;
+  for (const auto& [endpoint, hello] : voters_.latest_hellos()) {
+    discovered.push_back(
+        {hello.id, endpoint, voters_.LastHelloAt(endpoint), hello.leaving});
+  }
+  return discovered;
+}
+
 const protocol::VoterHello* ControlDaemon::FindVoter(
     const Endpoint& endpoint) const {
   return voters_.FindAt(endpoint);
--- a/src/control/member_keeper.cc
+++ b/src/control/member_keeper.cc
@@ -33,23 +33,35 @@
       [](const MemberProgress& p) { return IsVoter(p) && p.active; }));
 }
 
-/// Whether an active voter with another id, that is another data folder, uses
-/// the member's endpoint.
-bool IsReplaced(const MemberProgress& member,
-                const std::vector<MemberProgress>& progress) {
-  return std::any_of(
-      progress.begin(), progress.end(), [&](const MemberProgress& other) {
-        return other.member.id != member.member.id && IsVoter(other) &&
-               other.active && other.member.endpoint == member.member.endpoint;
-      });
+/// Whether the member is active and its disk holds everything committed. Voters
+/// count at any position: they have the vote already.
+bool Stands(const MemberProgress& member, consensus::LogIndex committed) {
+  return member.active && (IsVoter(member) || member.match >= committed);
+}
+
+/// The members, with those that are leaving as inactive ones.
+std::vector<MemberProgress> WithoutLeaving(
+    std::vector<MemberProgress> progress,
+    const std::vector<DiscoveredVoter>& discovered) {
+  for (MemberProgress& member : progress) {
+    const bool leaving =
+        std::any_of(discovered.begin(), discovered.end(),
+                    [&](const DiscoveredVoter& voter) {
+                      return voter.id == member.member.id && voter.leaving;
+                    });
+    member.active = member.active && !leaving;
+  }
+  return progress;
 }
 
 }  // namespace
 
 std::optional<MembershipChange> MemberKeeper::Next(
-    const std::vector<MemberProgress>& progress, consensus::LogIndex committed,
+    const std::vector<MemberProgress>& members, consensus::LogIndex committed,
     const std::vector<DiscoveredVoter>& discovered, TimePoint now) {
-  RecordActivity(progress, now);
+  RecordActivity(members, now);
+  const std::vector<MemberProgress> progress =
+      WithoutLeaving(members, discovered);
   if (auto change = ChooseRemoval(progress, discovered, now)) {
     return change;
   }
@@ -63,7 +75,7 @@
     const std::vector<MemberProgress>& progress,
     const std::vector<DiscoveredVoter>& discovered, TimePoint now) const {
   for (const DiscoveredVoter& voter : discovered) {
-    if (now - voter.last_heard > options_.hello_lifetime) {
+    if (voter.leaving || now - voter.last_heard > options_.hello_lifetime) {
       continue;
     }
     const MemberProgress* member = Find(progress, voter.id);
@@ -74,17 +86,26 @@
   return std::nullopt;
 }
 
-/// A learner becomes a voter only if a voter is missing. One voter more than
-/// wanted would raise the quorum without tolerating another loss: once a voter
-/// then leaves for good, two further losses would cost the quorum.
+std::size_t MemberKeeper::TargetVoters(
+    const std::vector<MemberProgress>& progress,
+    consensus::LogIndex committed) const {
+  const auto standing = static_cast<std::size_t>(std::count_if(
+      progress.begin(), progress.end(),
+      [&](const MemberProgress& p) { return Stands(p, committed); }));
+  const std::size_t odd = standing == 0 ? 0 : (standing - 1) / 2 * 2 + 1;
+  return std::max(options_.wanted_voters, std::min(odd, options_.max_voters));
+}
+
+/// Control VMs that stand by vote, too: those that they replace may end all at
+/// the same moment, sooner than anybody could be promoted.
 std::optional<MembershipChange> MemberKeeper::ChoosePromotion(
     const std::vector<MemberProgress>& progress,
     consensus::LogIndex committed) const {
-  if (CountActiveVoters(progress) >= options_.wanted_voters) {
+  if (CountActiveVoters(progress) >= TargetVoters(progress, committed)) {
     return std::nullopt;
   }
   for (const MemberProgress& member : progress) {
-    if (!IsVoter(member) && member.active && member.match >= committed) {
+    if (!IsVoter(member) && Stands(member, committed)) {
       return MembershipChange{Kind::kPromote, member.member.id, {}};
     }
   }
@@ -95,18 +116,13 @@
     const std::vector<MemberProgress>& progress,
     const std::vector<DiscoveredVoter>& discovered, TimePoint now) const {
   const std::size_t voters = CountVoters(progress);
-  // An inactive voter that has been replaced only raises the quorum. If it
-  // comes back, it becomes a learner.
-  const bool has_replacement =
-      voters > options_.wanted_voters &&
-      CountActiveVoters(progress) >= options_.wanted_voters;
   for (const MemberProgress& member : progress) {
     if (member.active) {
       continue;
     }
-    const bool replaced = has_replacement || (IsReplaced(member, progress) &&
-                                              voters > options_.wanted_voters);
-    if (IsVoter(member) && replaced) {
+    // Beyond the wanted number, an inactive voter only raises the quorum. If it
+    // comes back, it becomes a learner.
+    if (IsVoter(member) && voters > options_.wanted_voters) {
       return MembershipChange{Kind::kRemove, member.member.id, {}};
     }
     const bool heard_recently = std::any_of(
@@ -114,8 +130,7 @@
           return h.id == member.member.id &&
                  now - h.last_heard <= options_.hello_lifetime;
         });
-    const bool removable = !IsVoter(member) || voters > options_.wanted_voters;
-    if (removable && !heard_recently &&
+    if (!IsVoter(member) && !heard_recently &&
         SilentFor(member.member.id, now) >= options_.removal_timeout) {
       return MembershipChange{Kind::kRemove, member.member.id, {}};
     }
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -79,6 +79,8 @@
     {EventId::kDeclarationReceived, "declaration-received"},
     {EventId::kDeclarationAnswered, "declaration-answered"},
     {EventId::kUpstreamDepartedUnknown, "upstream-departed-unknown"},
+    {EventId::kHandOverStarted, "hand-over-started"},
+    {EventId::kHandOverEnded, "hand-over-ended"},
     {EventId::kSnapshotWritten, "snapshot-written"},
     {EventId::kTornTailCut, "torn-tail-cut"},
     {EventId::kDamagedRecordFound, "damaged-record-found"},
--- a/tests/fakes/consensus_cluster.h
+++ b/tests/fakes/consensus_cluster.h
@@ -15,6 +15,7 @@
 #include "rattanward/consensus/message.h"
 #include "rattanward/consensus/node.h"
 #include "rattanward/consensus/repair.h"
+#include "rattanward/control/hand_over.h"
 #include "rattanward/control/member_keeper.h"
 
 namespace rattanward::fakes {
@@ -125,12 +126,23 @@
     vms_[slot].crash.reset();
   }
 
-  /// @brief Removes a VM for good.
   void Remove(Slot slot) {
     Crash(slot, CrashPoint::kNow);
     vms_[slot].removed = true;
   }
 
+  /// @brief Tells a VM to stop for good, which hands over its vote first.
+  void Leave(Slot slot) {
+    Vm& vm = vms_[slot];
+    if (!vm.node || !control::CanHandOver(Heard(&vm), *keeper_options_, now_)) {
+      Remove(slot);
+      return;
+    }
+    vm.hand_over.emplace(
+        vm.disk.id(), consensus::IsVoter(vm.node->membership(), vm.disk.id()),
+        now_, std::chrono::seconds(2));
+  }
+
   /// @brief Adds a VM at a new endpoint with an empty disk, and starts it.
   Slot Add() {
     const Slot slot = size();
@@ -250,6 +262,7 @@
       }
       AdvanceRepair();
       RunMemberKeepers();
+      AdvanceHandOvers();
     }
   }
 
@@ -264,6 +277,7 @@
     bool removed = false;
     std::optional<CrashPoint> crash;
     std::optional<control::MemberKeeper> keeper;
+    std::optional<control::HandOver> hand_over;
     TimePoint clock{std::chrono::seconds(1)};
     int clock_percent = 100;
     consensus::LogIndex applied = 0;
@@ -418,21 +432,55 @@
       if (!vm.keeper || !vm.node->HoldsLease(vm.clock)) {
         return;
       }
-      std::vector<control::DiscoveredVoter> heard;
-      for (Slot slot = 0; slot < size(); ++slot) {
-        if (Running(slot) && !Frozen(slot) && &vms_[slot] != &vm) {
-          heard.push_back({vms_[slot].disk.id(), EndpointOf(slot), vm.clock});
-        }
-      }
       const auto change =
           vm.keeper->Next(vm.node->Progress(vm.clock), vm.node->commit_index(),
-                          heard, vm.clock);
+                          Heard(nullptr), vm.clock);
       if (change) {
         std::ignore = vm.node->ChangeMembership(*change, vm.clock);
       }
     });
   }
 
+  /// Hellos of the running VMs but one.
+  std::vector<control::DiscoveredVoter> Heard(const Vm* except) const {
+    std::vector<control::DiscoveredVoter> heard;
+    for (Slot slot = 0; slot < size(); ++slot) {
+      const Vm& vm = vms_[slot];
+      if (vm.node && !vm.frozen && &vm != except) {
+        heard.push_back(
+            {vm.disk.id(), EndpointOf(slot), now_, vm.hand_over.has_value()});
+      }
+    }
+    return heard;
+  }
+
+  static protocol::VoterHello HelloOf(const Vm& vm) {
+    protocol::VoterHello hello;
+    hello.membership = consensus::EncodeMembership(vm.node->membership());
+    hello.confirms_membership =
+        vm.node->HoldsLease(vm.clock) && vm.node->membership_committed();
+    return hello;
+  }
+
+  /// Tells the VMs that hand over what the leaders say; removes those that end.
+  void AdvanceHandOvers() {
+    for (Slot slot = 0; slot < size(); ++slot) {
+      Vm& vm = vms_[slot];
+      if (!vm.node || !vm.hand_over) {
+        continue;
+      }
+      ForEachLeader([&](const Vm& leader) {
+        vm.hand_over->RecordHello(HelloOf(leader), now_);
+      });
+      if (vm.node->membership_committed()) {
+        vm.hand_over->RecordCommitted(vm.node->membership());
+      }
+      if (vm.hand_over->Over(now_)) {
+        Remove(slot);
+      }
+    }
+  }
+
   std::uint64_t seed_;
   FakeNetwork network_;
   ConsensusOracle oracle_;
--- a/tests/src/fuzz-members.cc
+++ b/tests/src/fuzz-members.cc
@@ -20,10 +20,13 @@
 /// Time within which a voter that is gone is replaced by a control VM that has
 /// already caught up.
 constexpr Duration kNoticeTime{std::chrono::seconds(1)};
+/// Time within which a control VM that is told to stop has ended.
+constexpr Duration kHandOverTime{std::chrono::seconds(2)};
 
 control::KeeperOptions MakeKeeperOptions() {
   control::KeeperOptions options;
   options.wanted_voters = 2 * kMaxLostVms + 1;
+  options.max_voters = 2 * options.wanted_voters - 1;
   return options;
 }
 
@@ -186,6 +189,46 @@
   }));
 }
 
+// Guards against old voters that end together before anybody else has a vote.
+TEST_CASE("a group goes on when replaced control VMs end at the same moment") {
+  constexpr std::size_t kMostKilled = 4;
+  CHECK(rc::check([=](std::uint64_t seed) {
+    ConsensusCluster cluster(kVms, seed);
+    cluster.EnableMemberKeepers(MakeKeeperOptions());
+    cluster.AdvanceTime(std::chrono::seconds(2));
+    const consensus::LogIndex acknowledged = ProposeUntilApplied(cluster, 0);
+    const bool planned = *rc::gen::arbitrary<bool>();
+    std::vector<Slot> old = DrawPresent(
+        cluster,
+        *rc::gen::inRange<std::size_t>(1, (planned ? kVms : kMostKilled) + 1));
+    for (std::size_t i = 0; i < old.size(); ++i) {
+      cluster.Add();
+    }
+    cluster.AdvanceTime(kCatchUpTime);
+    const auto apart = std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+    for (const Slot slot : old) {
+      planned ? cluster.Leave(slot) : cluster.Remove(slot);
+      cluster.AdvanceTime(*rc::gen::arbitrary<bool>() ? apart : Duration(0));
+    }
+    const consensus::LogIndex changed =
+        ProposeUntilApplied(cluster, acknowledged);
+    RC_ASSERT(changed > acknowledged);
+    cluster.AdvanceTime(kHandOverTime);
+    RC_ASSERT(cluster.Present().size() == kVms);
+    const std::vector<Slot> lost = DrawPresent(cluster, kMaxLostVms);
+    for (const Slot slot : lost) {
+      cluster.WipeDisk(slot);
+    }
+    RC_ASSERT(ProposeUntilApplied(cluster, changed) > changed);
+    for (const Slot slot : lost) {
+      cluster.Start(slot);
+    }
+    cluster.AdvanceTime(kCatchUpTime);
+    RC_ASSERT(cluster.oracle().violations() == std::vector<std::string>());
+    RC_ASSERT(cluster.AllVmsAreCurrentVoters());
+  }));
+}
+
 TEST_CASE("nothing is lost when VMs fail while another is being replaced") {
   CHECK(rc::check([](std::uint64_t seed) {
     ConsensusCluster cluster(kVms, seed);
