Judge a record of an upstream before anything is taken from it

Cause: InstanceDirectory made the latest start the owner of an address, and of an id, whatever its service; the mark of the replaced start was final.

Change: records count where their service is named by the routes known there; others wait, bounded, and are judged again when the services change. A replaced start travels with its evidence (a new last field), so that each process judges by itself. A planned exit is taken only from a record that counts.

Why it works: a record that doesn't count reaches neither the owners that are weighed nor the record of an id, at control or at an entry.

--- a/include/rattanward/control/routing_hub.h
+++ b/include/rattanward/control/routing_hub.h
@@ -17,6 +17,7 @@
 #include "rattanward/control/limit_shares.h"
 #include "rattanward/control/push_plan.h"
 #include "rattanward/control/routing_texts.h"
+#include "rattanward/domain/routing.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/port/event_sink.h"
 #include "rattanward/protocol/routing_messages.h"
@@ -46,6 +47,9 @@
   /// With fewer voters, new routes are rejected for a grace period. A majority
   /// of them must hold a departure before it is acknowledged.
   std::size_t wanted_voters = 3;
+  /// Reads the text of routes. If it isn't set, every service counts as named.
+  std::function<Result<RoutingDeclaration>(const std::string& text)>
+      decode_routing;
   /// Folder in which it is kept which upstreams left, and what is known of
   /// crashes; if empty, both are lost with the process.
   std::string data_folder;
@@ -178,6 +182,7 @@
                      protocol::ControlReport* report) const;
   void AddEntries(const Entry& entry, protocol::ControlReport* report) const;
   void UpdateRoutingTexts();
+  void UpdateServices(const ledger::RoutingRecord& routing);
   void PushRouting();
   void PushRouting(Entry& entry, bool leads, TimePoint now);
   void PushDirectory(Entry& entry);
@@ -223,6 +228,8 @@
   port::EventSink events_;
   TimePoint started_at_;
   membership::InstanceDirectory directory_;
+  /// Version of the routes whose services the directory knows.
+  std::optional<ConfigVersion> services_of_;
   std::map<ProcessId, Entry> entries_;
   std::vector<Waiter> waiters_;
   std::uint64_t last_waiter_ = 0;
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -90,6 +90,7 @@
   kUpstreamDepartedUnknown = 4027,
   kHandOverStarted = 4028,
   kHandOverEnded = 4029,
+  kUpstreamUnnamed = 4030,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/include/rattanward/membership/instance_directory.h
+++ b/include/rattanward/membership/instance_directory.h
@@ -10,62 +10,13 @@
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/named_limit.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/address_owners.h"
 #include "rattanward/membership/departed_ids.h"
+#include "rattanward/membership/instance_record.h"
+#include "rattanward/membership/unnamed_records.h"
 
 namespace rattanward::membership {
 
-/// @brief Life cycle state that an upstream instance reports of itself, from
-/// least to most advanced.
-enum class InstanceState : std::uint8_t { kReady, kDraining, kGone };
-
-/// @brief Orders the reports about one instance id: by start of the process,
-/// then by sequence within that start.
-struct InstanceStamp {
-  /// Start of the process, in Unix milliseconds. An id can start again.
-  std::uint64_t born = 0;
-  std::uint64_t sequence = 0;
-
-  friend auto operator<=>(const InstanceStamp&, const InstanceStamp&) = default;
-};
-
-/// @brief An upstream instance as registered.
-struct InstanceRecord {
-  UpstreamId id;
-  InstanceStamp stamp;
-  ServiceName service;
-  Endpoint endpoint;
-  FailureDomain failure_domain;
-  std::string version;
-  std::uint32_t slots = 0;
-  InstanceState state = InstanceState::kReady;
-  /// Set after several missed heartbeats. The instance may have crashed, or may
-  /// only be unable to reach control.
-  bool silent = false;
-  /// The instance told a caller's entry that it is leaving. Holds for this
-  /// start, whatever its heartbeats say.
-  bool leaving = false;
-  /// What the instance named as its limit in its answers to callers' entries.
-  NamedLimit limit;
-  /// By how much the sequence of the stamp exceeds that of the newest report of
-  /// the instance that is known here; beats raise only the former.
-  std::uint64_t beats_ahead = 0;
-  /// Whether the upstream may be reclaimed.
-  bool spot = false;
-  /// Time that an upstream which is being reclaimed had left when it said so;
-  /// otherwise 0.
-  Duration leaves_in{0};
-  /// Set for an instance that is gone because a later start took over its
-  /// address. It announced nothing, as far as is known.
-  bool replaced = false;
-
-  friend bool operator==(const InstanceRecord&,
-                         const InstanceRecord&) = default;
-};
-
-/// @brief Sequence of the report that a record's state, service, endpoint and
-/// the like are from.
-std::uint64_t ReportSequence(const InstanceRecord& record);
-
 /// @brief A sign of life of an upstream instance. It does not say what the
 /// instance reported, and so does not make what is known of it any newer.
 struct InstanceBeat {
@@ -89,6 +40,8 @@
 /// wins, and within a start the newest report, or the one whose state is more
 /// advanced. The newest sign of life decides apart from that whether the
 /// instance is silent. An address belongs to the instance that started last.
+/// Only records of services that are named count for all this. Others wait
+/// until their service is named, and are judged then.
 class InstanceDirectory {
  public:
   /// @brief Effect of merging a record.
@@ -102,6 +55,19 @@
     kChanged,
   };
 
+  /// @brief Sets the services that the routes in force name. Until then every
+  /// service is named.
+  void SetServices(NamedServices services);
+
+  /// @brief Whether the service of a record is named.
+  bool Names(const InstanceRecord& record) const {
+    return services_.Names(record.service);
+  }
+
+  /// @brief Whether a record counts: its service is named, or it adds to a
+  /// start that is known.
+  bool Counts(const InstanceRecord& record) const;
+
   /// @brief Merges a record received from the instance or from another process.
   Change Merge(const InstanceRecord& received, TimePoint now);
 
@@ -193,9 +159,21 @@
   /// call.
   std::vector<InstanceRecord> TakeChanges();
 
-  /// @brief All records, including those of instances that are gone.
+  /// @brief The records whose service is not named that changed since the last
+  /// call. Other processes may run routes that name it.
+  std::vector<InstanceRecord> TakeUnnamedChanges() {
+    return unnamed_.TakeChanges();
+  }
+
+  /// @brief All records that count, including those of instances that are gone.
   std::vector<InstanceRecord> All() const;
 
+  /// @brief All records, for another process, which judges them by itself.
+  std::vector<InstanceRecord> AllToTell() const;
+
+  /// @brief What to tell another process of an id: one record for each service.
+  std::vector<InstanceRecord> ToTell(const UpstreamId& id) const;
+
   /// @brief The records of instances that are leaving or gone.
   /// @param most If there are more, those heard from last are returned.
   std::vector<InstanceRecord> Departed(std::size_t most) const;
@@ -204,6 +182,9 @@
 
  private:
   struct Instance {
+    /// As reported, by itself or by others.
+    InstanceRecord reported;
+    /// The same, with what follows from later starts at its address.
     InstanceRecord record;
     TimePoint last_heard;
   };
@@ -211,14 +192,20 @@
   Change MergeRecord(const InstanceRecord& record, TimePoint now);
   Change AddRecord(const InstanceRecord& record, TimePoint now);
   bool IsHeld(const InstanceRecord& record) const;
-  bool IsEarlierAtItsAddress(const InstanceRecord& record) const;
-  void MarkIfReplaced(InstanceRecord* record) const;
-  Change MergeExit(const InstanceRecord& received, InstanceRecord* known);
+  bool DisplacesUnnamed(const InstanceRecord& record,
+                        const InstanceRecord& known) const;
+  static bool MergeExit(const InstanceRecord& received, InstanceRecord* known);
+  /// Works out the record from what was reported. Returns whether others must
+  /// learn of the result.
+  bool Settle(Instance* instance);
+  void SettleAll();
   InstanceRecord WithSignals(InstanceRecord record) const;
   void ApplySignals(const UpstreamId& id);
   bool IsKnownStart(const UpstreamId& id, std::uint64_t born) const;
   void ForgetSignalsOfUnknown();
-  void RecordAddressOwner(const InstanceRecord& record);
+  void RecordAddressOwner(const Endpoint& endpoint, const AddressOwner& owner,
+                          TimePoint now);
+  void MakeRoom();
 
   std::map<UpstreamId, Instance> instances_;
   std::vector<UpstreamId> changed_;
@@ -227,8 +214,9 @@
   std::map<UpstreamId, std::uint64_t> leaving_;
   /// Limit that the latest start of each id named.
   std::map<UpstreamId, UpstreamLimit> limits_;
-  /// Latest start among the instances that registered an address.
-  std::map<Endpoint, std::uint64_t> newest_born_by_address_;
+  NamedServices services_;
+  AddressOwners owners_;
+  UnnamedRecords unnamed_;
 };
 
 }  // namespace rattanward::membership
--- a/include/rattanward/protocol/routing_messages.h
+++ b/include/rattanward/protocol/routing_messages.h
@@ -292,10 +292,20 @@
   static auto Tie(auto& m) {
     return std::tie(m.id, m.stamp, m.service, m.endpoint, m.failure_domain,
                     m.version, m.slots, m.state, m.silent, m.leaving, m.limit,
-                    m.beats_ahead, m.spot, m.leaves_in, m.replaced);
+                    m.beats_ahead, m.spot, m.leaves_in, m.replaced, m.takeover);
   }
 };
 
+template <>
+struct FieldsOf<membership::Takeover> {
+  static auto Tie(auto& m) { return std::tie(m.owner, m.reported); }
+};
+
+template <>
+struct FieldsOf<membership::AddressOwner> {
+  static auto Tie(auto& m) { return std::tie(m.service, m.born); }
+};
+
 template <>
 struct FieldsOf<membership::InstanceBeat> {
   static auto Tie(auto& m) { return std::tie(m.id, m.stamp); }
--- a/src/control/routing_hub.cc
+++ b/src/control/routing_hub.cc
@@ -56,6 +56,7 @@
 
 void RoutingHub::Start() {
   daemon_.SetExtension(this);
+  UpdateRoutingTexts();
   crashes_.Load(started_at_);
   LoadDepartures();
   daemon_.voters().OnConnected([this](const Endpoint& endpoint) {
@@ -65,7 +66,7 @@
     daemon_.voters().SendTo(
         endpoint, protocol::MessageKind::kInstancePush,
         protocol::Encode(protocol::InstancePush{
-            0, directory_.All(), directory_.DepartedWithUnknownStart()}));
+            0, directory_.AllToTell(), directory_.DepartedWithUnknownStart()}));
   });
   daemon_.timers().Every(kTickPeriod, [this](TimePoint now) { Tick(now); });
 }
@@ -207,6 +208,27 @@
 void RoutingHub::UpdateRoutingTexts() {
   const ledger::RoutingRecord& routing = daemon_.replica().ledger().routing();
   routing_texts_.Update(routing.version, routing.text);
+  UpdateServices(routing);
+}
+
+/// Records of upstreams count by the services of the newest routes known here.
+void RoutingHub::UpdateServices(const ledger::RoutingRecord& routing) {
+  if (!options_.decode_routing || services_of_ == routing.version) {
+    return;
+  }
+  services_of_ = routing.version;
+  std::vector<RoutedService> services;
+  if (routing.version.value > 0) {
+    const auto declaration = options_.decode_routing(routing.text);
+    if (!declaration) {
+      events_({EventId::kSettingsRejected,
+               {{"reason", declaration.error().message}}});
+      return;
+    }
+    services = declaration.value().services;
+  }
+  directory_.SetServices(membership::NamedServices::Of(services));
+  PushDirectoryChanges();
 }
 
 void RoutingHub::PushRouting() {
@@ -239,7 +261,7 @@
       PushMessage(entry.handle, protocol::MessageKind::kCrashesTold, crashes);
     }
     PushMessage(entry.handle, protocol::MessageKind::kInstancePush,
-                protocol::InstancePush{push_number_, directory_.All(),
+                protocol::InstancePush{push_number_, directory_.AllToTell(),
                                        directory_.DepartedWithUnknownStart()});
   }
 }
@@ -247,16 +269,25 @@
 /// Pushes the records that changed since the last push to the entries.
 void RoutingHub::PushDirectoryChanges() {
   const std::vector<InstanceRecord> changes = directory_.TakeChanges();
-  if (changes.empty()) {
+  const std::vector<InstanceRecord> unnamed = directory_.TakeUnnamedChanges();
+  if (changes.empty() && unnamed.empty()) {
     return;
   }
   for (const membership::InstanceStart& upstream :
        membership::PlannedExits(changes, directory_)) {
     crashes_.RecordPlannedExit(upstream);
   }
-  CountDepartures(changes);
-  ++push_number_;
-  PushToEntries(protocol::InstancePush{push_number_, changes, {}});
+  protocol::InstancePush push{++push_number_, changes, {}};
+  push.records.insert(push.records.end(), unnamed.begin(), unnamed.end());
+  CountDepartures(push.records);
+  PushToEntries(push);
+  for (const InstanceRecord& record : unnamed) {
+    events_({EventId::kUpstreamUnnamed,
+             {{"upstream", record.id.str()},
+              {"service", record.service.str()},
+              {"endpoint", ToString(record.endpoint)},
+              {"push", std::to_string(push_number_)}}});
+  }
   for (const InstanceRecord& record : changes) {
     events_({record.state == InstanceState::kReady ? EventId::kUpstreamAnnounced
                                                    : EventId::kUpstreamDraining,
--- a/src/control/routing_hub_departures.cc
+++ b/src/control/routing_hub_departures.cc
@@ -68,9 +68,9 @@
   bool remembered = true;
   for (const UpstreamId& id : ids) {
     remembered = Depart(id) && remembered;
-    const InstanceRecord* record = directory_.Find(id);
-    if (record != nullptr) {
-      SendRecordsToControls({*record});
+    const std::vector<InstanceRecord> records = directory_.ToTell(id);
+    if (!records.empty()) {
+      SendRecordsToControls(records);
     }
   }
   return remembered;
@@ -125,10 +125,7 @@
 /// What is known of an upstream that left, for the other control VMs.
 protocol::InstancePush RoutingHub::DepartureOf(const UpstreamId& id) const {
   protocol::InstancePush departure;
-  const InstanceRecord* record = directory_.Find(id);
-  if (record != nullptr) {
-    departure.records.push_back(*record);
-  }
+  departure.records = directory_.ToTell(id);
   if (directory_.IsDepartedId(id)) {
     departure.departed.push_back(id);
   }
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -81,6 +81,7 @@
     {EventId::kUpstreamDepartedUnknown, "upstream-departed-unknown"},
     {EventId::kHandOverStarted, "hand-over-started"},
     {EventId::kHandOverEnded, "hand-over-ended"},
+    {EventId::kUpstreamUnnamed, "upstream-unnamed"},
     {EventId::kSnapshotWritten, "snapshot-written"},
     {EventId::kTornTailCut, "torn-tail-cut"},
     {EventId::kDamagedRecordFound, "damaged-record-found"},
--- a/src/membership/instance_directory.cc
+++ b/src/membership/instance_directory.cc
@@ -2,75 +2,63 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace rattanward::membership {
 namespace {
 
-/// Largest number of addresses whose latest start is kept. All are cleared when
-/// it is reached.
-constexpr std::size_t kMaxAddresses = 16384;
+/// Number of records kept. For a further one, one that is gone or silent is
+/// dropped.
+constexpr std::size_t kMaxInstances = 16384;
 /// Number of starts with signals above which those without a record are
 /// dropped.
 constexpr std::size_t kMaxStartsWithSignals = 4096;
 
-/// Whether two records differ at most in the sequences, and in the time that an
-/// upstream which is being reclaimed has left. The latter shrinks with each
-/// heartbeat and would otherwise be pushed to all entries each time.
-bool SameContent(const InstanceRecord& a, const InstanceRecord& b) {
-  InstanceRecord copy = a;
-  if (a.leaves_in > Duration::zero() && b.leaves_in > Duration::zero()) {
-    copy.leaves_in = b.leaves_in;
-  }
-  copy.stamp.sequence = b.stamp.sequence;
-  copy.beats_ahead = b.beats_ahead;
-  return copy == b;
-}
-
-bool IsNewerReport(const InstanceRecord& record, const InstanceRecord& known) {
-  const std::uint64_t sequence = ReportSequence(record);
-  const std::uint64_t known_sequence = ReportSequence(known);
-  return sequence > known_sequence ||
-         (sequence == known_sequence && record.state > known.state);
-}
+}  // namespace
 
-bool IsSilent(const InstanceRecord& a, const InstanceRecord& b) {
-  if (a.stamp == b.stamp) {
-    return a.silent || b.silent;
+void InstanceDirectory::SetServices(NamedServices services) {
+  if (services == services_) {
+    return;
   }
-  return a.stamp > b.stamp ? a.silent : b.silent;
-}
-
-/// Combines what is known of one start: its newest report and its newest sign
-/// of life. A deregistration is final for its start, even if newer records
-/// arrived before it.
-InstanceRecord Combine(const InstanceRecord& a, const InstanceRecord& b) {
-  InstanceRecord combined = IsNewerReport(a, b) ? a : b;
-  const std::uint64_t report = ReportSequence(combined);
-  if (a.state == InstanceState::kGone || b.state == InstanceState::kGone) {
-    combined.state = InstanceState::kGone;
-    combined.replaced = a.replaced || b.replaced;
+  services_ = std::move(services);
+  for (const UnnamedRecords::Heard& heard : unnamed_.TakeNamed(services_)) {
+    Merge(heard.record, heard.at);
   }
-  combined.silent = IsSilent(a, b);
-  combined.stamp = std::max(a.stamp, b.stamp);
-  combined.beats_ahead = combined.stamp.sequence - report;
-  return combined;
+  SettleAll();
 }
 
-}  // namespace
-
-std::uint64_t ReportSequence(const InstanceRecord& record) {
-  return record.stamp.sequence -
-         std::min(record.beats_ahead, record.stamp.sequence);
+/// Records without a service are what other processes of this system say of a
+/// start, not what it registered.
+bool InstanceDirectory::Counts(const InstanceRecord& record) const {
+  if (record.service.empty() || services_.Names(record.service)) {
+    return true;
+  }
+  const auto known = instances_.find(record.id);
+  return known != instances_.end() &&
+         known->second.reported.service == record.service &&
+         known->second.reported.stamp.born == record.stamp.born;
 }
 
 InstanceDirectory::Change InstanceDirectory::Merge(
     const InstanceRecord& received, TimePoint now) {
+  if (received.replaced && received.takeover.owner.born > 0) {
+    RecordAddressOwner(received.endpoint, received.takeover.owner, now);
+  }
+  const InstanceRecord reported = AsReported(received);
+  // An owner counts as soon as its service does.
+  if (reported.state != InstanceState::kGone) {
+    RecordAddressOwner(reported.endpoint,
+                       {reported.service, reported.stamp.born}, now);
+  }
+  if (!Counts(reported)) {
+    return unnamed_.Merge(reported, now) ? Change::kChanged : Change::kStale;
+  }
   const bool newly_leaving =
-      received.leaving && MarkLeaving({received.id, received.stamp.born});
+      reported.leaving && MarkLeaving({reported.id, reported.stamp.born});
   const bool new_limit =
-      MergeLimit({received.id, received.stamp.born, received.limit});
-  const Change change = MergeRecord(WithSignals(received), now);
+      MergeLimit({reported.id, reported.stamp.born, reported.limit});
+  const Change change = MergeRecord(WithSignals(reported), now);
   return newly_leaving || new_limit ? Change::kChanged : change;
 }
 
@@ -123,9 +111,8 @@
 void InstanceDirectory::ApplySignals(const UpstreamId& id) {
   const auto found = instances_.find(id);
   if (found != instances_.end()) {
-    const InstanceRecord updated = WithSignals(found->second.record);
-    if (updated != found->second.record) {
-      found->second.record = updated;
+    found->second.reported = WithSignals(found->second.reported);
+    if (Settle(&found->second)) {
       changed_.push_back(id);
     }
   }
@@ -164,49 +151,81 @@
   return record;
 }
 
-/// Whether a later start has taken over the record's address.
-bool InstanceDirectory::IsEarlierAtItsAddress(
-    const InstanceRecord& record) const {
-  const auto newest = newest_born_by_address_.find(record.endpoint);
-  return newest != newest_born_by_address_.end() &&
-         record.stamp.born < newest->second;
-}
-
 /// Adds the first record of an id. That of an earlier process at its address is
 /// kept so that its older records are recognized as stale.
 InstanceDirectory::Change InstanceDirectory::AddRecord(
     const InstanceRecord& record, TimePoint now) {
+  MakeRoom();
   Instance& added = instances_[record.id];
-  added = Instance{record, now};
-  MarkIfReplaced(&added.record);
+  added = Instance{record, record, now};
+  Settle(&added);
   changed_.push_back(record.id);
   return Change::kChanged;
 }
 
+/// Drops the record of an upstream that is gone or silent if there are too many
+/// records, the one heard from longest ago first.
+void InstanceDirectory::MakeRoom() {
+  if (instances_.size() < kMaxInstances) {
+    return;
+  }
+  const auto removable = [](const Instance& instance) {
+    return instance.record.silent ||
+           instance.record.state == InstanceState::kGone;
+  };
+  const auto oldest = std::min_element(
+      instances_.begin(), instances_.end(), [&](const auto& a, const auto& b) {
+        return std::make_pair(!removable(a.second), a.second.last_heard) <
+               std::make_pair(!removable(b.second), b.second.last_heard);
+      });
+  instances_.erase(oldest);
+}
+
 /// Whether a ready record may be a late one of the start that departed.
 bool InstanceDirectory::IsHeld(const InstanceRecord& record) const {
   return record.state == InstanceState::kReady &&
          departed_ids_.Contains(record.id);
 }
 
-void InstanceDirectory::MarkIfReplaced(InstanceRecord* record) const {
-  if (record->state != InstanceState::kGone && IsEarlierAtItsAddress(*record)) {
-    record->state = InstanceState::kGone;
-    record->replaced = true;
+bool InstanceDirectory::Settle(Instance* instance) {
+  InstanceRecord settled = instance->reported;
+  const auto owner = owners_.Latest(settled.endpoint, services_);
+  if (settled.state != InstanceState::kGone && owner &&
+      settled.stamp.born < owner->born) {
+    settled.takeover = {*owner, settled.state};
+    settled.state = InstanceState::kGone;
+    settled.replaced = true;
+  }
+  const bool news = !HasSameContent(settled, instance->record);
+  instance->record = std::move(settled);
+  return news;
+}
+
+void InstanceDirectory::SettleAll() {
+  for (auto& [id, instance] : instances_) {
+    if (Settle(&instance)) {
+      changed_.push_back(id);
+    }
   }
 }
 
 /// Of a start that is gone nothing more is taken than that it had announced
-/// its exit, though its address was taken over first.
-InstanceDirectory::Change InstanceDirectory::MergeExit(
-    const InstanceRecord& received, InstanceRecord* known) {
+/// its exit, though its address was taken over first. Returns whether it had.
+bool InstanceDirectory::MergeExit(const InstanceRecord& received,
+                                  InstanceRecord* known) {
   if (!known->replaced || received.replaced ||
       received.state != InstanceState::kGone) {
-    return Change::kStale;
+    return false;
   }
   known->replaced = false;
-  changed_.push_back(known->id);
-  return Change::kChanged;
+  return true;
+}
+
+/// Whether the known record of an id doesn't count any more, and this one does.
+bool InstanceDirectory::DisplacesUnnamed(const InstanceRecord& record,
+                                         const InstanceRecord& known) const {
+  return !known.service.empty() && !services_.Names(known.service) &&
+         !record.service.empty() && services_.Names(record.service);
 }
 
 InstanceDirectory::Change InstanceDirectory::MergeRecord(
@@ -214,31 +233,36 @@
   if (IsHeld(record)) {
     return Change::kStale;
   }
-  RecordAddressOwner(record);
   const auto found = instances_.find(record.id);
   if (found == instances_.end()) {
     return AddRecord(record, now);
   }
   Instance& instance = found->second;
-  const InstanceRecord known = instance.record;
-  const bool same_start = record.stamp.born == known.stamp.born;
-  if (same_start && known.state == InstanceState::kGone) {
-    return MergeExit(record, &instance.record);
+  const InstanceRecord known = instance.reported;
+  if (DisplacesUnnamed(record, known)) {
+    unnamed_.Merge(known, instance.last_heard);
+    return AddRecord(record, now);
   }
+  const bool same_start = record.stamp.born == known.stamp.born;
   if (record.stamp.born < known.stamp.born) {
     return Change::kStale;
   }
-  InstanceRecord merged = same_start ? Combine(record, known) : record;
-  MarkIfReplaced(&merged);
-  if (merged == known) {
+  if (same_start && known.state == InstanceState::kGone) {
+    if (!MergeExit(record, &instance.reported)) {
+      return Change::kStale;
+    }
+  } else {
+    instance.reported = same_start ? Combine(record, known) : record;
+  }
+  const bool news = Settle(&instance);
+  if (instance.reported == known && !news) {
     return Change::kStale;
   }
-  instance.record = merged;
   const bool heard = record.stamp > known.stamp && !record.silent;
-  if (heard || merged.state == InstanceState::kGone) {
+  if (heard || instance.record.state == InstanceState::kGone) {
     instance.last_heard = now;
   }
-  if (SameContent(known, merged)) {
+  if (!news) {
     return Change::kRefreshed;
   }
   changed_.push_back(record.id);
@@ -247,13 +271,14 @@
 
 InstanceDirectory::Change InstanceDirectory::ApplyBeat(const InstanceBeat& beat,
                                                        TimePoint now) {
-  const InstanceRecord* known = Find(beat.id);
-  if (known == nullptr || known->stamp.born != beat.stamp.born ||
-      beat.stamp <= known->stamp) {
+  const auto found = instances_.find(beat.id);
+  if (found == instances_.end() ||
+      found->second.reported.stamp.born != beat.stamp.born ||
+      beat.stamp <= found->second.reported.stamp) {
     return Change::kStale;
   }
-  InstanceRecord record = *known;
-  record.beats_ahead = beat.stamp.sequence - ReportSequence(*known);
+  InstanceRecord record = found->second.reported;
+  record.beats_ahead = beat.stamp.sequence - ReportSequence(record);
   record.stamp = beat.stamp;
   record.silent = false;
   return Merge(record, now);
@@ -261,6 +286,7 @@
 
 std::optional<InstanceRecord> InstanceDirectory::Deregister(
     const UpstreamId& id, std::optional<std::uint64_t> born, TimePoint now) {
+  unnamed_.MarkGone(id, born);
   const auto found = instances_.find(id);
   if (found == instances_.end()) {
     if (!born) {
@@ -272,11 +298,11 @@
     tombstone.id = id;
     tombstone.stamp = {*born, std::numeric_limits<std::uint64_t>::max()};
     tombstone.state = InstanceState::kGone;
-    instances_[id] = Instance{tombstone, now};
+    instances_[id] = Instance{tombstone, tombstone, now};
     changed_.push_back(id);
     return tombstone;
   }
-  InstanceRecord record = found->second.record;
+  InstanceRecord record = found->second.reported;
   if (born && *born < record.stamp.born) {
     return std::nullopt;
   }
@@ -301,6 +327,9 @@
     Deregister(id, std::nullopt, now);
     return Departure::kKnownStart;
   }
+  if (unnamed_.MarkGone(id, std::nullopt)) {
+    return Departure::kKnownStart;
+  }
   return AddDepartedId(id, now) ? Departure::kUnknownStart
                                 : Departure::kNotRemembered;
 }
@@ -314,24 +343,16 @@
   return true;
 }
 
-/// Records the start as the owner of its address if it is the latest one, and
-/// marks instances with an earlier start at that address as gone. They stay
-/// gone even after the later instance has moved to another address.
-void InstanceDirectory::RecordAddressOwner(const InstanceRecord& record) {
-  if (record.state == InstanceState::kGone || record.endpoint == Endpoint()) {
+/// Instances with an earlier start at the address are gone, even after the
+/// later instance has moved to another address.
+void InstanceDirectory::RecordAddressOwner(const Endpoint& endpoint,
+                                           const AddressOwner& owner,
+                                           TimePoint now) {
+  if (endpoint == Endpoint() || !owners_.Record(endpoint, owner, now)) {
     return;
   }
-  if (newest_born_by_address_.size() >= kMaxAddresses) {
-    newest_born_by_address_.clear();
-  }
-  std::uint64_t& newest = newest_born_by_address_[record.endpoint];
-  newest = std::max(newest, record.stamp.born);
   for (auto& [id, instance] : instances_) {
-    if (instance.record.endpoint == record.endpoint &&
-        instance.record.state != InstanceState::kGone &&
-        instance.record.stamp.born < newest) {
-      instance.record.state = InstanceState::kGone;
-      instance.record.replaced = true;
+    if (instance.reported.endpoint == endpoint && Settle(&instance)) {
       changed_.push_back(id);
     }
   }
@@ -343,6 +364,7 @@
   for (auto& [id, instance] : instances_) {
     if (instance.last_heard < heard_before && !instance.record.silent &&
         instance.record.state != InstanceState::kGone) {
+      instance.reported.silent = true;
       instance.record.silent = true;
       changed_.push_back(id);
       marked.push_back(instance.record);
@@ -367,6 +389,16 @@
     leaving_.erase(id);
     limits_.erase(id);
   }
+  unnamed_.Forget(heard_before);
+  std::set<std::pair<Endpoint, AddressOwner>> in_use;
+  for (const auto& [id, instance] : instances_) {
+    const InstanceRecord& record = instance.reported;
+    in_use.insert({record.endpoint, {record.service, record.stamp.born}});
+  }
+  owners_.Forget(heard_before,
+                 [&](const Endpoint& endpoint, const AddressOwner& owner) {
+                   return in_use.count({endpoint, owner}) > 0;
+                 });
   return forgotten;
 }
 
@@ -403,6 +435,11 @@
   for (const Instance* instance : departed) {
     records.push_back(instance->record);
   }
+  for (const InstanceRecord& record : unnamed_.All()) {
+    if (record.state != InstanceState::kReady && records.size() < most) {
+      records.push_back(record);
+    }
+  }
   return records;
 }
 
@@ -415,4 +452,21 @@
   return records;
 }
 
+std::vector<InstanceRecord> InstanceDirectory::AllToTell() const {
+  std::vector<InstanceRecord> records = All();
+  const std::vector<InstanceRecord> unnamed = unnamed_.All();
+  records.insert(records.end(), unnamed.begin(), unnamed.end());
+  return records;
+}
+
+std::vector<InstanceRecord> InstanceDirectory::ToTell(
+    const UpstreamId& id) const {
+  std::vector<InstanceRecord> records = unnamed_.Find(id);
+  const InstanceRecord* known = Find(id);
+  if (known != nullptr) {
+    records.push_back(*known);
+  }
+  return records;
+}
+
 }  // namespace rattanward::membership
--- a/src/membership/planned_exits.cc
+++ b/src/membership/planned_exits.cc
@@ -11,13 +11,15 @@
   return record.state == InstanceState::kGone;
 }
 
-/// Latest start at each address.
+/// Latest start at each address, of the services that are named.
 std::map<Endpoint, std::uint64_t> LatestStarts(
     const InstanceDirectory& directory) {
   std::map<Endpoint, std::uint64_t> latest;
   for (const InstanceRecord& record : directory.All()) {
-    std::uint64_t& born = latest[record.endpoint];
-    born = std::max(born, record.stamp.born);
+    if (directory.Names(record)) {
+      std::uint64_t& born = latest[record.endpoint];
+      born = std::max(born, record.stamp.born);
+    }
   }
   return latest;
 }
@@ -41,7 +43,7 @@
     const bool announced =
         record.leaving || record.state == InstanceState::kDraining ||
         (IsGone(record) && !record.replaced && !is_replaced(record));
-    if (announced) {
+    if (announced && directory.Counts(record)) {
       exits.push_back({record.id, record.stamp.born});
     }
   }
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -60,6 +60,8 @@
       relays_(policy::StableHash(options_.process.str())),
       stream_versions_(options_.key_lease),
       started_at_(MonotonicNow()) {
+  // Until there are routes.
+  directory_.SetServices(membership::NamedServices(std::set<ServiceName>()));
   server_.on_rejected = [this](const Error& error) {
     meter_.RecordMalformed();
     hooks_.events({EventId::kRequestShed,
@@ -87,6 +89,8 @@
   }
   table_ = std::move(table);
   placer_.SetServices(table_->declaration().services);
+  directory_.SetServices(
+      membership::NamedServices::Of(table_->declaration().services));
   const CallerLimits& limits = table_->limits();
   http::ServerLimits server_limits;
   server_limits.parser.max_header_bytes = limits.max_header_bytes;
@@ -99,7 +103,7 @@
       {EventId::kConfigInForce,
        {{"routes", std::to_string(table_->version().value)},
         {"count", std::to_string(table_->declaration().routes.size())}}});
-  ScheduleDrain();
+  ApplyDirectoryChanges();
   return true;
 }
 
