Keep who ran where when a request is let go of

Cause: a witness came only from a request that still had its connection when that broke. Whoever lets go of a request closes the connection and forgets it.

Change: an entry keeps what it let go of for 8 s (policy/abandoned_runs). A crash of that very start makes it a witness, however it is seen: another request's lost or refused connection, another entry's witness, a later start of the id or at the address, silence. Where no open connection would show it, the entry opens one 0.5 s and 2 s after. Whole requests and parts of prompts; callers, deadlines, stops, second attempts; both data paths.

--- a/include/rattanward/policy/standard_dispatcher.h
+++ b/include/rattanward/policy/standard_dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "rattanward/domain/event.h"
 #include "rattanward/domain/named_limit.h"
+#include "rattanward/policy/abandoned_runs.h"
 #include "rattanward/policy/account_limits.h"
 #include "rattanward/policy/chooser.h"
 #include "rattanward/policy/class_queue.h"
@@ -166,6 +167,7 @@
   RetryBudget retry_budget_;
   Quarantine quarantine_;
   PartQuarantine part_quarantine_;
+  AbandonedRuns<RunningAttempt> abandoned_;
   /// Changes for TakePartSuspicions().
   std::vector<PartSuspicion> changed_parts_;
   TimePoint all_parts_told_at_;
--- a/include/rattanward/proxy/exchange.h
+++ b/include/rattanward/proxy/exchange.h
@@ -90,6 +90,8 @@
   virtual void OnUnreachable(const Exchange& exchange) = 0;
   /// @brief The connection failed after the request was sent.
   virtual void OnConnectionLost(const Exchange& exchange) = 0;
+  /// @brief The request was let go of while its upstream may go on with it.
+  virtual void OnLetGo(const Exchange& exchange) = 0;
   /// @brief The head of the upstream's response arrived.
   virtual void OnResponseHead(const Exchange& exchange) = 0;
   /// @brief The outcome of the request at its upstream is known.
@@ -291,6 +293,7 @@
  private:
   bool MayAnswerLate() const;
   void AwaitLateAnswer();
+  void ReportIfLetGo(const http::ClientConnection& connection);
   void EndLateAnswer();
   void OnCallerGone();
   void OnMemoryExhausted();
@@ -371,6 +374,8 @@
   std::string upstream_version_;
   std::optional<std::string> stream_version_;
   std::vector<policy::PartSuspicion> known_at_send_;
+  /// Whether the end of the current attempt at its upstream is known.
+  bool attempt_ended_ = false;
   /// Whether the response head of the current attempt has arrived.
   bool response_begun_ = false;
   http::Framing response_framing_ = http::Framing::kNone;
--- a/include/rattanward/proxy/proxy.h
+++ b/include/rattanward/proxy/proxy.h
@@ -17,6 +17,7 @@
 #include "rattanward/http/server.h"
 #include "rattanward/membership/crash_memory.h"
 #include "rattanward/membership/instance_directory.h"
+#include "rattanward/policy/abandoned_runs.h"
 #include "rattanward/policy/account_shares.h"
 #include "rattanward/policy/end_forecast.h"
 #include "rattanward/policy/hedge_plan.h"
@@ -245,6 +246,7 @@
   void OnLimit(const Exchange& exchange, const NamedTerms& named) override;
   void OnRejected(const Exchange& exchange) override;
   void OnUnreachable(const Exchange& exchange) override;
+  void OnLetGo(const Exchange& exchange) override;
   void OnConnectionLost(const Exchange& exchange) override;
   void OnResponseHead(const Exchange& exchange) override;
   void OnOutcome(const Exchange& exchange, bool succeeded) override;
@@ -262,7 +264,7 @@
   void OnRelayedLeaving(const membership::InstanceStart& upstream) override;
 
  private:
-  /// A request whose connection was lost, as it stood then.
+  /// A request whose connection was lost or let go of, as it stood then.
   struct CrashEvidence {
     protocol::CrashWitness witness;
     std::vector<policy::PartSuspicion> known_at_send;
@@ -278,6 +280,8 @@
   /// Number of crashes that can be taken back.
   static constexpr std::size_t kMaxRaised = 256;
 
+  /// Other entries that are asked whether they reach an upstream.
+  static constexpr int kMaxReachQuestions = 2;
   /// Time within which a probe of a path must succeed.
   static constexpr Duration kProbeTimeout{std::chrono::milliseconds(300)};
 
@@ -356,6 +360,14 @@
   void ConfirmCrash(const CrashEvidence& evidence, int questions_left);
   void ProbeAfterLoss(const CrashEvidence& evidence);
   void RecordCrash(const CrashEvidence& evidence);
+  void CountCrash(const CrashEvidence& evidence);
+  CrashEvidence EvidenceOf(const Exchange& exchange) const;
+  static policy::RunPlace PlaceOf(const CrashEvidence& evidence);
+  void Abandon(const CrashEvidence& evidence);
+  void CheckOutlived(const policy::RunPlace& place);
+  void CheckAbandoned(const membership::InstanceRecord& record);
+  void OnHedgeLetGo(const Exchange& exchange, const HedgePlacement& placement,
+                    bool lost);
   void RecordPlannedExits(const std::vector<membership::InstanceStart>& exits);
   bool MayTryQuarantined(std::uint64_t fingerprint) const;
   void RaiseParts(const CrashEvidence& evidence);
@@ -379,6 +391,8 @@
   UpstreamPool pool_;
   /// Connections to other entries.
   UpstreamPool relay_pool_;
+  /// Requests that were let go of while their upstreams may go on with them.
+  policy::AbandonedRuns<CrashEvidence> abandoned_;
   membership::InstanceDirectory directory_;
   policy::Placer placer_;
   policy::UpstreamPaths paths_;
--- a/include/rattanward/proxy/upstream_pool.h
+++ b/include/rattanward/proxy/upstream_pool.h
@@ -38,6 +38,8 @@
   void CloseExpired(TimePoint now);
 
   std::size_t open() const;
+  /// @brief Whether any connection to an upstream is open or in use.
+  bool HasOpen(const UpstreamId& id) const;
   /// @brief Number of connections opened since the start.
   std::uint64_t opened() const { return opened_; }
 
--- a/src/policy/standard_dispatcher_finish.cc
+++ b/src/policy/standard_dispatcher_finish.cc
@@ -52,6 +52,14 @@
   return result.end == AttemptEnd::kRefused && result.backoff_for.has_value();
 }
 
+/// Whether the upstream may go on with a request whose attempt has ended here.
+bool MayStillRun(const AttemptResult& result) {
+  const bool let_go = result.end == AttemptEnd::kCallerLeft ||
+                      result.end == AttemptEnd::kBroken;
+  return let_go && result.verdict != Verdict::kNotRun &&
+         !IndicatesCrash(result);
+}
+
 bool MayBeRetried(AttemptEnd end) {
   return end == AttemptEnd::kRefused || end == AttemptEnd::kConnectFailed ||
          end == AttemptEnd::kBroken || end == AttemptEnd::kSilent;
@@ -70,6 +78,7 @@
   if (upstream == nullptr) {
     return;
   }
+  abandoned_.RecordAlive({open.upstream}, now);
   for (RunningAttempt& attempt : upstream->running) {
     if (attempt.request == request) {
       attempt.first_token_seen = true;
@@ -133,6 +142,9 @@
   }
   const RunningAttempt ended =
       upstreams_.AttemptEnded(open.upstream, open.info.id, now);
+  if (MayStillRun(result)) {
+    abandoned_.Add({open.upstream}, ended, now);
+  }
   const auto running = running_by_fingerprint_.find(open.info.fingerprint);
   if (running != running_by_fingerprint_.end() && --running->second == 0) {
     running_by_fingerprint_.erase(running);
@@ -159,7 +171,9 @@
   if (state == nullptr || state->path_lost || state->announcement.draining) {
     return;
   }
-  for (const RunningAttempt& attempt : state->running) {
+  std::vector<RunningAttempt> ran = abandoned_.TakeCrashed({upstream}, now);
+  ran.insert(ran.end(), state->running.begin(), state->running.end());
+  for (const RunningAttempt& attempt : ran) {
     quarantine_.AddDeath(attempt.fingerprint, upstream, now);
     AddChangedParts(part_quarantine_.RecordCrash(attempt.known_at_start, now));
   }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -170,6 +170,7 @@
   last_byte_at_ = sent_at_;
   charge_ = owner_.OnSent(*this);
   std::string().swap(body_);
+  attempt_ended_ = false;
   response_begun_ = false;
   response_framing_ = Framing::kNone;
   events_before_send_ = splitter_.events();
--- a/src/proxy/exchange_end.cc
+++ b/src/proxy/exchange_end.cc
@@ -52,6 +52,7 @@
 
 void Exchange::OnComplete() {
   const auto self = shared_from_this();
+  attempt_ended_ = true;
   if (event_stream_ && StreamIsWhole()) {
     FinishStream();
   } else if (relay_peer_ && !event_stream_) {
@@ -140,6 +141,7 @@
 }
 
 void Exchange::HandleRejection() {
+  attempt_ended_ = true;
   if (response_traits_.backoff_for || stream_started_) {
     // Not an attempt of the request.
     --attempts_;
@@ -229,6 +231,7 @@
 }
 
 void Exchange::RecordConnectionLoss(const std::string& reason) {
+  attempt_ended_ = true;
   may_have_run_ = true;
   owner_.OnOutcome(*this, false);
   owner_.OnConnectionLost(*this);
@@ -342,6 +345,7 @@
 /// back-off. Its request has ended.
 void Exchange::AwaitLateAnswer() {
   late_connection_ = stage_.EndAttempt();
+  ReportIfLetGo(*late_connection_);
   const auto timer =
       std::make_shared<asio::steady_timer>(timer_.get_executor());
   timer->expires_after(kLateAnswerTime);
@@ -366,12 +370,21 @@
   if (!connection) {
     return;
   }
+  ReportIfLetGo(*connection);
   if (!connection->Reusable(MonotonicNow())) {
     connection->Close();
   }
   ReturnToOwner(connection);
 }
 
+/// The connection won't show any more whether the upstream crashes on it.
+void Exchange::ReportIfLetGo(const http::ClientConnection& connection) {
+  if (!attempt_ended_ && !relay_peer_ && connection.sent_any()) {
+    owner_.OnLetGo(*this);
+  }
+  attempt_ended_ = true;
+}
+
 void Exchange::ReturnToOwner(
     const std::shared_ptr<http::ClientConnection>& connection) {
   owner_.OnReleased(*this, std::exchange(charge_, {}), connection);
--- a/src/proxy/exchange_hedge.cc
+++ b/src/proxy/exchange_hedge.cc
@@ -85,6 +85,7 @@
   charge_ = placement.charge;
   last_byte_at_ = MonotonicNow();
   body_.clear();
+  attempt_ended_ = false;
   response_begun_ = false;
   response_framing_ = http::Framing::kNone;
   splitter_.DiscardPartialEvent();
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -120,6 +120,7 @@
 void Proxy::ApplyDirectoryChanges() {
   const TimePoint now = MonotonicNow();
   for (const membership::InstanceRecord& record : directory_.TakeChanges()) {
+    CheckAbandoned(record);
     const bool restarted = placer_.SetInstance(record);
     placer_.SetLimit(record.id, record.limit.limit(), now);
     placer_.SetRejectionLimit(record.id, record.limit.rejection_limit, now);
@@ -412,6 +413,8 @@
 
 void Proxy::OnResponseHead(const Exchange& exchange) {
   paths_.RecordHeard(exchange.upstream(), MonotonicNow());
+  abandoned_.RecordAlive({exchange.upstream(), exchange.upstream_start()},
+                         MonotonicNow());
   placer_.RecordAnswer(exchange.upstream());
 }
 
--- a/src/proxy/proxy_crashes.cc
+++ b/src/proxy/proxy_crashes.cc
@@ -11,8 +11,9 @@
 using adapter::MonotonicNow;
 
 constexpr Duration kProbeDelay{std::chrono::milliseconds(30)};
-/// Other entries that are asked whether they reach the upstream.
-constexpr int kMaxReachQuestions = 2;
+/// Time after which it is first asked whether an upstream outlived a request
+/// that was let go of.
+constexpr Duration kFirstCheckDelay{std::chrono::milliseconds(500)};
 /// Time in which a sample shows whether other paths are lost, too.
 constexpr Duration kSampleTime{std::chrono::milliseconds(500)};
 /// The entry that is asked needs kProbeTimeout and kSampleTime at most.
@@ -73,11 +74,82 @@
   if (directory_.Find(exchange.upstream()) == nullptr) {
     return;
   }
+  timers_.After(kProbeDelay, [this, evidence = EvidenceOf(exchange)](
+                                 TimePoint) { ProbeAfterLoss(evidence); });
+}
+
+Proxy::CrashEvidence Proxy::EvidenceOf(const Exchange& exchange) const {
+  return {{exchange.routed().fingerprint, exchange.upstream(),
+           exchange.upstream_start()},
+          exchange.known_at_send()};
+}
+
+policy::RunPlace Proxy::PlaceOf(const CrashEvidence& evidence) {
+  return {evidence.witness.upstream, evidence.witness.born};
+}
+
+void Proxy::OnLetGo(const Exchange& exchange) { Abandon(EvidenceOf(exchange)); }
+
+/// The upstream may go on with the request, and crash on it.
+void Proxy::Abandon(const CrashEvidence& evidence) {
+  const policy::RunPlace place = PlaceOf(evidence);
+  abandoned_.Add(place, evidence, MonotonicNow());
+  for (const Duration delay :
+       {kFirstCheckDelay, policy::AbandonedRuns<CrashEvidence>::kRunTime}) {
+    timers_.After(delay, [this, place](TimePoint) { CheckOutlived(place); });
+  }
+}
+
+/// Asks an upstream that no open connection shows to be there whether it
+/// outlived what was let go of.
+void Proxy::CheckOutlived(const policy::RunPlace& place) {
+  const membership::InstanceRecord* record = directory_.Find(place.upstream);
+  const bool needed = abandoned_.FindAt(place, MonotonicNow()) &&
+                      record != nullptr && record->stamp.born == place.born &&
+                      !crashes_.IsPlannedExit({place.upstream, place.born}) &&
+                      !pool_.HasOpen(place.upstream);
+  if (needed) {
+    http::CheckReachable(io_, record->endpoint, kProbeTimeout,
+                         [this, place](bool reached) {
+                           OnProbed(place.upstream, place.born, reached);
+                         });
+  }
+}
+
+/// @param lost Whether the second attempt's connection failed, rather than that
+/// it was closed here.
+void Proxy::OnHedgeLetGo(const Exchange& exchange,
+                         const HedgePlacement& placement, bool lost) {
   const CrashEvidence evidence{{exchange.routed().fingerprint,
-                                exchange.upstream(), exchange.upstream_start()},
-                               exchange.known_at_send()};
-  timers_.After(kProbeDelay,
-                [this, evidence](TimePoint) { ProbeAfterLoss(evidence); });
+                                placement.upstream, placement.upstream_start},
+                               KnownAgainstParts(exchange)};
+  if (lost) {
+    timers_.After(kProbeDelay,
+                  [this, evidence](TimePoint) { ProbeAfterLoss(evidence); });
+  } else {
+    Abandon(evidence);
+  }
+}
+
+/// A crash that only the directory shows: a later start of the id or at the
+/// address, or silence.
+void Proxy::CheckAbandoned(const membership::InstanceRecord& record) {
+  const TimePoint now = MonotonicNow();
+  const policy::RunPlace place{record.id, record.stamp.born};
+  if (const auto before = abandoned_.FindBefore(place, now)) {
+    RecordCrash(*before);
+  }
+  const auto let_go = abandoned_.FindAt(place, now);
+  if (!let_go) {
+    return;
+  }
+  if (record.state == membership::InstanceState::kGone && !record.replaced) {
+    abandoned_.Forget(place);
+  } else if (record.state == membership::InstanceState::kGone) {
+    RecordCrash(*let_go);
+  } else if (record.silent) {
+    CheckOutlived(place);
+  }
 }
 
 void Proxy::ProbeAfterLoss(const CrashEvidence& evidence) {
@@ -92,10 +164,13 @@
   }
   http::CheckReachable(io_, record->endpoint, kProbeTimeout,
                        [this, evidence](bool reached) {
-                         if (!reached) {
-                           MarkPathLost(evidence.witness.upstream);
-                           ConfirmCrash(evidence, kMaxReachQuestions);
+                         if (reached) {
+                           // It may go on with the request.
+                           Abandon(evidence);
+                           return;
                          }
+                         MarkPathLost(evidence.witness.upstream);
+                         ConfirmCrash(evidence, kMaxReachQuestions);
                        });
 }
 
@@ -159,10 +234,20 @@
 }
 
 void Proxy::RecordCrash(const CrashEvidence& evidence) {
-  if (crashes_.IsPlannedExit(
-          {evidence.witness.upstream, evidence.witness.born})) {
+  const policy::RunPlace place = PlaceOf(evidence);
+  const auto let_go = abandoned_.TakeCrashed(place, MonotonicNow());
+  if (crashes_.IsPlannedExit({place.upstream, place.born})) {
     return;
   }
+  CountCrash(evidence);
+  for (const CrashEvidence& other : let_go) {
+    if (other.witness != evidence.witness) {
+      CountCrash(other);
+    }
+  }
+}
+
+void Proxy::CountCrash(const CrashEvidence& evidence) {
   RaiseParts(evidence);
   hooks_.witness(evidence.witness);
   RecordCrashes({evidence.witness});
@@ -206,6 +291,14 @@
     crashes_.RecordCrash(witness, MonotonicNow());
   }
   ApplyQuarantineChanges();
+  // Another entry's connection showed the crash of what was let go of here.
+  for (const protocol::CrashWitness& witness : witnesses) {
+    const auto let_go =
+        abandoned_.FindAt({witness.upstream, witness.born}, MonotonicNow());
+    if (let_go) {
+      RecordCrash(*let_go);
+    }
+  }
 }
 
 void Proxy::RecordCleared(const std::vector<protocol::CrashWitness>& cleared) {
--- a/src/proxy/proxy_hedges.cc
+++ b/src/proxy/proxy_hedges.cc
@@ -148,6 +148,11 @@
   if (end == HedgeEnd::kWon) {
     return;  // The exchange holds the connection and the charge now.
   }
+  const bool may_have_begun =
+      placement.connection->sent_any() && !traits.not_run;
+  if (may_have_begun) {
+    OnHedgeLetGo(exchange, placement, end == HedgeEnd::kFailed);
+  }
   if (end == HedgeEnd::kFailed) {
     RecordHedgeFailure(placement, traits, now);
   }
--- a/src/proxy/proxy_paths.cc
+++ b/src/proxy/proxy_paths.cc
@@ -69,6 +69,13 @@
 }
 
 void Proxy::OnProbed(const UpstreamId& id, std::uint64_t born, bool reached) {
+  const TimePoint now = MonotonicNow();
+  const auto let_go = abandoned_.FindAt({id, born}, now);
+  if (reached) {
+    abandoned_.RecordAlive({id, born}, now);
+  } else if (let_go) {
+    ConfirmCrash(*let_go, kMaxReachQuestions);
+  }
   if (StartOf(id) != born) {
     paths_.Forget(id);
   } else if (reached) {
--- a/src/proxy/upstream_pool.cc
+++ b/src/proxy/upstream_pool.cc
@@ -72,6 +72,12 @@
   });
 }
 
+bool UpstreamPool::HasOpen(const UpstreamId& id) const {
+  const auto found = upstreams_.find(id);
+  return found != upstreams_.end() &&
+         (found->second.in_use > 0 || !found->second.idle.empty());
+}
+
 std::size_t UpstreamPool::open() const {
   std::size_t count = 0;
   for (const auto& [id, connections] : upstreams_) {
--- a/tests/fakes/request_fleet.h
+++ b/tests/fakes/request_fleet.h
@@ -12,6 +12,7 @@
 #include "rattanward/domain/time.h"
 #include "rattanward/membership/crash_memory.h"
 #include "rattanward/membership/crash_news.h"
+#include "rattanward/policy/abandoned_runs.h"
 
 namespace rattanward::fakes {
 
@@ -27,6 +28,12 @@
   int max_linger = 60;
   /// Request that crashes each upstream that begins to run it.
   std::uint64_t bad_request = 66;
+  /// Share of the callers that leave before their answer, of 100.
+  int impatient = 0;
+  /// Whether the caller of the bad request leaves before the crash, each time.
+  bool bad_caller_leaves = false;
+  /// Without it, what was let go of proves nothing.
+  bool keeps_abandoned = true;
   /// Without it, each lost upstream counts as crashed, and for good.
   bool weighs_evidence = true;
   /// Without it, a restart of the hub loses all that it knew.
@@ -64,8 +71,15 @@
     const std::optional<std::size_t> upstream = DrawUpstream();
     if (upstream) {
       const int begins = now_ + 2 + Draw(8);
-      requests_.push_back({entry, entries_[entry].started_at, *upstream,
-                           fingerprint, begins, begins + 4 + Draw(max_steps)});
+      Request request{
+          entry,  entries_[entry].started_at,   *upstream,   fingerprint,
+          begins, begins + 4 + Draw(max_steps), std::nullopt};
+      if (fingerprint == options_.bad_request && options_.bad_caller_leaves) {
+        request.let_go_at = begins - 1;
+      } else if (Draw(100) < options_.impatient) {
+        request.let_go_at = begins + Draw(request.ends - begins);
+      }
+      requests_.push_back(request);
     }
     return true;
   }
@@ -137,6 +151,7 @@
     if (now_ % kSaveSteps == 0) {
       saved_ = hub_.All();
     }
+    LetGo();
     EndRequests();
     for (std::size_t i = 0; i < upstreams_.size(); ++i) {
       if (upstreams_[i].leaves_at == now_) {
@@ -150,9 +165,11 @@
 
  private:
   static constexpr int kSaveSteps = 4;
+  static constexpr int kRestartSteps = 40;
 
   struct Entry {
     membership::CrashMemory memory;
+    policy::AbandonedRuns<protocol::CrashWitness> abandoned;
     int started_at = 0;
   };
   struct Upstream {
@@ -167,6 +184,8 @@
     std::uint64_t fingerprint = 0;
     int begins = 0;
     int ends = 0;
+    /// When the entry lets go of it, if it does.
+    std::optional<int> let_go_at;
   };
   struct News {
     int arrives = 0;
@@ -176,6 +195,10 @@
     std::vector<membership::InstanceStart> exits;
     /// A crash that the entry itself has found.
     bool own = false;
+    /// A crash that the entry learns of without a connection of a request; if
+    /// `checked` is set, only if that upstream has crashed by then.
+    std::optional<membership::InstanceStart> crashed;
+    std::optional<std::size_t> checked;
   };
 
   int Draw(int count) {
@@ -234,6 +257,63 @@
     news_.push_back(news);
   }
 
+  /// The next start, or silence, shows the crash at last.
+  void TellOfCrash(const membership::InstanceStart& start) {
+    constexpr int kNoticeSteps = 100;
+    for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+      News news;
+      news.arrives = now_ + kRestartSteps + Draw(kNoticeSteps);
+      news.entry = entry;
+      news.crashed = start;
+      news_.push_back(news);
+    }
+  }
+
+  /// What was let go of counts as well, once the crash of its start is known.
+  void CountAbandoned(std::size_t index,
+                      const membership::InstanceStart& start) {
+    Entry& entry = entries_[index];
+    const auto let_go =
+        entry.abandoned.TakeCrashed({start.id, start.born}, time());
+    for (const protocol::CrashWitness& witness : let_go) {
+      if (!entry.memory.IsPlannedExit(start)) {
+        entry.memory.RecordCrash(witness, time());
+        Tell({}, {{witness}, {}, {}});
+      }
+    }
+  }
+
+  /// The entry looks whether the upstream outlived what was let go of.
+  void CheckLater(const Request& request, int steps) {
+    constexpr int kProbeSteps = 7;
+    News news;
+    news.arrives = now_ + steps + Draw(kProbeSteps);
+    news.entry = request.entry;
+    news.checked = request.upstream;
+    news.crashed = StartOf(request.upstream);
+    news_.push_back(news);
+  }
+
+  void LetGo() {
+    for (const Request& request : requests_) {
+      if (request.let_go_at == now_ && options_.keeps_abandoned &&
+          AtSameStart(request)) {
+        const membership::InstanceStart start = StartOf(request.upstream);
+        entries_[request.entry].abandoned.Add(
+            {start.id, start.born}, {request.fingerprint, start.id, start.born},
+            time());
+        constexpr int kFirstCheckSteps = 10;
+        constexpr int kLastCheckSteps = 40;
+        CheckLater(request, kFirstCheckSteps);
+        CheckLater(request, kLastCheckSteps);
+      }
+    }
+  }
+
+  bool IsLetGo(const Request& request) const {
+    return request.let_go_at && *request.let_go_at <= now_;
+  }
+
   void DeliverNews() {
     std::vector<News> due;
     std::erase_if(news_, [&](const News& news) {
@@ -272,7 +352,13 @@
     for (const protocol::CrashWitness& cleared : news.told.cleared) {
       memory.RecordCleared(cleared, time());
     }
+    const bool outlived =
+        news.checked && StartOf(*news.checked) == *news.crashed;
+    if (news.crashed && !outlived) {
+      CountAbandoned(index, *news.crashed);
+    }
     for (const protocol::CrashWitness& witness : news.told.witnesses) {
+      CountAbandoned(index, {witness.upstream, witness.born});
       if (!news.own ||
           !memory.IsPlannedExit({witness.upstream, witness.born})) {
         memory.RecordCrash(witness, time());
@@ -307,6 +393,14 @@
       if (request.ends > now_) {
         return false;
       }
+      if (IsLetGo(request)) {
+        return true;
+      }
+      if (AtSameStart(request)) {
+        const membership::InstanceStart start = StartOf(request.upstream);
+        entries_[request.entry].abandoned.RecordAlive({start.id, start.born},
+                                                      time());
+      }
       if (options_.weighs_evidence && AtSameStart(request)) {
         membership::CrashMemory& memory = entries_[request.entry].memory;
         memory.RecordAnswer(request.fingerprint, time());
@@ -322,9 +416,9 @@
 
   /// Cuts all that runs at an upstream, which is back after some seconds.
   void End(std::size_t index) {
-    constexpr int kRestartSteps = 40;
     const membership::InstanceStart start = StartOf(index);
     Upstream& upstream = upstreams_[index];
+    TellOfCrash(start);
     ++upstream.born;
     upstream.down_until = now_ + kRestartSteps;
     upstream.leaves_at.reset();
@@ -332,7 +426,7 @@
       if (request.upstream != index) {
         return false;
       }
-      if (AtSameStart(request)) {
+      if (AtSameStart(request) && !IsLetGo(request)) {
         FindCrash(request, start);
       }
       return true;
--- a/tests/src/fuzz-request_quarantine.cc
+++ b/tests/src/fuzz-request_quarantine.cc
@@ -140,6 +140,38 @@
   }));
 }
 
+// Guards against a crashing request whose caller leaves before the crash.
+TEST_CASE("a request that crashes upstreams after its caller left is stopped") {
+  int refused = 0;
+  int sent = 0;
+  CHECK(rc::check([&] {
+    const auto seed = *rc::gen::arbitrary<unsigned>();
+    RequestFleetOptions options;
+    options.impatient = 30;
+    options.bad_caller_leaves = true;
+    const DayOutcome outcome = PlayDay(seed, options, {20, 4, 2});
+    RC_ASSERT(outcome.late_sends <= kAllowedSends);
+    RC_ASSERT(MostlyServed(outcome.often_refused, outcome.often_sent));
+    refused += outcome.at_times_refused;
+    sent += outcome.at_times_sent;
+  }));
+  CHECK(MostlyServed(refused, sent));
+  MESSAGE("sound requests of impatient callers refused: " << refused << " of "
+                                                          << sent);
+}
+
+TEST_CASE("the days show the fault where what was let go of proves nothing") {
+  RequestFleetOptions options;
+  options.impatient = 30;
+  options.bad_caller_leaves = true;
+  options.keeps_abandoned = false;
+  int late_sends = 0;
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    late_sends += PlayDay(seed, options, {20, 4, 2}).late_sends;
+  }
+  CHECK(late_sends > 10 * kAllowedSends);
+}
+
 TEST_CASE("the days show the fault where nothing is kept") {
   RequestFleetOptions options;
   options.keeps_crashes = false;
