Let a new control VM take the place of one that is gone

Anonymous routes went on with the older configuration, keyed requests got 503 for good.

Cause: ControlLink took no endpoint beyond 32 and forgot none; VoterDirectory the same at 64, for connections and hellos.

Change: membership/endpoint_book decides for both. A new endpoint takes the place of the one that was silent longest, of those that are not connected, no seed, and not named for 5 s or not heard of for 10 s. Seeds are set as a whole, so that a former one is like others.

Why it works: who is gone is neither connected nor named any more, so there is always room for the next one, and what a list alone names never outlasts what is connected, a seed, or named by others.

--- a/include/rattanward/control/voter_directory.h
+++ b/include/rattanward/control/voter_directory.h
@@ -6,11 +6,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "rattanward/adapter/message_transport.h"
 #include "rattanward/consensus/message.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/endpoint_book.h"
 #include "rattanward/protocol/control_messages.h"
 
 namespace rattanward::control {
@@ -25,9 +27,13 @@
   VoterDirectory(asio::io_context& io, adapter::TransportOptions options,
                  Endpoint self, std::function<protocol::VoterHello()> hello);
 
+  /// @brief Connects to the seeds, in place of those set before.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   /// @brief Opens a connection to this endpoint and keeps it open. Ignored for
-  /// this control VM's own endpoint, for port 0, and beyond the limit on
-  /// endpoints.
+  /// this control VM's own endpoint and for port 0. Beyond the limit on
+  /// endpoints, one that is not connected makes room; see
+  /// membership::EndpointBook.
   void ConnectTo(const Endpoint& endpoint);
 
   /// @brief Sends a hello to every known endpoint. A new connection sends its
@@ -87,7 +93,12 @@
   void Stop();
 
  private:
+  /// Maximum number of endpoints to connect to and to record hellos from.
+  /// Hellos could name any number of endpoints.
+  static constexpr std::size_t kMaxEndpoints = 64;
+
   void SendHello(adapter::PeerClient& client, const std::string& body);
+  void OnConnected(const Endpoint& endpoint);
   void ConnectToMembersOf(const protocol::VoterHello& hello);
 
   asio::io_context& io_;
@@ -95,6 +106,7 @@
   Endpoint self_;
   std::function<protocol::VoterHello()> hello_;
   std::function<void(const Endpoint&)> on_connected_;
+  membership::EndpointBook book_{kMaxEndpoints};
   std::map<Endpoint, std::unique_ptr<adapter::PeerClient>> clients_;
   std::map<Endpoint, protocol::VoterHello> hellos_;
   std::map<Endpoint, TimePoint> hello_times_;
--- a/include/rattanward/domain/event.h
+++ b/include/rattanward/domain/event.h
@@ -91,6 +91,7 @@
   kHandOverStarted = 4028,
   kHandOverEnded = 4029,
   kUpstreamUnnamed = 4030,
+  kControlForgotten = 4031,
 
   kSnapshotWritten = 5001,
   kTornTailCut = 5002,
--- a/include/rattanward/proxy/control_link.h
+++ b/include/rattanward/proxy/control_link.h
@@ -13,6 +13,7 @@
 #include "rattanward/domain/bounded_set.h"
 #include "rattanward/domain/ids.h"
 #include "rattanward/domain/time.h"
+#include "rattanward/membership/endpoint_book.h"
 #include "rattanward/membership/instance_directory.h"
 #include "rattanward/policy/room_share.h"
 #include "rattanward/port/event_sink.h"
@@ -72,11 +73,18 @@
   ControlLink(asio::io_context& io, adapter::TransportOptions options,
               protocol::EntryReport self, ControlLinkHooks hooks);
 
+  /// @brief Connects to the seeds, in place of those set before.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   /// @brief Connects to a control VM.
-  /// @note Does nothing if the endpoint is already known, has port 0, or the
-  /// maximum number of control VMs is reached.
+  /// @note Does nothing if the endpoint is already known or has port 0. If the
+  /// maximum number of control VMs is reached, one that is not connected makes
+  /// room; see membership::EndpointBook.
   void ConnectTo(const Endpoint& endpoint);
 
+  /// @brief Number of control VMs known, connected or not.
+  std::size_t known() const { return controls_.size(); }
+
   /// @brief Sets the routing version stated in subsequent reports.
   void SetRouting(ConfigVersion version) { self_.routing = version; }
 
@@ -106,6 +114,7 @@
   void Stop();
 
  private:
+  static constexpr std::size_t kMaxControlVms = 32;
   /// Maximum number of crashes kept, and of cleared ones; every report includes
   /// all of them.
   static constexpr std::size_t kMaxWitnesses = 64;
@@ -115,6 +124,8 @@
     std::uint64_t push_heeded = 0;
   };
 
+  bool IsConnected(const Endpoint& endpoint) const;
+  void OnConnected(const Endpoint& endpoint);
   void TellCrashes(Control& control);
   void SendReport(const Endpoint& endpoint, Control& control);
   void HandlePush(const Endpoint& endpoint, const protocol::Envelope& envelope);
@@ -126,6 +137,7 @@
   adapter::TransportOptions options_;
   protocol::EntryReport self_;
   ControlLinkHooks hooks_;
+  membership::EndpointBook book_{kMaxControlVms};
   std::map<Endpoint, Control> controls_;
   BoundedSet<protocol::CrashWitness> witnesses_{kMaxWitnesses};
   BoundedSet<protocol::CrashWitness> cleared_{kMaxWitnesses};
--- a/include/rattanward/proxy/entry_node.h
+++ b/include/rattanward/proxy/entry_node.h
@@ -42,8 +42,10 @@
   /// Errors: kDisconnected.
   Status Start();
 
-  /// @brief Connects to another control VM.
-  void AddControl(const Endpoint& endpoint) { link_.ConnectTo(endpoint); }
+  /// @brief Connects to the seeds, in place of those set before.
+  void SetControlSeeds(const std::vector<Endpoint>& seeds) {
+    link_.SetSeeds(seeds);
+  }
 
   /// @brief Shuts down gracefully.
   /// @param done Called once all requests are finished, or shortly before the
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -102,16 +102,18 @@
   if (!listening) {
     return listening;
   }
-  for (const Endpoint& endpoint : settings_.initial_voters) {
-    voters_.ConnectTo(endpoint);
-  }
+  voters_.SetSeeds(settings_.initial_voters);
   ConnectToMembers();
   timers_.Every(kTickPeriod, [this](TimePoint) {
     TryBootstrap();
     entries_.UpdateLeadership();
     replica_.Tick();
   });
-  timers_.Every(kHelloPeriod, [this](TimePoint) { voters_.SendHellos(); });
+  timers_.Every(kHelloPeriod, [this](TimePoint) {
+    // Those that are members stay known.
+    ConnectToMembers();
+    voters_.SendHellos();
+  });
   if (settings_.wanted_voters > 0) {
     timers_.Every(kMembershipCheckPeriod,
                   [this](TimePoint) { ReconcileMembership(); });
--- a/src/control/voter_directory.cc
+++ b/src/control/voter_directory.cc
@@ -7,9 +7,6 @@
 namespace {
 
 constexpr Duration kHelloTimeout{std::chrono::seconds(1)};
-/// Maximum number of endpoints to connect to and to record hellos from. Hellos
-/// could name any number of endpoints.
-constexpr std::size_t kMaxEndpoints = 64;
 
 }  // namespace
 
@@ -21,23 +18,54 @@
       self_(std::move(self)),
       hello_(std::move(hello)) {}
 
+void VoterDirectory::SetSeeds(const std::vector<Endpoint>& seeds) {
+  book_.SetSeeds(seeds);
+  for (const Endpoint& seed : seeds) {
+    ConnectTo(seed);
+  }
+}
+
 void VoterDirectory::ConnectTo(const Endpoint& endpoint) {
-  if (endpoint == self_ || endpoint.port == 0 || clients_.count(endpoint) > 0 ||
-      clients_.size() >= kMaxEndpoints) {
+  if (endpoint == self_ || endpoint.port == 0) {
+    return;
+  }
+  const membership::EndpointBook::Outcome outcome =
+      book_.Name(endpoint, adapter::MonotonicNow(), [this](const Endpoint& e) {
+        const auto client = clients_.find(e);
+        return client != clients_.end() && client->second->connected();
+      });
+  if (outcome.dropped && options_.events) {
+    options_.events({EventId::kControlForgotten,
+                     {{"dropped", ToString(*outcome.dropped)},
+                      {"for", ToString(endpoint)}}});
+  }
+  if (outcome.dropped) {
+    clients_.erase(*outcome.dropped);
+    hellos_.erase(*outcome.dropped);
+    hello_times_.erase(*outcome.dropped);
+  }
+  if (!outcome.added) {
     return;
   }
   auto client = std::make_unique<adapter::PeerClient>(
       io_, options_, endpoint, adapter::PeerClient::PushHandler(),
-      [this, endpoint](const ProcessId&) {
-        SendHello(*clients_[endpoint], protocol::Encode(hello_()));
-        if (on_connected_) {
-          on_connected_(endpoint);
-        }
-      });
+      [this, endpoint](const ProcessId&) { OnConnected(endpoint); });
   client->Start();
   clients_[endpoint] = std::move(client);
 }
 
+void VoterDirectory::OnConnected(const Endpoint& endpoint) {
+  const auto client = clients_.find(endpoint);
+  if (client == clients_.end()) {
+    return;
+  }
+  book_.RecordHeard(endpoint, adapter::MonotonicNow());
+  SendHello(*client->second, protocol::Encode(hello_()));
+  if (on_connected_) {
+    on_connected_(endpoint);
+  }
+}
+
 void VoterDirectory::SendHellos() {
   const std::string body = protocol::Encode(hello_());
   for (const auto& [endpoint, client] : clients_) {
@@ -64,14 +92,16 @@
 }
 
 void VoterDirectory::RecordHello(const protocol::VoterHello& hello) {
-  const bool known = hellos_.count(hello.peer_endpoint) > 0;
-  if (hello.peer_endpoint == self_ ||
-      (!known && hellos_.size() >= kMaxEndpoints)) {
+  if (hello.peer_endpoint == self_) {
     return;
   }
+  ConnectTo(hello.peer_endpoint);
+  if (!book_.Knows(hello.peer_endpoint)) {
+    return;
+  }
+  book_.RecordHeard(hello.peer_endpoint, adapter::MonotonicNow());
   hellos_[hello.peer_endpoint] = hello;
   hello_times_[hello.peer_endpoint] = adapter::MonotonicNow();
-  ConnectTo(hello.peer_endpoint);
   ConnectToMembersOf(hello);
 }
 
--- a/src/domain/event.cc
+++ b/src/domain/event.cc
@@ -82,6 +82,7 @@
     {EventId::kHandOverStarted, "hand-over-started"},
     {EventId::kHandOverEnded, "hand-over-ended"},
     {EventId::kUpstreamUnnamed, "upstream-unnamed"},
+    {EventId::kControlForgotten, "control-forgotten"},
     {EventId::kSnapshotWritten, "snapshot-written"},
     {EventId::kTornTailCut, "torn-tail-cut"},
     {EventId::kDamagedRecordFound, "damaged-record-found"},
--- a/src/proxy/control_link.cc
+++ b/src/proxy/control_link.cc
@@ -12,7 +12,6 @@
 using adapter::MonotonicNow;
 
 constexpr Duration kReportTimeout{std::chrono::milliseconds(1200)};
-constexpr std::size_t kMaxControlVms = 32;
 /// Time for which reports name what an upstream told in an answer. Control VMs
 /// that were cut off for longer learn of it from each other.
 constexpr Duration kSignalReportTime{std::chrono::seconds(10)};
@@ -29,9 +28,29 @@
       self_(std::move(self)),
       hooks_(std::move(hooks)) {}
 
+void ControlLink::SetSeeds(const std::vector<Endpoint>& seeds) {
+  book_.SetSeeds(seeds);
+  for (const Endpoint& seed : seeds) {
+    ConnectTo(seed);
+  }
+}
+
 void ControlLink::ConnectTo(const Endpoint& endpoint) {
-  if (endpoint.port == 0 || controls_.count(endpoint) > 0 ||
-      controls_.size() >= kMaxControlVms) {
+  if (endpoint.port == 0) {
+    return;
+  }
+  const membership::EndpointBook::Outcome outcome =
+      book_.Name(endpoint, MonotonicNow(),
+                 [this](const Endpoint& known) { return IsConnected(known); });
+  if (outcome.dropped && hooks_.events) {
+    hooks_.events({EventId::kControlForgotten,
+                   {{"dropped", ToString(*outcome.dropped)},
+                    {"for", ToString(endpoint)}}});
+  }
+  if (outcome.dropped) {
+    controls_.erase(*outcome.dropped);
+  }
+  if (!outcome.added) {
     return;
   }
   Control& control = controls_[endpoint];
@@ -40,19 +59,31 @@
       [this, endpoint](const protocol::Envelope& envelope) {
         HandlePush(endpoint, envelope);
       },
-      [this, endpoint](const ProcessId&) {
-        Control& connected = controls_[endpoint];
-        connected.push_heeded = 0;
-        TellCrashes(connected);
-        AddSuspicions(hooks_.suspicions());
-        for (const UpstreamLimit& limit : hooks_.limits()) {
-          AddLimit(limit);
-        }
-        SendReport(endpoint, connected);
-      });
+      [this, endpoint](const ProcessId&) { OnConnected(endpoint); });
   control.client->Start();
 }
 
+bool ControlLink::IsConnected(const Endpoint& endpoint) const {
+  const auto found = controls_.find(endpoint);
+  return found != controls_.end() && found->second.client->connected();
+}
+
+void ControlLink::OnConnected(const Endpoint& endpoint) {
+  const auto found = controls_.find(endpoint);
+  if (found == controls_.end()) {
+    return;
+  }
+  book_.RecordHeard(endpoint, MonotonicNow());
+  Control& connected = found->second;
+  connected.push_heeded = 0;
+  TellCrashes(connected);
+  AddSuspicions(hooks_.suspicions());
+  for (const UpstreamLimit& limit : hooks_.limits()) {
+    AddLimit(limit);
+  }
+  SendReport(endpoint, connected);
+}
+
 void ControlLink::TellCrashes(Control& control) {
   if (!hooks_.known_crashes) {
     return;
@@ -162,6 +193,7 @@
   if (!report) {
     return;
   }
+  book_.RecordHeard(endpoint, MonotonicNow());
   if (hooks_.answered) {
     hooks_.answered(endpoint, sent, report.value());
   }
@@ -196,10 +228,12 @@
         if (!push.value().departed.empty()) {
           hooks_.departed(push.value().departed);
         }
-        Control& control = controls_[endpoint];
-        control.push_heeded =
-            std::max(control.push_heeded, push.value().number);
-        SendReport(endpoint, control);
+        const auto control = controls_.find(endpoint);
+        if (control != controls_.end()) {
+          control->second.push_heeded =
+              std::max(control->second.push_heeded, push.value().number);
+          SendReport(endpoint, control->second);
+        }
       }
       break;
     }
--- a/src/proxy/entry_node.cc
+++ b/src/proxy/entry_node.cc
@@ -153,9 +153,7 @@
   if (!started) {
     return started;
   }
-  for (const Endpoint& endpoint : options_.control) {
-    link_.ConnectTo(endpoint);
-  }
+  link_.SetSeeds(options_.control);
   timers_.Every(kReportPeriod, [this](TimePoint) { link_.SendReports(); });
   PublishLoad();
   return outcome::success();
